Run the whole path thin: submit, own, place, start, finish

Cause: an empty repository. Everything after this widens one path instead of building parts beside it.

Change: design page, schema with generated code, platform interfaces with an HTTP adapter and in-memory stand-ins, shard ownership by store lease, group commit log, a first-fit decision core, peer RPC, caller HTTP, the daemon and an embedded demo of six entry VMs in three zones on loopback.

--- /dev/null
+++ b/ownership/right.go
@@ -0,0 +1,64 @@
+package ownership
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstack.example/siskinstack/clock"
+)
+
+// ErrExpired means that the shard may belong to another VM by now. Nothing was done.
+var ErrExpired = eris.New("right to act for the shard has expired")
+
+// Right is the permission to act for one shard. It is judged on the holder's monotonic clock, so a process that was
+// paused finds it expired on waking.
+type Right struct {
+	Shard string
+	// Epoch is the store revision at which ownership began. Workers refuse lower epochs.
+	Epoch int64
+
+	clock clock.Clock
+	mu    sync.Mutex // guards until and ended
+	until time.Time
+	ended bool
+}
+
+// NewRight returns a right that is valid until a time on c.
+func NewRight(c clock.Clock, shard string, epoch int64, until time.Time) *Right {
+	return &Right{Shard: shard, Epoch: epoch, clock: c, until: until}
+}
+
+// Check returns ErrExpired unless the right is valid now. It is called immediately before each act for the shard.
+func (r *Right) Check() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || !r.clock.Now().Before(r.until) {
+		return ErrExpired
+	}
+	return nil
+}
+
+// Until returns the end of the right as known now.
+func (r *Right) Until() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.until
+}
+
+// extend moves the end of the right; it never moves it back.
+func (r *Right) extend(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if until.After(r.until) {
+		r.until = until
+	}
+}
+
+// end withdraws the right for good.
+func (r *Right) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,60 @@
+// Package peer carries calls between entry VMs over gRPC.
+package peer
+
+import (
+	"context"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+// Work is the work interface of the shards that a VM owns. Errors are refusals.
+type Work interface {
+	Submit(ctx context.Context, request *siskinv1.SubmitWorkRequest) (*siskinv1.SubmitWorkResponse, error)
+	Get(ctx context.Context, request *siskinv1.GetWorkRequest) (*siskinv1.GetWorkResponse, error)
+	List(ctx context.Context, request *siskinv1.ListWorkRequest) (*siskinv1.ListWorkResponse, error)
+	Cancel(ctx context.Context, request *siskinv1.CancelWorkRequest) (*siskinv1.CancelWorkResponse, error)
+}
+
+// Server serves the peer RPC.
+type Server struct {
+	siskinv1.UnimplementedPeerServiceServer
+	// LocalWork serves the shards of this VM only, so that a call is passed on at most once.
+	LocalWork Work
+}
+
+// SubmitWork accepts a job for a shard of this VM.
+func (s *Server) SubmitWork(ctx context.Context, request *siskinv1.SubmitWorkRequest) (*siskinv1.SubmitWorkResponse, error) {
+	answer, err := s.LocalWork.Submit(ctx, request)
+	if err != nil {
+		return &siskinv1.SubmitWorkResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
+
+// GetWork returns the state of a job of a shard of this VM.
+func (s *Server) GetWork(ctx context.Context, request *siskinv1.GetWorkRequest) (*siskinv1.GetWorkResponse, error) {
+	answer, err := s.LocalWork.Get(ctx, request)
+	if err != nil {
+		return &siskinv1.GetWorkResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
+
+// ListWork lists the jobs of a shard of this VM.
+func (s *Server) ListWork(ctx context.Context, request *siskinv1.ListWorkRequest) (*siskinv1.ListWorkResponse, error) {
+	answer, err := s.LocalWork.List(ctx, request)
+	if err != nil {
+		return &siskinv1.ListWorkResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
+
+// CancelWork cancels a job of a shard of this VM.
+func (s *Server) CancelWork(ctx context.Context, request *siskinv1.CancelWorkRequest) (*siskinv1.CancelWorkResponse, error) {
+	answer, err := s.LocalWork.Cancel(ctx, request)
+	if err != nil {
+		return &siskinv1.CancelWorkResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/peer/work.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"context"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/shardlog"
+)
+
+// Directory names the VM that owns a shard.
+type Directory interface {
+	Owner(shard string) (vm string, ok bool)
+}
+
+// Router sends calls on work to the owner of the shard: to Local on this VM, or to the owner's VM.
+type Router struct {
+	VM        string
+	Local     Work
+	Directory Directory
+	Clients   *Clients
+}
+
+func (r *Router) owner(shard string) (siskinv1.PeerServiceClient, bool, error) {
+	vm, ok := r.Directory.Owner(shard)
+	if !ok {
+		return nil, false, refusal.New(refusal.ShardUnavailable, "shard %q has no owner at the moment", shard)
+	}
+	if vm == r.VM {
+		return nil, true, nil
+	}
+	client, err := r.Clients.Client(vm)
+	if err != nil {
+		return nil, false, refusal.New(refusal.ShardUnavailable, "%v", err)
+	}
+	return client, false, nil
+}
+
+// ownerOfJob finds the owner of a job by the shard named in its identifier.
+func (r *Router) ownerOfJob(id string) (siskinv1.PeerServiceClient, bool, error) {
+	shard, ok := shardlog.ShardOfJob(id)
+	if !ok {
+		return nil, false, refusal.New(refusal.NotFound, "work %q does not exist", id)
+	}
+	return r.owner(shard)
+}
+
+// Submit hands a job to the owner of its shard.
+func (r *Router) Submit(ctx context.Context, request *siskinv1.SubmitWorkRequest) (*siskinv1.SubmitWorkResponse, error) {
+	client, local, err := r.owner(request.GetShard())
+	if err != nil {
+		return nil, err
+	}
+	if local {
+		return r.Local.Submit(ctx, request)
+	}
+	answer, err := client.SubmitWork(ctx, request)
+	if err != nil {
+		return nil, refusal.New(refusal.AcceptanceUnknown, "owner of shard %q did not answer: %v", request.GetShard(), err)
+	}
+	return answer, refusedError(answer.GetRefused())
+}
+
+// Get reads a job from the owner of its shard.
+func (r *Router) Get(ctx context.Context, request *siskinv1.GetWorkRequest) (*siskinv1.GetWorkResponse, error) {
+	client, local, err := r.ownerOfJob(request.GetId())
+	if err != nil {
+		return nil, err
+	}
+	if local {
+		return r.Local.Get(ctx, request)
+	}
+	answer, err := client.GetWork(ctx, request)
+	if err != nil {
+		return nil, refusal.New(refusal.ShardUnavailable, "owner of work %q did not answer: %v", request.GetId(), err)
+	}
+	return answer, refusedError(answer.GetRefused())
+}
+
+// List reads the jobs of one shard from its owner.
+func (r *Router) List(ctx context.Context, request *siskinv1.ListWorkRequest) (*siskinv1.ListWorkResponse, error) {
+	client, local, err := r.owner(request.GetShard())
+	if err != nil {
+		return nil, err
+	}
+	if local {
+		return r.Local.List(ctx, request)
+	}
+	answer, err := client.ListWork(ctx, request)
+	if err != nil {
+		return nil, refusal.New(refusal.ShardUnavailable, "owner of shard %q did not answer: %v", request.GetShard(), err)
+	}
+	return answer, refusedError(answer.GetRefused())
+}
+
+// Cancel cancels a job at the owner of its shard. Repeating a cancellation has no further effect.
+func (r *Router) Cancel(ctx context.Context, request *siskinv1.CancelWorkRequest) (*siskinv1.CancelWorkResponse, error) {
+	client, local, err := r.ownerOfJob(request.GetId())
+	if err != nil {
+		return nil, err
+	}
+	if local {
+		return r.Local.Cancel(ctx, request)
+	}
+	answer, err := client.CancelWork(ctx, request)
+	if err != nil {
+		return nil, refusal.New(refusal.ShardUnavailable, "owner of work %q did not answer: %v", request.GetId(), err)
+	}
+	return answer, refusedError(answer.GetRefused())
+}
+
+// refusedError avoids a non-nil error that holds a nil pointer.
+func refusedError(refused *siskinv1.Refused) error {
+	if refused == nil {
+		return nil
+	}
+	return refusal.FromProto(refused)
+}
--- /dev/null
+++ b/refusal/refusal.go
@@ -0,0 +1,148 @@
+// Package refusal holds the typed reasons for which the system declines work. Callers, the command line and the
+// counters share them. Each reason states whether it means that nothing has run.
+package refusal
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+)
+
+// Reason is the stable identifier of a kind of refusal.
+type Reason string
+
+// The reasons. A reason whose row in kinds has notRun set is only used when nothing can have run.
+const (
+	BadRequest         Reason = "bad_request"
+	BodyTooLarge       Reason = "body_too_large"
+	KeyMissing         Reason = "key_missing"
+	KeyUnknown         Reason = "key_unknown"
+	KeyWithdrawn       Reason = "key_withdrawn"
+	KeyWrongTeam       Reason = "key_wrong_team"
+	KeyUnverifiable    Reason = "key_unverifiable"
+	NotPermitted       Reason = "not_permitted"
+	NotFound           Reason = "not_found"
+	Conflict           Reason = "conflict"
+	RequestKeyReused   Reason = "request_key_reused"
+	QueueFull          Reason = "queue_full"
+	TeamLimit          Reason = "team_limit"
+	Overloaded         Reason = "overloaded"
+	NoEndpoint         Reason = "no_endpoint"
+	DeadlineTooShort   Reason = "deadline_too_short"
+	ShardUnavailable   Reason = "shard_unavailable"
+	StoreUnavailable   Reason = "store_unavailable"
+	Leaving            Reason = "leaving"
+	InProgress         Reason = "in_progress"
+	OutcomeUnknown     Reason = "outcome_unknown"
+	DeadlineExceeded   Reason = "deadline_exceeded"
+	EndpointFailed     Reason = "endpoint_failed"
+	AcceptanceUnknown  Reason = "acceptance_unknown"
+	InternalError      Reason = "internal_error"
+	CannotRunInAnyZone Reason = "cannot_run"
+)
+
+type kind struct {
+	status int
+	notRun bool
+}
+
+var kinds = map[Reason]kind{
+	BadRequest:         {http.StatusBadRequest, true},
+	BodyTooLarge:       {http.StatusRequestEntityTooLarge, true},
+	KeyMissing:         {http.StatusUnauthorized, true},
+	KeyUnknown:         {http.StatusUnauthorized, true},
+	KeyWithdrawn:       {http.StatusUnauthorized, true},
+	KeyWrongTeam:       {http.StatusForbidden, true},
+	KeyUnverifiable:    {http.StatusServiceUnavailable, true},
+	NotPermitted:       {http.StatusForbidden, true},
+	NotFound:           {http.StatusNotFound, true},
+	Conflict:           {http.StatusConflict, true},
+	RequestKeyReused:   {http.StatusConflict, true},
+	QueueFull:          {http.StatusTooManyRequests, true},
+	TeamLimit:          {http.StatusTooManyRequests, true},
+	Overloaded:         {http.StatusTooManyRequests, true},
+	NoEndpoint:         {http.StatusServiceUnavailable, true},
+	DeadlineTooShort:   {http.StatusGatewayTimeout, true},
+	ShardUnavailable:   {http.StatusServiceUnavailable, true},
+	StoreUnavailable:   {http.StatusServiceUnavailable, true},
+	Leaving:            {http.StatusServiceUnavailable, true},
+	InProgress:         {http.StatusConflict, false},
+	OutcomeUnknown:     {http.StatusConflict, false},
+	DeadlineExceeded:   {http.StatusGatewayTimeout, false},
+	EndpointFailed:     {http.StatusBadGateway, false},
+	AcceptanceUnknown:  {http.StatusServiceUnavailable, false},
+	InternalError:      {http.StatusInternalServerError, false},
+	CannotRunInAnyZone: {http.StatusUnprocessableEntity, true},
+}
+
+// Reasons returns every reason, for documentation and counters.
+func Reasons() []Reason {
+	all := make([]Reason, 0, len(kinds))
+	for reason := range kinds {
+		all = append(all, reason)
+	}
+	return all
+}
+
+// NotRun reports whether the reason means that nothing has run.
+func (r Reason) NotRun() bool { return kinds[r].notRun }
+
+// Status returns the HTTP status of the reason.
+func (r Reason) Status() int {
+	if k, ok := kinds[r]; ok {
+		return k.status
+	}
+	return http.StatusInternalServerError
+}
+
+// Error is a refusal on its way to the caller.
+type Error struct {
+	Reason     Reason
+	Message    string
+	RetryAfter time.Duration
+}
+
+// New returns a refusal with a message in the manner of fmt.Sprintf.
+func New(reason Reason, format string, args ...any) *Error {
+	return &Error{Reason: reason, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the reason and the message.
+func (e *Error) Error() string { return string(e.Reason) + ": " + e.Message }
+
+// NotRun reports whether nothing has run.
+func (e *Error) NotRun() bool { return e.Reason.NotRun() }
+
+// Proto converts e for another VM.
+func (e *Error) Proto() *siskinv1.Refused {
+	return &siskinv1.Refused{
+		Reason:       string(e.Reason),
+		Message:      e.Message,
+		NotRun:       e.NotRun(),
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}
+}
+
+// FromProto converts a refusal of another VM; nil stays nil.
+func FromProto(r *siskinv1.Refused) *Error {
+	if r == nil {
+		return nil
+	}
+	return &Error{
+		Reason:     Reason(r.GetReason()),
+		Message:    r.GetMessage(),
+		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+	}
+}
+
+// From returns the refusal inside err. Any other error becomes InternalError, which does not claim "not run".
+func From(err error) *Error {
+	var refused *Error
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return New(InternalError, "%v", err)
+}
--- /dev/null
+++ b/resource/vector.go
@@ -0,0 +1,93 @@
+// Package resource holds the vector of capacity that tasks need and workers have.
+package resource
+
+import (
+	"fmt"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+)
+
+// Dimensions is the number of kinds of capacity.
+const Dimensions = 3
+
+// Vector is an amount of each kind of capacity.
+type Vector struct {
+	MilliCPU     int64
+	MemoryBytes  int64
+	Accelerators int64
+}
+
+// FromProto converts a message; nil is the zero vector.
+func FromProto(r *siskinv1.Resources) Vector {
+	return Vector{
+		MilliCPU:     r.GetMilliCpu(),
+		MemoryBytes:  r.GetMemoryBytes(),
+		Accelerators: r.GetAccelerators(),
+	}
+}
+
+// Proto converts v to its message.
+func (v Vector) Proto() *siskinv1.Resources {
+	return &siskinv1.Resources{
+		MilliCpu:     v.MilliCPU,
+		MemoryBytes:  v.MemoryBytes,
+		Accelerators: v.Accelerators,
+	}
+}
+
+// Add returns v + w.
+func (v Vector) Add(w Vector) Vector {
+	return Vector{v.MilliCPU + w.MilliCPU, v.MemoryBytes + w.MemoryBytes, v.Accelerators + w.Accelerators}
+}
+
+// Sub returns v - w, which may be negative.
+func (v Vector) Sub(w Vector) Vector {
+	return Vector{v.MilliCPU - w.MilliCPU, v.MemoryBytes - w.MemoryBytes, v.Accelerators - w.Accelerators}
+}
+
+// Scale returns v times n.
+func (v Vector) Scale(n int64) Vector {
+	return Vector{v.MilliCPU * n, v.MemoryBytes * n, v.Accelerators * n}
+}
+
+// Fits reports whether v is at most room in every dimension.
+func (v Vector) Fits(room Vector) bool {
+	return v.MilliCPU <= room.MilliCPU && v.MemoryBytes <= room.MemoryBytes && v.Accelerators <= room.Accelerators
+}
+
+// Max returns the larger amount in each dimension.
+func (v Vector) Max(w Vector) Vector {
+	return Vector{max(v.MilliCPU, w.MilliCPU), max(v.MemoryBytes, w.MemoryBytes), max(v.Accelerators, w.Accelerators)}
+}
+
+// Min returns the smaller amount in each dimension.
+func (v Vector) Min(w Vector) Vector {
+	return Vector{min(v.MilliCPU, w.MilliCPU), min(v.MemoryBytes, w.MemoryBytes), min(v.Accelerators, w.Accelerators)}
+}
+
+// IsZero reports whether every amount is zero.
+func (v Vector) IsZero() bool { return v == Vector{} }
+
+// IsNegative reports whether any amount is below zero.
+func (v Vector) IsNegative() bool {
+	return v.MilliCPU < 0 || v.MemoryBytes < 0 || v.Accelerators < 0
+}
+
+// DominantShare returns the largest share that v takes of total over the dimensions that total has.
+func (v Vector) DominantShare(total Vector) float64 {
+	share := ratio(v.MilliCPU, total.MilliCPU)
+	share = max(share, ratio(v.MemoryBytes, total.MemoryBytes))
+	return max(share, ratio(v.Accelerators, total.Accelerators))
+}
+
+func ratio(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// String returns the vector in short units.
+func (v Vector) String() string {
+	return fmt.Sprintf("%dm cpu, %d bytes, %d accelerators", v.MilliCPU, v.MemoryBytes, v.Accelerators)
+}
--- /dev/null
+++ b/scheduler/types.go
@@ -0,0 +1,162 @@
+// Package scheduler is the decision core of one shard. It has no clock, network or random source of its own: events
+// go in by method calls, and Plan returns what to start and stop. A Cell is not safe for concurrent use; its owner
+// calls it from one goroutine or under one lock.
+package scheduler
+
+import (
+	"time"
+
+	"siskinstack.example/siskinstack/resource"
+)
+
+// Kind selects the placement policy of a job.
+type Kind int
+
+// The kinds of jobs.
+const (
+	Service Kind = iota + 1
+	Batch
+	// Gang jobs start all their tasks together or none.
+	Gang
+)
+
+// Urgency orders the work of one team.
+type Urgency int
+
+// The urgencies, most urgent first.
+const (
+	Urgent Urgency = iota + 1
+	Normal
+	CanWait
+)
+
+// Time is monotonic time since an origin that the caller chooses.
+type Time = time.Duration
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job   string
+	Index int32
+}
+
+// Job is work with the tasks that this shard holds.
+type Job struct {
+	ID            string
+	Team          string
+	Queue         string
+	Kind          Kind
+	Urgency       Urgency
+	Each          resource.Vector
+	Indexes       []int32
+	DeclaredRun   time.Duration
+	ReadyBy       Time // 0 if there is none
+	Accepted      Time
+	Checkpoint    bool
+	AtMostOnce    bool
+	SameRack      bool
+	MaxAttempts   int32
+	UpdateVersion int64
+}
+
+// Worker is a VM that runs tasks.
+type Worker struct {
+	Name string
+	Zone string
+	Rack string
+	Room resource.Vector
+	// Leaving workers get no new tasks.
+	Leaving bool
+}
+
+// Team is a team with the limit that applies in this shard.
+type Team struct {
+	Name  string
+	Share int64
+	// Limit is the part of the team's ceiling that this shard may use.
+	Limit resource.Vector
+}
+
+// Outcome is how a task ended.
+type Outcome int
+
+// The outcomes of tasks.
+const (
+	Succeeded Outcome = iota + 1
+	Failed
+	// Stopped tasks go back to the queue unless their job was cancelled.
+	Stopped
+	// Lost tasks were on a worker that is gone and whose lease has certainly ended.
+	Lost
+	// Unknown tasks may have run and are never started again.
+	Unknown
+	Cancelled
+)
+
+// Start asks for one task to be started. Its room is reserved until StartFailed or Ended.
+type Start struct {
+	Task    TaskID
+	Attempt int32
+	Worker  string
+	Room    resource.Vector
+	Team    string
+}
+
+// Stop asks for one running task to be stopped.
+type Stop struct {
+	Task       TaskID
+	Attempt    int32
+	Worker     string
+	Checkpoint bool
+	Reason     StopReason
+}
+
+// StopReason says why a task is stopped.
+type StopReason string
+
+// The reasons to stop a task.
+const (
+	StopCancelled StopReason = "cancelled"
+	StopPreempted StopReason = "preempted"
+	StopDraining  StopReason = "draining"
+	StopCeiling   StopReason = "over_ceiling"
+	StopReplaced  StopReason = "replaced"
+)
+
+// Plan is the result of one pass.
+type Plan struct {
+	Starts []Start
+	Stops  []Stop
+}
+
+// WaitReason says why a task waits.
+type WaitReason string
+
+// The reasons to wait.
+const (
+	WaitNone        WaitReason = ""
+	WaitNoRoom      WaitReason = "no_room"
+	WaitCeiling     WaitReason = "team_ceiling"
+	WaitShare       WaitReason = "other_teams_owed"
+	WaitDraining    WaitReason = "zone_draining"
+	WaitTooLarge    WaitReason = "larger_than_any_worker"
+	WaitGangTooBig  WaitReason = "gang_larger_than_shard"
+	WaitOverCeiling WaitReason = "larger_than_ceiling"
+	WaitHeld        WaitReason = "previous_run_not_ended"
+	WaitUnknownTeam WaitReason = "unknown_team"
+)
+
+// Waiting explains why a job's tasks wait and what would have to change.
+type Waiting struct {
+	Reason WaitReason
+	Remedy string
+}
+
+// Counts is the number of a job's tasks in each state.
+type Counts struct {
+	Queued    int
+	Running   int
+	Succeeded int
+	Failed    int
+	Cancelled int
+	Unknown   int
+}
--- /dev/null
+++ b/standin/errors.go
@@ -0,0 +1,8 @@
+package standin
+
+import "github.com/rotisserie/eris"
+
+var (
+	errUnavailable = eris.New("stand-in is unavailable")
+	errAnswerLost  = eris.New("answer was lost")
+)
--- /dev/null
+++ b/standin/vms.go
@@ -0,0 +1,54 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+)
+
+// VMList is a list of VMs whose readers see every change Lag later.
+type VMList struct {
+	clock clock.Clock
+	lag   time.Duration
+
+	mu       sync.Mutex // guards versions
+	versions []vmVersion
+}
+
+type vmVersion struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+// NewVMList returns a list that shows changes after lag; the first contents are visible at once.
+func NewVMList(c clock.Clock, lag time.Duration, vms []platform.VM) *VMList {
+	first := vmVersion{at: c.Now().Add(-lag), vms: append([]platform.VM(nil), vms...)}
+	return &VMList{clock: c, lag: lag, versions: []vmVersion{first}}
+}
+
+// Update changes the list; readers see it after the lag.
+func (l *VMList) Update(change func(vms []platform.VM) []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	latest := l.versions[len(l.versions)-1].vms
+	next := change(append([]platform.VM(nil), latest...))
+	l.versions = append(l.versions, vmVersion{at: l.clock.Now(), vms: next})
+}
+
+// List returns the VMs as they were Lag ago.
+func (l *VMList) List(ctx context.Context) (platform.VMs, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	visible := l.clock.Now().Add(-l.lag)
+	newest := 0
+	for i, version := range l.versions {
+		if !version.at.After(visible) {
+			newest = i
+		}
+	}
+	l.versions = l.versions[newest:]
+	return platform.VMs{VMs: append([]platform.VM(nil), l.versions[0].vms...), Lag: l.lag}, ctx.Err()
+}
