--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace/noop"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -22,7 +23,8 @@
 	"siskinstack.example/siskinstack/peer"
 	"siskinstack.example/siskinstack/platform/httpplatform"
 	"siskinstack.example/siskinstack/resource"
-	"siskinstack.example/siskinstack/scheduler"
+	"siskinstack.example/siskinstack/sharding"
+	"siskinstack.example/siskinstack/telemetry"
 )
 
 // readHeaderTimeout ends connections of callers that send their headers too slowly.
@@ -37,6 +39,8 @@
 	manager  *ownership.Manager
 	owners   *owner.Set
 	clients  *peer.Clients
+	metrics  *owner.Metrics
+	parts    *peer.PartRouter
 	tasks    sync.WaitGroup
 }
 
@@ -48,6 +52,7 @@
 		clock:    clock.Real{},
 		platform: httpplatform.New(settings.GetPlatform().GetUrl()),
 		owners:   owner.NewSet(),
+		metrics:  owner.NewMetrics(telemetry.NewRegistry()),
 	}
 	addresses := map[string]string{}
 	for _, p := range settings.GetPeers() {
@@ -68,8 +73,9 @@
 		Lost:     func(string) {},
 	})
 	router := &peer.Router{VM: d.settings.GetVm(), Local: d.owners, Directory: d.manager, Clients: d.clients}
+	d.parts = &peer.PartRouter{Router: router, Local: d.owners}
 	server := grpc.NewServer()
-	siskinv1.RegisterPeerServiceServer(server, &peer.Server{LocalWork: d.owners})
+	siskinv1.RegisterPeerServiceServer(server, &peer.Server{LocalWork: d.owners, LocalParts: d.owners})
 	peerListener, err := net.Listen("tcp", d.settings.GetListen().GetPeers())
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
@@ -99,8 +105,9 @@
 func (d *Daemon) runOwner(ctx context.Context, right *ownership.Right) {
 	o, err := owner.Open(ctx, owner.Options{
 		Right: right, Store: d.platform, Workers: d.platform, VMs: d.platform.VMs(), Clock: d.clock,
-		Logger: d.logger, VM: d.settings.GetVm(), Zone: right.Shard[:len(right.Shard)-2],
-		Writer: d.settings.GetVm() + right.Shard, Teams: d.teams,
+		Logger: d.logger, Tracer: noop.NewTracerProvider().Tracer(""), Metrics: d.metrics,
+		Config: fixedConfig{d}, Limits: fixedConfig{d}, Fleet: fixedConfig{d}, Parts: d.parts,
+		VM: d.settings.GetVm(), Zone: sharding.Zone(right.Shard), Writer: d.settings.GetVm() + right.Shard,
 	})
 	if err != nil {
 		d.logger.Error(err, "cannot open shard", "shard", right.Shard)
@@ -131,7 +138,17 @@
 	return names
 }
 
-func (d *Daemon) teams() []scheduler.Team {
-	limit := resource.Vector{MilliCPU: 1 << 40, MemoryBytes: 1 << 60, Accelerators: 1 << 30}
-	return []scheduler.Team{{Name: "lab", Share: 1, Limit: limit}}
+// fixedConfig serves one team without limits until the configuration is followed.
+type fixedConfig struct{ *Daemon }
+
+func (fixedConfig) Fresh() bool                 { return true }
+func (fixedConfig) Draining(string) bool        { return false }
+func (c fixedConfig) Shards() []ownership.Shard { return c.shards() }
+func (fixedConfig) Teams() []*siskinv1.Team     { return []*siskinv1.Team{{Name: "lab", Share: 1}} }
+func (fixedConfig) Limit(string, string) resource.Vector {
+	return resource.Vector{MilliCPU: 1 << 40, MemoryBytes: 1 << 60, Accelerators: 1 << 30}
 }
+func (fixedConfig) SetDemand(string, string, resource.Vector, resource.Vector) {}
+func (fixedConfig) UsedElsewhere(string, string) resource.Vector               { return resource.Vector{} }
+func (fixedConfig) Room() resource.Vector                                      { return resource.Vector{} }
+func (fixedConfig) Loads() []*siskinv1.ShardLoad                               { return nil }
--- a/owner/convert.go
+++ b/owner/convert.go
@@ -9,20 +9,16 @@
 	"siskinstack.example/siskinstack/scheduler"
 )
 
-func coreJob(job *siskinv1.JobAccepted, now scheduler.Time) scheduler.Job {
-	spec := job.GetSpec()
-	indexes := make([]int32, spec.GetCount())
-	for i := range indexes {
-		indexes[i] = int32(i)
-	}
-	return scheduler.Job{
-		ID:            job.GetId(),
-		Team:          job.GetTeam(),
+func coreJob(j *job, now scheduler.Time) scheduler.Job {
+	spec := j.accepted.GetSpec()
+	out := scheduler.Job{
+		ID:            j.accepted.GetId(),
+		Team:          j.accepted.GetTeam(),
 		Queue:         spec.GetQueue(),
 		Kind:          scheduler.Kind(spec.GetKind()),
 		Urgency:       scheduler.Urgency(spec.GetUrgency()),
 		Each:          resource.FromProto(spec.GetEach()),
-		Indexes:       indexes,
+		Indexes:       j.openIndexes(),
 		DeclaredRun:   time.Duration(spec.GetDeclaredRunMs()) * time.Millisecond,
 		Accepted:      now,
 		Checkpoint:    spec.GetCheckpointable(),
@@ -31,28 +27,59 @@
 		MaxAttempts:   spec.GetMaxAttempts(),
 		UpdateVersion: spec.GetUpdateVersion(),
 	}
+	if out.AtMostOnce {
+		out.MaxAttempts = 1
+	}
+	return out
 }
 
-func outcomeOf(state siskinv1.TaskState) scheduler.Outcome {
-	switch state {
-	case siskinv1.TaskState_TASK_STATE_SUCCEEDED:
-		return scheduler.Succeeded
-	case siskinv1.TaskState_TASK_STATE_FAILED:
-		return scheduler.Failed
-	case siskinv1.TaskState_TASK_STATE_CANCELLED:
-		return scheduler.Cancelled
+func stateOf(outcome scheduler.Outcome) siskinv1.TaskState {
+	switch outcome {
+	case scheduler.Succeeded:
+		return siskinv1.TaskState_TASK_STATE_SUCCEEDED
+	case scheduler.Failed:
+		return siskinv1.TaskState_TASK_STATE_FAILED
+	case scheduler.Cancelled:
+		return siskinv1.TaskState_TASK_STATE_CANCELLED
 	default:
-		return scheduler.Unknown
+		return siskinv1.TaskState_TASK_STATE_UNKNOWN
 	}
 }
 
-func outcomeOfPhase(phase platform.TaskPhase) scheduler.Outcome {
-	switch phase {
-	case platform.PhaseSucceeded:
+// outcomeOfPhase returns the outcome of an attempt that a worker reports as ended.
+func outcomeOfPhase(phase platform.TaskPhase, atMostOnce bool) scheduler.Outcome {
+	switch {
+	case phase == platform.PhaseSucceeded:
 		return scheduler.Succeeded
-	case platform.PhaseFailed:
+	case phase == platform.PhaseFailed:
 		return scheduler.Failed
+	case atMostOnce:
+		return scheduler.Unknown
 	default:
 		return scheduler.Stopped
 	}
 }
+
+func taskID(ref platform.TaskRef) scheduler.TaskID {
+	return scheduler.TaskID{Job: ref.Job, Index: ref.Index}
+}
+
+func endedRecord(job string, index, attempt int32, state siskinv1.TaskState, message string) *siskinv1.Record {
+	return &siskinv1.Record{Change: &siskinv1.Record_TaskEnded{TaskEnded: &siskinv1.TaskEnded{
+		Job: job, Index: index, Attempt: attempt, State: state, Message: message,
+	}}}
+}
+
+func cancelRecord(id string) *siskinv1.Record {
+	return &siskinv1.Record{Change: &siskinv1.Record_JobCancelled{JobCancelled: &siskinv1.JobCancelled{Id: id}}}
+}
+
+func workerUsedRecord(worker string) *siskinv1.Record {
+	return &siskinv1.Record{Change: &siskinv1.Record_WorkerUsed{WorkerUsed: &siskinv1.WorkerUsed{Worker: worker}}}
+}
+
+func partRecord(id, holder string, version int64, set indexSet, copied *siskinv1.JobAccepted) *siskinv1.Record {
+	return &siskinv1.Record{Change: &siskinv1.Record_PartChanged{PartChanged: &siskinv1.PartChanged{
+		Job: id, Holder: holder, PlanVersion: version, Ranges: set.proto(), JobCopy: copied,
+	}}}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -1,35 +1,79 @@
-// Package owner is the runtime of one owned shard: it keeps the durable records, feeds the decision core with events,
-// and carries its plans out on the workers. All calls to workers and the log are made under the owner's right.
+// Package owner is the runtime of one owned shard. It keeps the durable records, feeds the decision core with events,
+// and carries the plans of the core out on the workers.
+//
+// Invariants:
+//   - Durable state changes only in apply, which the log calls with records that the store holds.
+//   - Every call to a worker is made under a right that was checked immediately before.
+//   - A task has at most one placement; it is placed again only after the previous attempt has certainly ended.
 package owner
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/trace"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/ownership"
 	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/scheduler"
 	"siskinstack.example/siskinstack/shardlog"
 )
 
 const (
-	// taskLease is how long a worker runs a task without renewal.
-	taskLease = 20 * time.Second
-	// planInterval is the longest time between two passes of the decision core.
-	planInterval = 20 * time.Millisecond
+	// TaskLease is how long a worker runs a task without renewal.
+	TaskLease = 20 * time.Second
+	// leaseMargin covers the difference of two clocks' rates over a task lease.
+	leaseMargin = time.Second
+	// planInterval is the time between two passes of the decision core.
+	planInterval = 10 * time.Millisecond
 	// maxStartsPerPass bounds the calls to workers that one pass causes.
 	maxStartsPerPass = 256
-	// renewInterval is the time between two renewals of a worker.
-	renewInterval = 500 * time.Millisecond
+	// maxCalls bounds the calls to workers in flight.
+	maxCalls = 512
 	// workerTimeout bounds one call to a worker.
 	workerTimeout = 2 * time.Second
+	// refreshInterval is the time between two reads of configuration, limits and the VM list.
+	refreshInterval = 250 * time.Millisecond
+	// stopGrace is how long a stopped task may take to shut down.
+	stopGrace = 10 * time.Second
 )
 
+// Config is the configuration that is in force.
+type Config interface {
+	// Fresh reports whether the configuration is known to be complete. Tasks start only under a fresh one.
+	Fresh() bool
+	// Draining reports whether operators have taken the availability zone out of service.
+	Draining(zone string) bool
+	// Teams returns the teams with their shares.
+	Teams() []*siskinv1.Team
+	// Shards returns all shards of the fleet.
+	Shards() []ownership.Shard
+}
+
+// Limits manages the parts of the teams' ceilings that a shard may use.
+type Limits interface {
+	// Limit returns what a team may have running in a shard.
+	Limit(shard, team string) resource.Vector
+	// SetDemand reports what a team has running and queued in a shard.
+	SetDemand(shard, team string, running, queued resource.Vector)
+}
+
+// Fleet is what the other VMs report about their shards.
+type Fleet interface {
+	// UsedElsewhere returns what a team has running in all other shards.
+	UsedElsewhere(shard, team string) resource.Vector
+	// Room returns the room of all workers of the fleet.
+	Room() resource.Vector
+	// Loads returns the last reported load of each shard.
+	Loads() []*siskinv1.ShardLoad
+}
+
 // Options configures the owner of a shard.
 type Options struct {
 	Right   *ownership.Right
@@ -38,160 +82,213 @@
 	VMs     platform.VMList
 	Clock   clock.Clock
 	Logger  logr.Logger
-	VM      string
-	Zone    string
-	Writer  string
-	// Teams returns the teams with the limits that apply in this shard.
-	Teams func() []scheduler.Team
+	Tracer  trace.Tracer
+	Metrics *Metrics
+	Config  Config
+	Limits  Limits
+	Fleet   Fleet
+	// Parts reaches the owners of other shards.
+	Parts PartClient
+	VM    string
+	// Zone is the availability zone of the shard, which need not be that of the VM.
+	Zone string
+	// Writer is the identity of this owner in the log.
+	Writer string
+	// MaxQueuedTasks bounds the tasks that wait in the shard.
+	MaxQueuedTasks int64
 }
 
 // Owner runs one shard until its right ends.
 type Owner struct {
 	options Options
+	shard   string
 	log     *shardlog.Log
+	calls   chan struct{} // one token for each call to a worker in flight
+	tasks   sync.WaitGroup
+
+	mu       sync.Mutex // guards all fields below
+	state    *state
+	cell     *scheduler.Cell
+	live     bool // false while the log is replayed
+	workers  map[string]*workerState
+	placed   map[scheduler.TaskID]*placement
+	stops    []scheduler.Stop
+	recovery *recovery
+	pending  map[string]chan struct{} // submissions whose record is on its way to the store
+	remote   map[string]*remoteParts  // job to what other holders reported
+	heldBack map[scheduler.TaskID]time.Time
+	origin   time.Time
+	fenced   bool
+	stopping bool
+}
 
-	mu      sync.Mutex // guards all fields below
-	cell    *scheduler.Cell
-	jobs    map[string]*siskinv1.JobAccepted
-	acked   map[string][]platform.TaskRef // durable ends by worker, not yet acknowledged to it
-	workers map[string]platform.VM
-	origin  time.Time
+// placement is one attempt of a task that may be running on a worker.
+type placement struct {
+	ref    platform.TaskRef
+	worker string
+	// settled is when the worker's answer to the start call arrived; zero while the call is in flight.
+	settled time.Time
+	// uncertain is true if the start call ended without a definite answer.
+	uncertain  bool
+	atMostOnce bool
 }
 
-// Open takes over the shard: it fences and replays the log.
+// Open takes over the shard: it fences and replays the log, and prepares the recovery of running tasks.
 func Open(ctx context.Context, options Options) (*Owner, error) {
 	o := &Owner{
-		options: options,
-		cell:    scheduler.NewCell(),
-		jobs:    map[string]*siskinv1.JobAccepted{},
-		acked:   map[string][]platform.TaskRef{},
-		workers: map[string]platform.VM{},
-		origin:  options.Clock.Now(),
+		options:  options,
+		shard:    options.Right.Shard,
+		calls:    make(chan struct{}, maxCalls),
+		state:    newState(options.Right.Shard),
+		cell:     scheduler.NewCell(),
+		workers:  map[string]*workerState{},
+		placed:   map[scheduler.TaskID]*placement{},
+		pending:  map[string]chan struct{}{},
+		remote:   map[string]*remoteParts{},
+		heldBack: map[scheduler.TaskID]time.Time{},
+		origin:   options.Clock.Now(),
 	}
 	log, err := shardlog.Open(ctx, shardlog.Options{
-		Store: options.Store, Clock: options.Clock, Shard: options.Right.Shard, Writer: options.Writer,
+		Store: options.Store, Clock: options.Clock, Shard: o.shard, Writer: options.Writer,
 		Owner: options.VM, Epoch: options.Right.Epoch, Apply: o.apply,
 	})
 	if err != nil {
 		return nil, err
 	}
 	o.log = log
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.live = true
+	o.beginRecovery()
+	options.Metrics.takeovers.WithLabelValues(o.shard).Inc()
 	return o, nil
 }
 
+// Shard returns the name of the shard.
+func (o *Owner) Shard() string { return o.shard }
+
 // now returns the core's time.
 func (o *Owner) now() scheduler.Time { return o.options.Clock.Now().Sub(o.origin) }
 
-// apply brings a durable record into memory.
-func (o *Owner) apply(record *siskinv1.Record) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	switch change := record.GetChange().(type) {
-	case *siskinv1.Record_JobAccepted:
-		o.applyAccepted(change.JobAccepted)
-	case *siskinv1.Record_JobCancelled:
-		_, _ = o.cell.Cancel(change.JobCancelled.GetId())
-	case *siskinv1.Record_TaskEnded:
-		o.applyEnded(change.TaskEnded)
-	}
+// Run works until ctx ends, the right expires or another owner is seen. It returns when nothing of it runs any more.
+func (o *Owner) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	o.tasks.Go(func() { o.every(ctx, refreshInterval, o.refresh) })
+	o.tasks.Go(func() { o.every(ctx, renewTick, o.renewDue) })
+	o.tasks.Go(func() { o.every(ctx, partsInterval, o.reconcileParts) })
+	o.tasks.Go(func() { o.every(ctx, forgetInterval, o.forgetEnded) })
+	o.every(ctx, planInterval, o.pass)
+	cancel()
+	o.tasks.Wait()
+	o.log.Close()
 }
 
-func (o *Owner) applyAccepted(job *siskinv1.JobAccepted) {
-	if _, ok := o.jobs[job.GetId()]; ok {
-		return
+// every calls step until ctx ends or the owner may not act any more.
+func (o *Owner) every(ctx context.Context, interval time.Duration, step func(context.Context)) {
+	for ctx.Err() == nil && o.mayAct() {
+		step(ctx)
+		_ = o.options.Clock.Sleep(ctx, interval)
 	}
-	o.jobs[job.GetId()] = job
-	_ = o.cell.Submit(coreJob(job, o.now()))
 }
 
-func (o *Owner) applyEnded(ended *siskinv1.TaskEnded) {
-	id := scheduler.TaskID{Job: ended.GetJob(), Index: ended.GetIndex()}
-	_ = o.cell.Resolve(id, outcomeOf(ended.GetState()))
+// mayAct reports whether the right is valid and no other owner has been seen.
+func (o *Owner) mayAct() bool {
+	o.mu.Lock()
+	fenced := o.fenced
+	o.mu.Unlock()
+	return !fenced && o.options.Right.Check() == nil
 }
 
-// Run plans and renews until ctx ends or the right expires.
-func (o *Owner) Run(ctx context.Context) {
-	defer o.log.Close()
-	var renewed time.Time
-	for ctx.Err() == nil && o.options.Right.Check() == nil {
-		if o.options.Clock.Now().Sub(renewed) >= renewInterval {
-			renewed = o.options.Clock.Now()
-			o.refresh(ctx)
-			o.renewAll(ctx)
-		}
-		o.pass(ctx)
-		_ = o.options.Clock.Sleep(ctx, planInterval)
-	}
+// fence ends the owner: the store or a worker has seen a later one.
+func (o *Owner) fence() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.fenced = true
 }
 
-// refresh brings teams and workers up to date.
-func (o *Owner) refresh(ctx context.Context) {
-	vms, err := o.options.VMs.List(ctx)
+// StopStarting ends the placement of new tasks ahead of a handover. Renewals go on.
+func (o *Owner) StopStarting() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, team := range o.options.Teams() {
-		o.cell.SetTeam(team)
-	}
-	if err != nil {
-		return
-	}
-	for _, vm := range vms.VMs {
-		if vm.Role != platform.RoleWorker || vm.Zone != o.options.Zone {
-			continue
-		}
-		o.workers[vm.Name] = vm
-		o.cell.SetWorker(scheduler.Worker{
-			Name: vm.Name, Zone: vm.Zone, Rack: vm.Rack, Room: vm.Room, Leaving: vm.Leaving,
-		})
-	}
+	o.stopping = true
 }
 
-// pass runs the decision core once and carries its plan out.
-func (o *Owner) pass(ctx context.Context) {
+// Drained reports whether no start call is in flight.
+func (o *Owner) Drained() bool {
 	o.mu.Lock()
-	plan := o.cell.Plan(o.now(), maxStartsPerPass)
-	requests := make([]platform.StartRequest, len(plan.Starts))
-	for i, start := range plan.Starts {
-		requests[i] = o.startRequest(start)
-	}
-	o.mu.Unlock()
-	var calls sync.WaitGroup
-	for i := range requests {
-		calls.Go(func() { o.start(ctx, plan.Starts[i], requests[i]) })
-	}
-	calls.Wait()
-}
-
-func (o *Owner) startRequest(start scheduler.Start) platform.StartRequest {
-	spec := o.jobs[start.Task.Job].GetSpec()
-	return platform.StartRequest{
-		Authority:      o.authority(),
-		Worker:         start.Worker,
-		Task:           platform.TaskRef{Job: start.Task.Job, Index: start.Task.Index, Attempt: start.Attempt},
-		Team:           start.Team,
-		Room:           start.Room,
-		Lease:          taskLease,
-		Command:        spec.GetCommand(),
-		Checkpointable: spec.GetCheckpointable(),
-		AtMostOnce:     spec.GetAtMostOnce(),
+	defer o.mu.Unlock()
+	for _, p := range o.placed {
+		if p.settled.IsZero() && !p.uncertain {
+			return false
+		}
 	}
+	return true
 }
 
+// authority identifies this owner in calls to workers.
 func (o *Owner) authority() platform.Authority {
-	return platform.Authority{Shard: o.options.Right.Shard, Epoch: o.options.Right.Epoch}
+	return platform.Authority{Shard: o.shard, Epoch: o.options.Right.Epoch}
 }
 
-func (o *Owner) start(ctx context.Context, start scheduler.Start, request platform.StartRequest) {
-	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
-	defer cancel()
-	err := o.options.Right.Check()
-	if err == nil {
-		err = o.options.Workers.Start(ctx, request)
+// append makes records durable. It ends the owner if another one has taken the log over.
+func (o *Owner) append(ctx context.Context, records ...*siskinv1.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	if err := o.options.Right.Check(); err != nil {
+		return err
+	}
+	err := o.log.Append(ctx, records...)
+	if errors.Is(err, shardlog.ErrFenced) {
+		o.fence()
 	}
+	return err
+}
+
+// refresh brings teams, limits, usage elsewhere and workers up to date.
+func (o *Owner) refresh(ctx context.Context) {
+	vms, err := o.options.VMs.List(ctx)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refreshTeams()
+	o.cell.SetDraining(o.options.Config.Draining(o.options.Zone))
 	if err == nil {
-		return
+		o.refreshWorkers(vms.VMs)
 	}
+}
+
+func (o *Owner) refreshTeams() {
+	o.cell.SetFleetRoom(o.options.Fleet.Room())
+	queued := o.cell.QueuedByTeam()
+	for _, team := range o.options.Config.Teams() {
+		name := team.GetName()
+		o.options.Limits.SetDemand(o.shard, name, o.cell.TeamRunning(name), queued[name])
+		o.cell.SetTeam(scheduler.Team{Name: name, Share: team.GetShare(), Limit: o.options.Limits.Limit(o.shard, name)})
+		o.cell.SetElsewhere(name, o.options.Fleet.UsedElsewhere(o.shard, name))
+	}
+}
+
+// Load returns the load of the shard and the usage of each team, for the other VMs.
+func (o *Owner) Load() (*siskinv1.ShardLoad, []*siskinv1.TeamUsage) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	_ = o.cell.StartFailed(start.Task, start.Attempt, o.now())
+	total, free := o.cell.Room()
+	load := &siskinv1.ShardLoad{
+		Shard: o.shard, Epoch: o.options.Right.Epoch, Total: total.Proto(), Free: free.Proto(),
+		QueuedTasks: int64(o.cell.Queued()), RunningTasks: int64(len(o.placed)),
+		Draining: o.options.Config.Draining(o.options.Zone),
+	}
+	queued := o.cell.QueuedByTeam()
+	var usage []*siskinv1.TeamUsage
+	for _, team := range o.options.Config.Teams() {
+		running := o.cell.TeamRunning(team.GetName())
+		waiting := queued[team.GetName()]
+		if running.IsZero() && waiting.IsZero() {
+			continue
+		}
+		usage = append(usage, &siskinv1.TeamUsage{
+			Team: team.GetName(), Shard: o.shard, Running: running.Proto(), Queued: waiting.Proto(),
+		})
+	}
+	return load, usage
 }
--- /dev/null
+++ b/owner/parts.go
@@ -0,0 +1,367 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/scheduler"
+	"siskinstack.example/siskinstack/sharding"
+)
+
+const (
+	// partsInterval is the time between two comparisons of plan and reports.
+	partsInterval = 250 * time.Millisecond
+	// partTimeout bounds one call to the owner of another shard.
+	partTimeout = 2 * time.Second
+	// maxEndsPerReport bounds the task ends in one report to the home shard.
+	maxEndsPerReport = 2000
+	// reportInterval is the longest time between two reports of a held part.
+	reportInterval = 2 * time.Second
+	// holdTimeout is how long a task that is being given back is kept from starting.
+	holdTimeout = 15 * time.Second
+)
+
+// PartClient reaches the owners of other shards.
+type PartClient interface {
+	OfferPart(ctx context.Context, shard string, request *siskinv1.OfferPartRequest) (*siskinv1.OfferPartResponse, error)
+	ReleasePart(ctx context.Context, shard string, request *siskinv1.ReleasePartRequest) (*siskinv1.ReleasePartResponse, error)
+	ReportPart(ctx context.Context, shard string, request *siskinv1.ReportPartRequest) (*siskinv1.ReportPartResponse, error)
+}
+
+// remoteParts is what the home shard knows of the other holders of a job, and what a holder has told the home shard.
+type remoteParts struct {
+	holders map[string]*holder
+	// reported are the ends that the home shard has confirmed.
+	reported map[int32]bool
+	lastSent time.Time
+	last     *siskinv1.ReportPartRequest
+}
+
+// holder is the home shard's view of another shard that holds a part.
+type holder struct {
+	taken          int64 // plan version that the holder has confirmed
+	knowsCancelled bool
+	running        int32
+	queued         int32
+	reason, remedy string
+	atRisk         bool
+	reported       bool
+}
+
+func (o *Owner) remoteOf(job string) *remoteParts {
+	r, ok := o.remote[job]
+	if !ok {
+		r = &remoteParts{holders: map[string]*holder{}, reported: map[int32]bool{}}
+		o.remote[job] = r
+	}
+	return r
+}
+
+func (r *remoteParts) holder(shard string) *holder {
+	h, ok := r.holders[shard]
+	if !ok {
+		h = &holder{}
+		r.holders[shard] = h
+	}
+	return h
+}
+
+// reconcileParts sends what other shards must know: offers and releases as home shard, reports as holder.
+func (o *Owner) reconcileParts(ctx context.Context) {
+	if o.options.Parts == nil {
+		return
+	}
+	o.mu.Lock()
+	o.expireHolds()
+	offers := o.dueOffers()
+	reports := o.dueReports()
+	o.mu.Unlock()
+	for _, offer := range offers {
+		o.offer(ctx, offer)
+	}
+	for _, report := range reports {
+		o.report(ctx, report)
+	}
+	o.balance(ctx)
+}
+
+// dueOffers returns the assignments that their holders have not confirmed. The caller holds mu.
+func (o *Owner) dueOffers() []*siskinv1.OfferPartRequest {
+	var offers []*siskinv1.OfferPartRequest
+	for id, j := range o.state.jobs {
+		if !j.home {
+			continue
+		}
+		for shard, assigned := range j.plan {
+			h := o.remoteOf(id).holder(shard)
+			if h.taken >= assigned.version && h.knowsCancelled == j.cancelled {
+				continue
+			}
+			offers = append(offers, &siskinv1.OfferPartRequest{
+				Part:      partRecord(id, shard, assigned.version, assigned.set, j.accepted).GetPartChanged(),
+				Cancelled: j.cancelled,
+			})
+		}
+	}
+	return offers
+}
+
+func (o *Owner) offer(ctx context.Context, request *siskinv1.OfferPartRequest) {
+	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	defer cancel()
+	part := request.GetPart()
+	answer, err := o.options.Parts.OfferPart(ctx, part.GetHolder(), request)
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	j := o.state.jobs[part.GetJob()]
+	if j == nil {
+		o.mu.Unlock()
+		return
+	}
+	h := o.remoteOf(part.GetJob()).holder(part.GetHolder())
+	if answer.GetTaken() {
+		h.taken = part.GetPlanVersion()
+		h.knowsCancelled = request.GetCancelled()
+	}
+	current := j.plan[part.GetHolder()]
+	o.mu.Unlock()
+	if !answer.GetTaken() && current.version == part.GetPlanVersion() {
+		// The holder has released indexes under a higher version whose answer was lost. Offering the recorded set
+		// again under a version above that one makes both sides agree.
+		_ = o.append(ctx, partRecord(part.GetJob(), part.GetHolder(), answer.GetPlanVersion()+1, current.set, nil))
+	}
+}
+
+// OfferPart takes the set of indexes that the home shard wants this shard to hold.
+func (o *Owner) OfferPart(ctx context.Context, request *siskinv1.OfferPartRequest) (*siskinv1.OfferPartResponse, error) {
+	part := request.GetPart()
+	if !o.mayAct() {
+		return nil, refusal.New(refusal.ShardUnavailable, "shard %q is changing its owner", o.shard)
+	}
+	o.mu.Lock()
+	j := o.state.jobs[part.GetJob()]
+	var records []*siskinv1.Record
+	version := int64(0)
+	if j != nil {
+		version = j.heldVersion
+	}
+	taken := part.GetPlanVersion() >= version
+	if part.GetPlanVersion() > version {
+		records = append(records, &siskinv1.Record{Change: &siskinv1.Record_PartChanged{PartChanged: part}})
+	}
+	if request.GetCancelled() && (j == nil || !j.cancelled) {
+		records = append(records, cancelRecord(part.GetJob()))
+	}
+	o.mu.Unlock()
+	if err := o.append(ctx, records...); err != nil {
+		return nil, refuseAppend(err)
+	}
+	return &siskinv1.OfferPartResponse{PlanVersion: max(version, part.GetPlanVersion()), Taken: taken}, nil
+}
+
+// ReleasePart gives indexes back to the home shard. Running tasks are only given back after they have been stopped:
+// with StopRunning the stop begins now, and a later call finds them ended.
+func (o *Owner) ReleasePart(ctx context.Context, request *siskinv1.ReleasePartRequest) (*siskinv1.ReleasePartResponse, error) {
+	if !o.mayAct() {
+		return nil, refusal.New(refusal.ShardUnavailable, "shard %q is changing its owner", o.shard)
+	}
+	wanted := setFromProto(request.GetRanges())
+	o.mu.Lock()
+	j := o.state.jobs[request.GetJob()]
+	if j == nil {
+		o.mu.Unlock()
+		return nil, refusal.New(refusal.NotFound, "shard %q holds no part of %q", o.shard, request.GetJob())
+	}
+	free := o.holdBack(j, wanted.intersect(j.held), request.GetStopRunning())
+	record := partRecord(request.GetJob(), o.shard, request.GetPlanVersion(), j.held.minus(free), nil)
+	current := j.heldVersion
+	o.mu.Unlock()
+	if !free.empty() && request.GetPlanVersion() > current {
+		if err := o.append(ctx, record); err != nil {
+			return nil, refuseAppend(err)
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return &siskinv1.ReleasePartResponse{
+		Released: wanted.minus(j.held).proto(), PlanVersion: j.heldVersion,
+	}, nil
+}
+
+// holdBack keeps the indexes that are not running from being started, and returns them. Ended ones stay with this
+// shard. The caller holds mu.
+func (o *Owner) holdBack(j *job, wanted indexSet, stopRunning bool) indexSet {
+	var free indexSet
+	id := j.accepted.GetId()
+	for _, r := range wanted {
+		for index := r.first; index < r.end; index++ {
+			task := scheduler.TaskID{Job: id, Index: index}
+			_, ended := j.ended[index]
+			_, ending := j.unlogged[index]
+			p := o.placed[task]
+			switch {
+			case ended || ending || (o.recovery != nil && p == nil):
+			case p == nil:
+				o.holdTask(task)
+				free = free.add(index, index+1)
+			case stopRunning:
+				o.holdTask(task)
+				o.stops = append(o.stops, scheduler.Stop{
+					Task: task, Attempt: p.ref.Attempt, Worker: p.worker, Reason: scheduler.StopReplaced,
+				})
+			}
+		}
+	}
+	return free
+}
+
+// holdTask keeps a task from being started until it is given back or the hold expires. The caller holds mu.
+func (o *Owner) holdTask(task scheduler.TaskID) {
+	if o.cell.Hold(task) == nil {
+		o.heldBack[task] = o.options.Clock.Now()
+	}
+}
+
+// expireHolds lets tasks start again that were held back for a release that never came. The caller holds mu.
+func (o *Owner) expireHolds() {
+	now := o.options.Clock.Now()
+	for task, since := range o.heldBack {
+		if now.Sub(since) < holdTimeout {
+			continue
+		}
+		delete(o.heldBack, task)
+		_ = o.cell.Unhold(task)
+	}
+}
+
+// dueReports returns the reports that the home shards of held parts do not know. The caller holds mu.
+func (o *Owner) dueReports() []*siskinv1.ReportPartRequest {
+	var reports []*siskinv1.ReportPartRequest
+	now := o.options.Clock.Now()
+	for id, j := range o.state.jobs {
+		if j.home {
+			continue
+		}
+		r := o.remoteOf(id)
+		report := o.partReport(id, j, r)
+		if len(report.GetEnded()) == 0 && sameReport(report, r.last) && now.Sub(r.lastSent) < reportInterval {
+			continue
+		}
+		r.lastSent = now
+		reports = append(reports, report)
+	}
+	return reports
+}
+
+func (o *Owner) partReport(id string, j *job, r *remoteParts) *siskinv1.ReportPartRequest {
+	counts, _ := o.cell.Counts(id)
+	waiting, _ := o.cell.Explain(id)
+	report := &siskinv1.ReportPartRequest{
+		Job: id, Holder: o.shard, Running: int32(counts.Running), Queued: int32(counts.Queued),
+		WaitingReason: string(waiting.Reason), WaitingRemedy: waiting.Remedy, ReadyByAtRisk: o.cell.AtRisk(id, o.now()),
+	}
+	for index, state := range j.ended {
+		if r.reported[index] {
+			continue
+		}
+		report.Ended = append(report.Ended, &siskinv1.TaskEnded{Job: id, Index: index, State: state})
+		if len(report.Ended) >= maxEndsPerReport {
+			break
+		}
+	}
+	return report
+}
+
+func sameReport(a, b *siskinv1.ReportPartRequest) bool {
+	return b != nil && a.GetRunning() == b.GetRunning() && a.GetQueued() == b.GetQueued() &&
+		a.GetWaitingReason() == b.GetWaitingReason() && a.GetReadyByAtRisk() == b.GetReadyByAtRisk()
+}
+
+func (o *Owner) report(ctx context.Context, request *siskinv1.ReportPartRequest) {
+	home, ok := sharding.OfJob(request.GetJob())
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	defer cancel()
+	if _, err := o.options.Parts.ReportPart(ctx, home, request); err != nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.remoteOf(request.GetJob())
+	r.last = request
+	for _, ended := range request.GetEnded() {
+		r.reported[ended.GetIndex()] = true
+	}
+}
+
+// ReportPart takes the report of a holder. It returns after the ends are durable here, so the holder may forget them.
+func (o *Owner) ReportPart(ctx context.Context, request *siskinv1.ReportPartRequest) (*siskinv1.ReportPartResponse, error) {
+	if !o.mayAct() {
+		return nil, refusal.New(refusal.ShardUnavailable, "shard %q is changing its owner", o.shard)
+	}
+	o.mu.Lock()
+	j := o.state.jobs[request.GetJob()]
+	if j == nil {
+		o.mu.Unlock()
+		return &siskinv1.ReportPartResponse{}, nil
+	}
+	var records []*siskinv1.Record
+	for _, ended := range request.GetEnded() {
+		if _, known := j.ended[ended.GetIndex()]; !known {
+			records = append(records, &siskinv1.Record{Change: &siskinv1.Record_TaskEnded{TaskEnded: ended}})
+		}
+	}
+	o.mu.Unlock()
+	if err := o.append(ctx, records...); err != nil {
+		return nil, refuseAppend(err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	h := o.remoteOf(request.GetJob()).holder(request.GetHolder())
+	h.running, h.queued = request.GetRunning(), request.GetQueued()
+	h.reason, h.remedy = request.GetWaitingReason(), request.GetWaitingRemedy()
+	h.atRisk = request.GetReadyByAtRisk()
+	h.reported = true
+	return &siskinv1.ReportPartResponse{}, nil
+}
+
+// addRemote adds the tasks that other shards hold. The caller holds mu.
+func (o *Owner) addRemote(status *siskinv1.WorkStatus, j *job) {
+	for shard, assigned := range j.plan {
+		open := int32(assigned.set.size())
+		for index := range j.ended {
+			if assigned.set.contains(index) {
+				open--
+			}
+		}
+		h := o.remoteOf(j.accepted.GetId()).holder(shard)
+		running := min(h.running, open)
+		status.Running += running
+		if j.cancelled {
+			status.Cancelled += open - running
+		} else {
+			status.Queued += open - running
+		}
+		if status.GetWaitingReason() == "" && open > running {
+			status.WaitingReason, status.WaitingRemedy = h.reason, h.remedy
+		}
+		status.ReadyByAtRisk = status.ReadyByAtRisk || h.atRisk
+	}
+}
+
+// remoteRunning reports whether another shard may run tasks of a job. The caller holds mu.
+func (o *Owner) remoteRunning(j *job) bool {
+	for shard, assigned := range j.plan {
+		h := o.remoteOf(j.accepted.GetId()).holder(shard)
+		if !assigned.set.empty() && (!h.reported || !h.knowsCancelled || h.running > 0) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/owner/report.go
@@ -0,0 +1,190 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/scheduler"
+)
+
+// finding is what a report leads to.
+type finding struct {
+	stale   []platform.TaskRef // running attempts that must not run
+	fence   []*placement       // uncertain starts that the worker does not know
+	unknown []*placement       // lost attempts of tasks that run at most once
+	ended   []platform.TaskReport
+}
+
+// processReport compares a worker's report with the placements.
+func (o *Owner) processReport(ctx context.Context, report platform.WorkerReport, sent time.Time) {
+	o.mu.Lock()
+	found := o.compare(report, sent)
+	o.recoveredWorker(report.Worker)
+	logging := o.worker(report.Worker).logging
+	if len(found.ended) > 0 {
+		o.worker(report.Worker).logging = true
+	}
+	o.mu.Unlock()
+	for _, ref := range found.stale {
+		o.options.Metrics.staleRuns.WithLabelValues(o.shard).Inc()
+		o.stopAttempt(ctx, report.Worker, ref)
+	}
+	for _, p := range found.fence {
+		o.resolveUncertain(ctx, p)
+	}
+	if len(found.unknown) > 0 {
+		o.tasks.Go(func() { o.logUnknown(ctx, found.unknown) })
+	}
+	if len(found.ended) > 0 && !logging {
+		o.tasks.Go(func() { o.logEnds(ctx, report.Worker, found.ended) })
+	}
+}
+
+// compare updates placements from a report. The caller holds mu.
+func (o *Owner) compare(report platform.WorkerReport, sent time.Time) finding {
+	var found finding
+	seen := map[platform.TaskRef]bool{}
+	for _, task := range report.Tasks {
+		seen[task.Task] = true
+		p := o.placement(task.Task, report.Worker)
+		switch {
+		case p != nil && task.Phase == platform.PhaseRunning:
+			o.confirmRunning(p, task)
+		case p != nil:
+			o.attemptEnded(p, task)
+			found.ended = append(found.ended, task)
+		case task.Phase != platform.PhaseRunning:
+			o.resolveEndedFound(task)
+			found.ended = append(found.ended, task)
+		case !o.adopt(report.Worker, task):
+			found.stale = append(found.stale, task.Task)
+		}
+	}
+	o.findMissing(report.Worker, seen, sent, &found)
+	return found
+}
+
+func (o *Owner) confirmRunning(p *placement, task platform.TaskReport) {
+	p.uncertain = false
+	if p.settled.IsZero() {
+		p.settled = o.options.Clock.Now()
+	}
+	o.cell.Usage(taskID(task.Task), task.Used)
+}
+
+// attemptEnded takes the end of the current attempt into the decision core. The caller holds mu.
+func (o *Owner) attemptEnded(p *placement, task platform.TaskReport) {
+	o.settle(p.ref, outcomeOfPhase(task.Phase, p.atMostOnce))
+}
+
+// findMissing looks for placements that the worker does not hold. Only starts that were settled before the report
+// was asked for count, since others may still be on their way. The caller holds mu.
+func (o *Owner) findMissing(worker string, seen map[platform.TaskRef]bool, sent time.Time, found *finding) {
+	for _, p := range o.worker(worker).placed {
+		if seen[p.ref] || p.settled.IsZero() || !p.settled.Before(sent) {
+			continue
+		}
+		if p.uncertain {
+			found.fence = append(found.fence, p)
+			continue
+		}
+		outcome := scheduler.Lost
+		if p.atMostOnce {
+			outcome = scheduler.Unknown
+			found.unknown = append(found.unknown, p)
+		}
+		o.settle(p.ref, outcome)
+	}
+}
+
+// resolveUncertain ends an attempt whose start call had no definite answer and that the worker does not know. The
+// stop makes the worker refuse the start if it arrives late.
+func (o *Owner) resolveUncertain(ctx context.Context, p *placement) {
+	if !o.stopAttempt(ctx, p.worker, p.ref) {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.placement(p.ref, p.worker) != p {
+		return
+	}
+	if !p.atMostOnce {
+		o.unplace(taskID(p.ref))
+		_ = o.cell.StartFailed(taskID(p.ref), p.ref.Attempt, o.now())
+		return
+	}
+	o.settle(p.ref, scheduler.Unknown)
+	o.tasks.Go(func() { o.logUnknown(ctx, []*placement{p}) })
+}
+
+// stopAttempt stops an attempt that must not run and reports whether the worker confirmed it.
+func (o *Owner) stopAttempt(ctx context.Context, worker string, ref platform.TaskRef) bool {
+	if o.options.Right.Check() != nil {
+		return false
+	}
+	err := o.options.Workers.Stop(ctx, platform.StopRequest{
+		Authority: o.authority(), Worker: worker, Task: ref, Grace: stopGrace,
+	})
+	return err == nil
+}
+
+// logEnds makes final ends durable and lets the worker forget them. What fails is found again in the next report.
+func (o *Owner) logEnds(ctx context.Context, worker string, tasks []platform.TaskReport) {
+	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+	defer cancel()
+	o.mu.Lock()
+	records := o.endRecords(tasks)
+	o.mu.Unlock()
+	err := o.append(ctx, records...)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w := o.worker(worker)
+	w.logging = false
+	if err != nil {
+		return
+	}
+	for _, task := range tasks {
+		w.acked = append(w.acked, task.Task)
+	}
+}
+
+// endRecords returns the records of the ends that are final and not durable yet. The caller holds mu.
+func (o *Owner) endRecords(tasks []platform.TaskReport) []*siskinv1.Record {
+	var records []*siskinv1.Record
+	for _, task := range tasks {
+		j := o.state.jobs[task.Task.Job]
+		if j == nil {
+			continue
+		}
+		if state, ok := j.unlogged[task.Task.Index]; ok {
+			records = append(records, endedRecord(task.Task.Job, task.Task.Index, task.Task.Attempt, state, task.Message))
+		}
+	}
+	return records
+}
+
+// settle takes the end of an attempt into the decision core and notes it if it is final. The caller holds mu.
+func (o *Owner) settle(ref platform.TaskRef, outcome scheduler.Outcome) {
+	id := taskID(ref)
+	o.unplace(id)
+	_ = o.cell.Ended(id, ref.Attempt, outcome, o.now())
+	o.noteFinal(id)
+	o.options.Metrics.ended(o.shard, outcome)
+}
+
+// noteFinal remembers a final end until it is durable. The caller holds mu.
+func (o *Owner) noteFinal(id scheduler.TaskID) {
+	j := o.state.jobs[id.Job]
+	if j == nil {
+		return
+	}
+	outcome, final := o.cell.Final(id)
+	if !final || outcome == scheduler.Cancelled {
+		return
+	}
+	if _, durable := j.ended[id.Index]; !durable {
+		j.unlogged[id.Index] = stateOf(outcome)
+	}
+}
--- a/owner/set.go
+++ b/owner/set.go
@@ -6,10 +6,10 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/refusal"
-	"siskinstack.example/siskinstack/shardlog"
+	"siskinstack.example/siskinstack/sharding"
 )
 
-// Set holds the owners of the shards that a VM owns. It implements peer.Work for them.
+// Set holds the owners of the shards that a VM owns. It serves calls for them and refuses calls for other shards.
 type Set struct {
 	mu     sync.RWMutex // guards owners
 	owners map[string]*Owner
@@ -22,19 +22,31 @@
 func (s *Set) Add(o *Owner) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.owners[o.options.Right.Shard] = o
+	s.owners[o.shard] = o
 }
 
 // Remove takes an owner out of the set, unless another one has taken its place.
 func (s *Set) Remove(o *Owner) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.owners[o.options.Right.Shard] == o {
-		delete(s.owners, o.options.Right.Shard)
+	if s.owners[o.shard] == o {
+		delete(s.owners, o.shard)
 	}
 }
 
-func (s *Set) get(shard string) (*Owner, error) {
+// All returns the owners in the set.
+func (s *Set) All() []*Owner {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	all := make([]*Owner, 0, len(s.owners))
+	for _, shard := range sortedKeys(s.owners) {
+		all = append(all, s.owners[shard])
+	}
+	return all
+}
+
+// owner returns the owner of a shard.
+func (s *Set) owner(shard string) (*Owner, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	o, ok := s.owners[shard]
@@ -45,16 +57,16 @@
 }
 
 func (s *Set) ofJob(id string) (*Owner, error) {
-	shard, ok := shardlog.ShardOfJob(id)
+	shard, ok := sharding.OfJob(id)
 	if !ok {
 		return nil, refusal.New(refusal.NotFound, "work %q does not exist", id)
 	}
-	return s.get(shard)
+	return s.owner(shard)
 }
 
 // Submit implements peer.Work.
 func (s *Set) Submit(ctx context.Context, request *siskinv1.SubmitWorkRequest) (*siskinv1.SubmitWorkResponse, error) {
-	o, err := s.get(request.GetShard())
+	o, err := s.owner(request.GetShard())
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +88,7 @@
 
 // List implements peer.Work.
 func (s *Set) List(_ context.Context, request *siskinv1.ListWorkRequest) (*siskinv1.ListWorkResponse, error) {
-	o, err := s.get(request.GetShard())
+	o, err := s.owner(request.GetShard())
 	if err != nil {
 		return nil, err
 	}
@@ -95,3 +107,30 @@
 	}
 	return &siskinv1.CancelWorkResponse{Status: status}, nil
 }
+
+// OfferPart implements PartClient for the shards of this VM.
+func (s *Set) OfferPart(ctx context.Context, shard string, request *siskinv1.OfferPartRequest) (*siskinv1.OfferPartResponse, error) {
+	o, err := s.owner(shard)
+	if err != nil {
+		return nil, err
+	}
+	return o.OfferPart(ctx, request)
+}
+
+// ReleasePart implements PartClient for the shards of this VM.
+func (s *Set) ReleasePart(ctx context.Context, shard string, request *siskinv1.ReleasePartRequest) (*siskinv1.ReleasePartResponse, error) {
+	o, err := s.owner(shard)
+	if err != nil {
+		return nil, err
+	}
+	return o.ReleasePart(ctx, request)
+}
+
+// ReportPart implements PartClient for the shards of this VM.
+func (s *Set) ReportPart(ctx context.Context, shard string, request *siskinv1.ReportPartRequest) (*siskinv1.ReportPartResponse, error) {
+	o, err := s.owner(shard)
+	if err != nil {
+		return nil, err
+	}
+	return o.ReportPart(ctx, request)
+}
--- /dev/null
+++ b/owner/state.go
@@ -0,0 +1,291 @@
+package owner
+
+import (
+	"bytes"
+	"sort"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/scheduler"
+)
+
+// state is the durable state of a shard. It changes only by records.
+type state struct {
+	shard   string
+	jobs    map[string]*job
+	workers map[string]bool // workers that may hold tasks of the shard
+}
+
+// job is one job of which the shard is the home or holds a part.
+type job struct {
+	accepted  *siskinv1.JobAccepted
+	home      bool
+	cancelled bool
+	// held are the task indexes that this shard holds, as of heldVersion.
+	held        indexSet
+	heldVersion int64
+	// plan is what the home shard has assigned to other shards.
+	plan map[string]assignment
+	// next is the lowest index that was never assigned; replacements of service tasks take new indexes.
+	next   int32
+	ended  map[int32]siskinv1.TaskState
+	claims map[int32]*siskinv1.TaskClaimed
+	// unlogged are final ends that are not durable yet. They are not durable state.
+	unlogged map[int32]siskinv1.TaskState
+	// endedAt is when all tasks were seen to have ended; zero before. It is not durable.
+	endedAt time.Time
+}
+
+// assignment is the set of indexes that another shard holds.
+type assignment struct {
+	set     indexSet
+	version int64
+}
+
+func newState(shard string) *state {
+	return &state{shard: shard, jobs: map[string]*job{}, workers: map[string]bool{}}
+}
+
+// apply brings one durable record into the state.
+func (s *state) apply(record *siskinv1.Record) {
+	switch change := record.GetChange().(type) {
+	case *siskinv1.Record_JobAccepted:
+		s.applyAccepted(change.JobAccepted)
+	case *siskinv1.Record_JobCancelled:
+		if j, ok := s.jobs[change.JobCancelled.GetId()]; ok {
+			j.cancelled = true
+		}
+	case *siskinv1.Record_TaskClaimed:
+		if j, ok := s.jobs[change.TaskClaimed.GetJob()]; ok {
+			j.claims[change.TaskClaimed.GetIndex()] = change.TaskClaimed
+		}
+	case *siskinv1.Record_TaskEnded:
+		s.applyEnded(change.TaskEnded)
+	case *siskinv1.Record_PartChanged:
+		s.applyPart(change.PartChanged)
+	case *siskinv1.Record_JobForgotten:
+		delete(s.jobs, change.JobForgotten.GetId())
+	case *siskinv1.Record_WorkerUsed:
+		s.workers[change.WorkerUsed.GetWorker()] = true
+	case *siskinv1.Record_WorkerUnused:
+		delete(s.workers, change.WorkerUnused.GetWorker())
+	}
+}
+
+func newJob(accepted *siskinv1.JobAccepted, home bool) *job {
+	return &job{
+		accepted: accepted,
+		home:     home,
+		plan:     map[string]assignment{},
+		ended:    map[int32]siskinv1.TaskState{},
+		claims:   map[int32]*siskinv1.TaskClaimed{},
+		unlogged: map[int32]siskinv1.TaskState{},
+	}
+}
+
+func (s *state) applyAccepted(accepted *siskinv1.JobAccepted) {
+	if _, ok := s.jobs[accepted.GetId()]; ok {
+		return
+	}
+	j := newJob(accepted, true)
+	j.next = accepted.GetSpec().GetCount()
+	j.held = j.held.add(0, j.next)
+	s.jobs[accepted.GetId()] = j
+}
+
+func (s *state) applyEnded(ended *siskinv1.TaskEnded) {
+	j, ok := s.jobs[ended.GetJob()]
+	if !ok {
+		return
+	}
+	if _, known := j.ended[ended.GetIndex()]; known {
+		return
+	}
+	j.ended[ended.GetIndex()] = ended.GetState()
+	delete(j.claims, ended.GetIndex())
+	delete(j.unlogged, ended.GetIndex())
+}
+
+func (s *state) applyPart(part *siskinv1.PartChanged) {
+	j, ok := s.jobs[part.GetJob()]
+	if !ok {
+		if part.GetJobCopy() == nil {
+			return
+		}
+		j = newJob(part.GetJobCopy(), false)
+		s.jobs[part.GetJob()] = j
+	}
+	set := setFromProto(part.GetRanges())
+	j.next = max(j.next, set.end())
+	if part.GetHolder() != s.shard {
+		if part.GetPlanVersion() > j.plan[part.GetHolder()].version {
+			j.plan[part.GetHolder()] = assignment{set: set, version: part.GetPlanVersion()}
+		}
+		return
+	}
+	if part.GetPlanVersion() > j.heldVersion {
+		j.held = set
+		j.heldVersion = part.GetPlanVersion()
+	}
+}
+
+// records returns the records that rebuild the state, for a snapshot.
+func (s *state) records() []*siskinv1.Record {
+	var records []*siskinv1.Record
+	for _, id := range sortedKeys(s.jobs) {
+		records = append(records, s.jobs[id].records(s.shard)...)
+	}
+	for _, worker := range sortedKeys(s.workers) {
+		records = append(records, workerUsedRecord(worker))
+	}
+	return records
+}
+
+func (j *job) records(shard string) []*siskinv1.Record {
+	id := j.accepted.GetId()
+	var records []*siskinv1.Record
+	if j.home {
+		records = append(records, &siskinv1.Record{Change: &siskinv1.Record_JobAccepted{JobAccepted: j.accepted}})
+	}
+	if j.heldVersion > 0 {
+		var copied *siskinv1.JobAccepted
+		if !j.home {
+			copied = j.accepted
+		}
+		records = append(records, partRecord(id, shard, j.heldVersion, j.held, copied))
+	}
+	for _, holder := range sortedKeys(j.plan) {
+		records = append(records, partRecord(id, holder, j.plan[holder].version, j.plan[holder].set, nil))
+	}
+	if j.cancelled {
+		records = append(records, cancelRecord(id))
+	}
+	for _, index := range sortedKeys(j.claims) {
+		records = append(records, &siskinv1.Record{Change: &siskinv1.Record_TaskClaimed{TaskClaimed: j.claims[index]}})
+	}
+	for _, index := range sortedKeys(j.ended) {
+		records = append(records, endedRecord(id, index, 0, j.ended[index], ""))
+	}
+	return records
+}
+
+// sameSpec reports whether a repeated submission carries the same content.
+func (j *job) sameSpec(hash []byte) bool {
+	return bytes.Equal(j.accepted.GetSpecSha256(), hash)
+}
+
+// allEnded reports whether every task of the job has ended, wherever it is held.
+func (j *job) allEnded() bool {
+	if !j.allEndedOf(j.held) {
+		return false
+	}
+	for _, assigned := range j.plan {
+		if !j.allEndedOf(assigned.set) {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) allEndedOf(set indexSet) bool {
+	for _, r := range set {
+		for index := r.first; index < r.end; index++ {
+			if _, ended := j.ended[index]; !ended {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// openIndexes returns the held indexes that have not ended, in order.
+func (j *job) openIndexes() []int32 {
+	var open []int32
+	for _, r := range j.held {
+		for index := r.first; index < r.end; index++ {
+			if _, ended := j.ended[index]; !ended {
+				open = append(open, index)
+			}
+		}
+	}
+	return open
+}
+
+func sortedKeys[K interface{ ~string | ~int32 }, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, k int) bool { return keys[i] < keys[k] })
+	return keys
+}
+
+// apply is called by the log with every durable record, in order.
+func (o *Owner) apply(record *siskinv1.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.state.apply(record)
+	if !o.live {
+		return
+	}
+	switch change := record.GetChange().(type) {
+	case *siskinv1.Record_JobAccepted:
+		o.submitToCore(change.JobAccepted.GetId())
+	case *siskinv1.Record_JobCancelled:
+		o.cancelInCore(change.JobCancelled.GetId())
+	case *siskinv1.Record_PartChanged:
+		o.partInCore(change.PartChanged)
+	case *siskinv1.Record_JobForgotten:
+		_ = o.cell.Forget(change.JobForgotten.GetId())
+		delete(o.remote, change.JobForgotten.GetId())
+	}
+}
+
+// submitToCore hands a job with its open tasks to the decision core. The caller holds mu.
+func (o *Owner) submitToCore(id string) {
+	j := o.state.jobs[id]
+	if err := o.cell.Submit(o.coreJob(j)); err != nil {
+		return
+	}
+	if j.cancelled {
+		o.cancelInCore(id)
+	}
+}
+
+// cancelInCore cancels a job in the decision core; its running tasks are stopped by the next pass.
+func (o *Owner) cancelInCore(id string) {
+	stops, err := o.cell.Cancel(id)
+	if err != nil {
+		return
+	}
+	o.stops = append(o.stops, stops...)
+}
+
+// partInCore brings a change of the held indexes into the decision core.
+func (o *Owner) partInCore(part *siskinv1.PartChanged) {
+	if part.GetHolder() != o.shard {
+		return
+	}
+	j := o.state.jobs[part.GetJob()]
+	if j == nil {
+		return
+	}
+	if _, err := o.cell.Counts(part.GetJob()); err != nil {
+		o.submitToCore(part.GetJob())
+		return
+	}
+	stops, err := o.cell.SetIndexes(part.GetJob(), j.openIndexes())
+	if err == nil {
+		o.stops = append(o.stops, stops...)
+	}
+}
+
+// coreJob returns a job in the form of the decision core.
+func (o *Owner) coreJob(j *job) scheduler.Job {
+	now := o.now()
+	out := coreJob(j, now)
+	if readyBy := j.accepted.GetSpec().GetReadyByUnixMs(); readyBy > 0 {
+		out.ReadyBy = max(1, now+time.UnixMilli(readyBy).Sub(o.options.Clock.Now()))
+	}
+	return out
+}
--- a/owner/work.go
+++ b/owner/work.go
@@ -2,28 +2,142 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"errors"
 	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/ownership"
+	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/scheduler"
+	"siskinstack.example/siskinstack/shardlog"
+)
+
+const (
+	// defaultListLimit is the number of jobs in a listing that names no limit.
+	defaultListLimit = 1000
+	// jobRetention is how long an ended job is kept, so that a repeated submission finds it.
+	jobRetention = 24 * time.Hour
+	// forgetInterval is the time between two looks for ended jobs.
+	forgetInterval = 5 * time.Second
+	// defaultMaxQueuedTasks bounds the tasks that wait in a shard if the settings name no limit.
+	defaultMaxQueuedTasks = 200_000
+	retryWhenFull         = time.Second
 )
 
-// Submit makes a job durable. The job is accepted once Submit has returned without error.
+// Submit makes a job durable. The job is accepted once Submit has returned without error. A repeated submission with
+// the same identifier finds the first one.
 func (o *Owner) Submit(ctx context.Context, request *siskinv1.SubmitWorkRequest) (*siskinv1.SubmitWorkResponse, error) {
-	if err := o.options.Right.Check(); err != nil {
-		return nil, refusal.New(refusal.ShardUnavailable, "%v", err)
+	hash, err := specHash(request.GetSpec())
+	if err != nil {
+		return nil, err
 	}
+	done, repeated, err := o.beginSubmit(ctx, request, hash)
+	if err != nil || repeated {
+		return &siskinv1.SubmitWorkResponse{Id: request.GetId(), Repeated: repeated}, err
+	}
+	defer done()
 	job := &siskinv1.JobAccepted{
-		Id: request.GetId(), Team: request.GetTeam(), Spec: request.GetSpec(),
-		RequestKey: request.GetRequestKey(), AcceptedUnixMs: o.options.Clock.Now().UnixMilli(),
+		Id: request.GetId(), Team: request.GetTeam(), Spec: request.GetSpec(), RequestKey: request.GetRequestKey(),
+		AcceptedUnixMs: o.options.Clock.Now().UnixMilli(), SpecSha256: hash,
 	}
-	record := &siskinv1.Record{Change: &siskinv1.Record_JobAccepted{JobAccepted: job}}
-	if err := o.log.Append(ctx, record); err != nil {
-		return nil, refusal.New(refusal.AcceptanceUnknown, "%v", err)
+	records := append([]*siskinv1.Record{{Change: &siskinv1.Record_JobAccepted{JobAccepted: job}}}, o.firstParts(job)...)
+	if err := o.append(ctx, records...); err != nil {
+		return nil, refuseAppend(err)
 	}
+	o.options.Metrics.accepted.WithLabelValues(o.shard, "new").Inc()
 	return &siskinv1.SubmitWorkResponse{Id: job.GetId()}, nil
 }
 
+func specHash(spec *siskinv1.WorkSpec) ([]byte, error) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(spec)
+	if err != nil {
+		return nil, refusal.New(refusal.BadRequest, "encode work: %v", err)
+	}
+	hash := sha256.Sum256(encoded)
+	return hash[:], nil
+}
+
+// beginSubmit finds an earlier submission of the same job, durable or on its way to the store, or reserves the
+// identifier. The returned function ends the reservation.
+func (o *Owner) beginSubmit(ctx context.Context, request *siskinv1.SubmitWorkRequest, hash []byte) (func(), bool, error) {
+	id := request.GetId()
+	for {
+		if !o.mayAct() {
+			return nil, false, refusal.New(refusal.ShardUnavailable, "shard %q is changing its owner", o.shard)
+		}
+		o.mu.Lock()
+		if j, ok := o.state.jobs[id]; ok {
+			o.mu.Unlock()
+			return nil, true, o.checkRepeated(j, hash)
+		}
+		pending, ok := o.pending[id]
+		if !ok {
+			err := o.checkRoomToQueue(request.GetSpec())
+			done := make(chan struct{})
+			if err == nil {
+				o.pending[id] = done
+			}
+			o.mu.Unlock()
+			return func() { o.endSubmit(id, done) }, false, err
+		}
+		o.mu.Unlock()
+		select {
+		case <-pending:
+		case <-ctx.Done():
+			return nil, false, refusal.New(refusal.AcceptanceUnknown, "an earlier submission of %q is on its way", id)
+		}
+	}
+}
+
+func (o *Owner) endSubmit(id string, done chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.pending, id)
+	close(done)
+}
+
+func (o *Owner) checkRepeated(j *job, hash []byte) error {
+	if !j.sameSpec(hash) {
+		return refusal.New(refusal.RequestKeyReused, "the request key was used for other work, %q", j.accepted.GetId())
+	}
+	o.options.Metrics.accepted.WithLabelValues(o.shard, "repeated").Inc()
+	return nil
+}
+
+// checkRoomToQueue refuses work over the bound of the queue. The caller holds mu.
+func (o *Owner) checkRoomToQueue(spec *siskinv1.WorkSpec) error {
+	limit := o.options.MaxQueuedTasks
+	if limit <= 0 {
+		limit = defaultMaxQueuedTasks
+	}
+	if int64(o.cell.Queued())+int64(spec.GetCount()) <= limit {
+		return nil
+	}
+	refused := refusal.New(refusal.QueueFull, "shard %q holds %d queued tasks of at most %d", o.shard, o.cell.Queued(), limit)
+	refused.RetryAfter = retryWhenFull
+	return refused
+}
+
+// refuseAppend turns an error of the log into a refusal that claims "not run" only if nothing is durable.
+func refuseAppend(err error) error {
+	for _, known := range []error{shardlog.ErrFenced, shardlog.ErrClosed, ownership.ErrExpired} {
+		if errors.Is(err, known) {
+			return refusal.New(refusal.ShardUnavailable, "%v", err)
+		}
+	}
+	for _, known := range []error{shardlog.ErrFull, platform.ErrNotSent} {
+		if errors.Is(err, known) {
+			return refusal.New(refusal.StoreUnavailable, "%v", err)
+		}
+	}
+	return refusal.New(refusal.AcceptanceUnknown, "%v", err)
+}
+
 // Get returns the state of a job.
 func (o *Owner) Get(id string) (*siskinv1.WorkStatus, error) {
 	o.mu.Lock()
@@ -31,9 +145,10 @@
 	return o.status(id)
 }
 
+// status returns the state of a job over all its holders. The caller holds mu.
 func (o *Owner) status(id string) (*siskinv1.WorkStatus, error) {
-	job, ok := o.jobs[id]
-	if !ok {
+	j, ok := o.state.jobs[id]
+	if !ok || !j.home {
 		return nil, refusal.New(refusal.NotFound, "work %q does not exist", id)
 	}
 	counts, err := o.cell.Counts(id)
@@ -41,25 +156,49 @@
 		return nil, refusal.New(refusal.NotFound, "work %q: %v", id, err)
 	}
 	waiting, _ := o.cell.Explain(id)
-	return &siskinv1.WorkStatus{
-		Id: id, Team: job.GetTeam(), Spec: job.GetSpec(),
-		Queued: int32(counts.Queued), Running: int32(counts.Running), Succeeded: int32(counts.Succeeded),
-		Failed: int32(counts.Failed), Cancelled: int32(counts.Cancelled), Unknown: int32(counts.Unknown),
+	status := &siskinv1.WorkStatus{
+		Id: id, Team: j.accepted.GetTeam(), Spec: j.accepted.GetSpec(),
+		Queued: int32(counts.Queued), Running: int32(counts.Running),
 		WaitingReason: string(waiting.Reason), WaitingRemedy: waiting.Remedy,
-		AcceptedUnixMs: job.GetAcceptedUnixMs(),
-	}, nil
+		CancelRequested: j.cancelled, AcceptedUnixMs: j.accepted.GetAcceptedUnixMs(),
+		ReadyByAtRisk: o.cell.AtRisk(id, o.now()),
+	}
+	o.addRemote(status, j)
+	addEnded(status, j, counts)
+	return status, nil
 }
 
-// defaultListLimit is the number of jobs in a listing that names no limit.
-const defaultListLimit = 1000
+// addEnded counts the ends: durable ones, those on their way to the store, and cancelled tasks. The caller holds mu.
+func addEnded(status *siskinv1.WorkStatus, j *job, local scheduler.Counts) {
+	for _, state := range j.ended {
+		addState(status, state, 1)
+	}
+	for _, state := range j.unlogged {
+		addState(status, state, 1)
+	}
+	addState(status, siskinv1.TaskState_TASK_STATE_CANCELLED, local.Cancelled)
+}
+
+func addState(status *siskinv1.WorkStatus, state siskinv1.TaskState, n int) {
+	switch state {
+	case siskinv1.TaskState_TASK_STATE_SUCCEEDED:
+		status.Succeeded += int32(n)
+	case siskinv1.TaskState_TASK_STATE_FAILED:
+		status.Failed += int32(n)
+	case siskinv1.TaskState_TASK_STATE_CANCELLED:
+		status.Cancelled += int32(n)
+	case siskinv1.TaskState_TASK_STATE_UNKNOWN:
+		status.Unknown += int32(n)
+	}
+}
 
 // List returns the jobs of a team in the order of their identifiers; an empty team lists all.
 func (o *Owner) List(request *siskinv1.ListWorkRequest) []*siskinv1.WorkStatus {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ids := make([]string, 0, len(o.jobs))
-	for id, job := range o.jobs {
-		if (request.GetTeam() == "" || job.GetTeam() == request.GetTeam()) && id > request.GetAfterId() {
+	ids := make([]string, 0, len(o.state.jobs))
+	for id, j := range o.state.jobs {
+		if j.home && (request.GetTeam() == "" || j.accepted.GetTeam() == request.GetTeam()) && id > request.GetAfterId() {
 			ids = append(ids, id)
 		}
 	}
@@ -78,22 +217,58 @@
 	return listed
 }
 
-// Cancel makes the cancellation of a job durable and stops its running tasks.
+// Cancel makes the cancellation of a job durable. Queued tasks never start; running ones are stopped.
 func (o *Owner) Cancel(ctx context.Context, request *siskinv1.CancelWorkRequest) (*siskinv1.WorkStatus, error) {
-	if err := o.options.Right.Check(); err != nil {
-		return nil, refusal.New(refusal.ShardUnavailable, "%v", err)
+	if !o.mayAct() {
+		return nil, refusal.New(refusal.ShardUnavailable, "shard %q is changing its owner", o.shard)
 	}
 	o.mu.Lock()
-	job, ok := o.jobs[request.GetId()]
+	j, ok := o.state.jobs[request.GetId()]
+	found := ok && j.home && j.accepted.GetTeam() == request.GetTeam()
+	cancelled := found && j.cancelled
 	o.mu.Unlock()
-	if !ok || job.GetTeam() != request.GetTeam() {
+	if !found {
 		return nil, refusal.New(refusal.NotFound, "work %q does not exist", request.GetId())
 	}
-	record := &siskinv1.Record{Change: &siskinv1.Record_JobCancelled{
-		JobCancelled: &siskinv1.JobCancelled{Id: request.GetId()},
-	}}
-	if err := o.log.Append(ctx, record); err != nil {
-		return nil, refusal.New(refusal.AcceptanceUnknown, "%v", err)
+	if !cancelled {
+		if err := o.append(ctx, cancelRecord(request.GetId())); err != nil {
+			return nil, refuseAppend(err)
+		}
 	}
 	return o.Get(request.GetId())
 }
+
+// forgetEnded drops jobs whose tasks ended longer ago than the retention.
+func (o *Owner) forgetEnded(ctx context.Context) {
+	var records []*siskinv1.Record
+	o.mu.Lock()
+	now := o.options.Clock.Now()
+	for id, j := range o.state.jobs {
+		if !o.hasEnded(j) {
+			j.endedAt = time.Time{}
+			continue
+		}
+		if j.endedAt.IsZero() {
+			j.endedAt = now
+		}
+		if now.Sub(j.endedAt) > jobRetention {
+			records = append(records, &siskinv1.Record{Change: &siskinv1.Record_JobForgotten{
+				JobForgotten: &siskinv1.JobForgotten{Id: id},
+			}})
+		}
+	}
+	o.mu.Unlock()
+	_ = o.append(ctx, records...)
+}
+
+// hasEnded reports whether nothing of a job runs or can start any more. The caller holds mu.
+func (o *Owner) hasEnded(j *job) bool {
+	if j.allEnded() {
+		return true
+	}
+	if !j.cancelled {
+		return false
+	}
+	counts, err := o.cell.Counts(j.accepted.GetId())
+	return err == nil && counts.Running == 0 && !o.remoteRunning(j)
+}
--- /dev/null
+++ b/owner/worker.go
@@ -0,0 +1,257 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/scheduler"
+	"siskinstack.example/siskinstack/sharding"
+)
+
+const (
+	// renewTick is the time between two looks for workers whose renewal is due.
+	renewTick = 50 * time.Millisecond
+	// minRenewInterval and maxRenewInterval bound the time between two renewals of a worker.
+	minRenewInterval = 500 * time.Millisecond
+	maxRenewInterval = 5 * time.Second
+	// renewSpacing times the number of workers is the renewal interval: at most 200 renewals a second.
+	renewSpacing = 5 * time.Millisecond
+	// suspectAfter is the number of renewals without answer after which a worker gets no new tasks and its leases
+	// are no longer extended, so that their end is known.
+	suspectAfter = 3
+)
+
+// workerState is what the owner knows of a worker.
+type workerState struct {
+	name   string
+	vm     platform.VM
+	listed bool
+	inCell bool
+	placed map[scheduler.TaskID]*placement
+	// acked are ended tasks that are durable and that the worker may forget.
+	acked []platform.TaskRef
+	// extended is when a call that may have extended a lease was last sent.
+	extended time.Time
+	failures int
+	due      time.Time
+	renewing bool
+	logging  bool
+}
+
+// worker returns the state of a worker, new if needed. The caller holds mu.
+func (o *Owner) worker(name string) *workerState {
+	w, ok := o.workers[name]
+	if !ok {
+		w = &workerState{name: name, placed: map[scheduler.TaskID]*placement{}, extended: o.origin}
+		o.workers[name] = w
+	}
+	return w
+}
+
+func (w *workerState) suspect() bool { return w.failures >= suspectAfter }
+
+// refreshWorkers takes over the platform's list. The caller holds mu.
+func (o *Owner) refreshWorkers(vms []platform.VM) {
+	for _, w := range o.workers {
+		w.listed = false
+	}
+	shards := o.shardsOfZone()
+	for _, vm := range vms {
+		if vm.Role != platform.RoleWorker || vm.Zone != o.options.Zone {
+			continue
+		}
+		if sharding.OfWorker(vm.Name, vm.Zone, shards) != o.shard {
+			continue
+		}
+		w := o.worker(vm.Name)
+		w.listed = true
+		w.vm = vm
+		o.showWorker(w)
+	}
+	for name, w := range o.workers {
+		if w.listed {
+			continue
+		}
+		if w.inCell {
+			o.showWorker(w)
+		}
+		if len(w.placed) == 0 && !o.mayHold(name) {
+			o.dropWorker(w)
+		}
+	}
+}
+
+func (o *Owner) shardsOfZone() int {
+	n := 0
+	for _, shard := range o.options.Config.Shards() {
+		if shard.Zone == o.options.Zone {
+			n++
+		}
+	}
+	return n
+}
+
+// showWorker brings a worker into the decision core. The caller holds mu.
+func (o *Owner) showWorker(w *workerState) {
+	w.inCell = true
+	o.cell.SetWorker(scheduler.Worker{
+		Name: w.name, Zone: o.options.Zone, Rack: w.vm.Rack, Room: w.vm.Room,
+		Leaving: w.vm.Leaving || !w.listed || w.suspect(),
+	})
+}
+
+// mayHold reports whether a worker may still hold tasks of the shard. The caller holds mu.
+func (o *Owner) mayHold(name string) bool {
+	return o.recovery != nil && o.recovery.waiting[name]
+}
+
+// dropWorker forgets a worker that is no longer listed and holds nothing. The caller holds mu.
+func (o *Owner) dropWorker(w *workerState) {
+	if w.inCell {
+		o.cell.RemoveWorker(w.name)
+		w.inCell = false
+	}
+	if o.options.Clock.Now().Before(w.extended.Add(TaskLease + leaseMargin)) {
+		return
+	}
+	delete(o.workers, w.name)
+	if !o.state.workers[w.name] {
+		return
+	}
+	record := &siskinv1.Record{Change: &siskinv1.Record_WorkerUnused{WorkerUnused: &siskinv1.WorkerUnused{Worker: w.name}}}
+	o.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
+		defer cancel()
+		_ = o.append(ctx, record)
+	})
+}
+
+// renewDue renews the workers whose time has come and gives up on those whose leases have certainly ended.
+func (o *Owner) renewDue(ctx context.Context) {
+	o.mu.Lock()
+	now := o.options.Clock.Now()
+	var requests []platform.RenewRequest
+	var lost []*placement
+	for _, w := range o.workers {
+		if w.suspect() && now.After(w.extended.Add(TaskLease+leaseMargin)) {
+			lost = append(lost, o.loseWorker(w)...)
+		}
+		if w.renewing || now.Before(w.due) {
+			continue
+		}
+		w.renewing = true
+		requests = append(requests, o.renewRequest(w, now))
+	}
+	o.expireRecovery(now)
+	o.mu.Unlock()
+	if len(lost) > 0 {
+		o.tasks.Go(func() { o.logUnknown(ctx, lost) })
+	}
+	for _, request := range requests {
+		o.call(ctx, func(ctx context.Context) { o.renew(ctx, request) })
+	}
+}
+
+// renewRequest prepares a renewal; suspect workers are only asked for a report. The caller holds mu.
+func (o *Owner) renewRequest(w *workerState, now time.Time) platform.RenewRequest {
+	request := platform.RenewRequest{
+		Authority: o.authority(), Worker: w.name, Acknowledged: append([]platform.TaskRef(nil), w.acked...),
+	}
+	if !w.suspect() {
+		request.Lease = TaskLease
+	}
+	w.due = now.Add(o.renewInterval(w))
+	return request
+}
+
+func (o *Owner) renewInterval(w *workerState) time.Duration {
+	if len(w.placed) == 0 && !o.mayHold(w.name) {
+		return maxRenewInterval
+	}
+	return min(max(time.Duration(len(o.workers))*renewSpacing, minRenewInterval), maxRenewInterval)
+}
+
+func (o *Owner) renew(ctx context.Context, request platform.RenewRequest) {
+	sent := o.options.Clock.Now()
+	err := o.options.Right.Check()
+	if err != nil {
+		o.renewEnded(request, nil, err)
+		return
+	}
+	if request.Lease > 0 {
+		o.noteExtended(request.Worker, sent)
+	}
+	report, err := o.options.Workers.Renew(ctx, request)
+	if errors.Is(err, platform.ErrStaleEpoch) {
+		o.fence()
+	}
+	o.renewEnded(request, &report, err)
+	if err == nil {
+		o.processReport(ctx, report, sent)
+	}
+}
+
+func (o *Owner) noteExtended(worker string, sent time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w := o.worker(worker)
+	if sent.After(w.extended) {
+		w.extended = sent
+	}
+}
+
+// renewEnded updates the health of a worker after a renewal.
+func (o *Owner) renewEnded(request platform.RenewRequest, report *platform.WorkerReport, err error) {
+	o.options.Metrics.renewal(o.shard, err)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w := o.worker(request.Worker)
+	w.renewing = false
+	wasSuspect := w.suspect()
+	if err != nil {
+		w.failures++
+		w.due = o.options.Clock.Now().Add(minRenewInterval)
+	} else {
+		w.failures = 0
+		w.acked = w.acked[min(len(request.Acknowledged), len(w.acked)):]
+		if !w.inCell {
+			w.vm.Room = report.Room
+			o.showWorker(w)
+		}
+	}
+	if w.suspect() != wasSuspect {
+		o.options.Logger.Info("worker changed state", "shard", o.shard, "worker", w.name, "suspect", w.suspect())
+		if w.inCell {
+			o.showWorker(w)
+		}
+	}
+}
+
+// loseWorker ends all placements on a worker whose leases have certainly ended, and returns those of tasks that run at
+// most once. The caller holds mu.
+func (o *Owner) loseWorker(w *workerState) []*placement {
+	var unknown []*placement
+	for _, p := range w.placed {
+		outcome := scheduler.Lost
+		if p.atMostOnce {
+			outcome = scheduler.Unknown
+			unknown = append(unknown, p)
+		}
+		o.settle(p.ref, outcome)
+	}
+	o.recoveredWorker(w.name)
+	return unknown
+}
+
+// logUnknown makes the unknown outcome of tasks durable. If it fails, the claim alone leads to the same outcome.
+func (o *Owner) logUnknown(ctx context.Context, placements []*placement) {
+	records := make([]*siskinv1.Record, len(placements))
+	for i, p := range placements {
+		records[i] = endedRecord(p.ref.Job, p.ref.Index, p.ref.Attempt, siskinv1.TaskState_TASK_STATE_UNKNOWN,
+			"worker was lost while the task may have run")
+	}
+	_ = o.append(ctx, records...)
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/sharding"
 )
 
 // Work is the work interface of the shards that a VM owns. Errors are refusals.
@@ -21,6 +22,8 @@
 	siskinv1.UnimplementedPeerServiceServer
 	// LocalWork serves the shards of this VM only, so that a call is passed on at most once.
 	LocalWork Work
+	// LocalParts serves the parts of jobs that shards of this VM hold.
+	LocalParts Parts
 }
 
 // SubmitWork accepts a job for a shard of this VM.
@@ -58,3 +61,41 @@
 	}
 	return answer, nil
 }
+
+// Parts is the interface for parts of jobs of the shards that a VM owns.
+type Parts interface {
+	OfferPart(ctx context.Context, shard string, request *siskinv1.OfferPartRequest) (*siskinv1.OfferPartResponse, error)
+	ReleasePart(ctx context.Context, shard string, request *siskinv1.ReleasePartRequest) (*siskinv1.ReleasePartResponse, error)
+	ReportPart(ctx context.Context, shard string, request *siskinv1.ReportPartRequest) (*siskinv1.ReportPartResponse, error)
+}
+
+// OfferPart assigns tasks to a shard of this VM.
+func (s *Server) OfferPart(ctx context.Context, request *siskinv1.OfferPartRequest) (*siskinv1.OfferPartResponse, error) {
+	answer, err := s.LocalParts.OfferPart(ctx, request.GetPart().GetHolder(), request)
+	if err != nil {
+		return &siskinv1.OfferPartResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
+
+// ReleasePart asks a shard of this VM to give tasks back.
+func (s *Server) ReleasePart(ctx context.Context, request *siskinv1.ReleasePartRequest) (*siskinv1.ReleasePartResponse, error) {
+	answer, err := s.LocalParts.ReleasePart(ctx, request.GetShard(), request)
+	if err != nil {
+		return &siskinv1.ReleasePartResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
+
+// ReportPart takes a holder's report for a home shard of this VM.
+func (s *Server) ReportPart(ctx context.Context, request *siskinv1.ReportPartRequest) (*siskinv1.ReportPartResponse, error) {
+	home, ok := sharding.OfJob(request.GetJob())
+	if !ok {
+		return &siskinv1.ReportPartResponse{Refused: refusal.New(refusal.BadRequest, "job %q names no shard", request.GetJob()).Proto()}, nil
+	}
+	answer, err := s.LocalParts.ReportPart(ctx, home, request)
+	if err != nil {
+		return &siskinv1.ReportPartResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
--- a/peer/work.go
+++ b/peer/work.go
@@ -5,7 +5,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/refusal"
-	"siskinstack.example/siskinstack/shardlog"
+	"siskinstack.example/siskinstack/sharding"
 )
 
 // Directory names the VM that owns a shard.
@@ -38,7 +38,7 @@
 
 // ownerOfJob finds the owner of a job by the shard named in its identifier.
 func (r *Router) ownerOfJob(id string) (siskinv1.PeerServiceClient, bool, error) {
-	shard, ok := shardlog.ShardOfJob(id)
+	shard, ok := sharding.OfJob(id)
 	if !ok {
 		return nil, false, refusal.New(refusal.NotFound, "work %q does not exist", id)
 	}
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -52,6 +52,7 @@
 	worker  *workerState
 	held    bool
 	done    bool
+	outcome Outcome
 }
 
 // NewCell returns an empty cell.
@@ -124,6 +125,7 @@
 			stops = append(stops, Stop{Task: task.id, Attempt: task.attempt, Worker: task.worker.Name, Reason: StopCancelled})
 		default:
 			task.done = true
+			task.outcome = Cancelled
 			job.counts.Queued--
 			job.counts.Cancelled++
 		}
@@ -205,6 +207,7 @@
 	counts := &task.job.counts
 	counts.Queued--
 	task.done = true
+	task.outcome = outcome
 	if outcome == Failed {
 		task.failed++
 	}
--- a/shardlog/log.go
+++ b/shardlog/log.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"strings"
 	"sync"
 	"time"
 
@@ -315,9 +314,3 @@
 	}
 	return entry, nil
 }
-
-// ShardOfJob returns the home shard named in a job identifier.
-func ShardOfJob(id string) (string, bool) {
-	shard, _, ok := strings.Cut(id, ".")
-	return shard, ok && shard != ""
-}
