Complete the stand-ins: faults to order, checkpoints, network cuts

Cause: the stand-ins could not separate one VM from the store, deliver calls late or twice, resume from a checkpoint, end leases on a worker's own clock or cut links between VMs. Change: faults per VM for store and VM list, call counts per kind, a history bounded by number and bytes; tasks with progress, throttle, grace time and checkpoints; late, duplicate and lost calls to workers; connection limit, answer spread, mixed and lost answers of endpoints; Network with one-way cuts and a dialer. Fix: a watch that reaches its wait time reads the revision again instead of returning one that may be 50 ms old.

--- a/standin/endpoints.go
+++ b/standin/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"sync"
 	"time"
 
@@ -20,6 +21,16 @@
 	Ended      time.Time
 	// Cut is true if the caller went away before the answer was complete.
 	Cut bool
+}
+
+// RequestRefusal is one request that an endpoint refused without running it.
+type RequestRefusal struct {
+	Endpoint  string
+	From      string
+	RequestID string
+	At        time.Time
+	// Reason is platform.ErrEndpointBusy or platform.ErrEndpointLeaving.
+	Reason error
 	// AfterLeaving is how long after the endpoint began to leave the request arrived; 0 before.
 	AfterLeaving time.Duration
 }
@@ -32,6 +43,20 @@
 	Work func(endpoint string, body []byte) time.Duration
 }
 
+// EndpointFaults are faults to order for one endpoint.
+type EndpointFaults struct {
+	// Down refuses every request before it arrives.
+	Down bool
+	// Delay is added to every answer.
+	Delay time.Duration
+	// Spread adds a delay between 0 and Spread, different for each request, so that answers overtake each other.
+	Spread time.Duration
+	// LoseAnswers runs the next n requests and then fails.
+	LoseAnswers int
+	// MixAnswers gives the next n answers under another request identifier.
+	MixAnswers int
+}
+
 // Endpoints is a set of endpoints with a fixed number of slots each.
 type Endpoints struct {
 	clock   clock.Clock
@@ -40,6 +65,7 @@
 	mu        sync.Mutex // guards all fields below
 	endpoints map[string]*endpoint
 	runs      []*RequestRun
+	refusals  []RequestRefusal
 }
 
 type endpoint struct {
@@ -47,6 +73,10 @@
 	total    int
 	peak     int
 	leaving  time.Time
+	faults   EndpointFaults
+
+	connections     int
+	peakConnections int
 }
 
 // NewEndpoints returns endpoints for the VMs with the endpoint role.
@@ -67,6 +97,33 @@
 	e.endpoints[name].leaving = e.clock.Now()
 }
 
+// SetFaults replaces the faults of an endpoint.
+func (e *Endpoints) SetFaults(name string, faults EndpointFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endpoints[name].faults = faults
+}
+
+// Connect counts a new connection to an endpoint. It returns false if the endpoint takes no more.
+func (e *Endpoints) Connect(name string) (disconnect func(), ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ep := e.endpoints[name]
+	if e.options.Connections > 0 && ep.connections >= e.options.Connections {
+		return nil, false
+	}
+	ep.connections++
+	ep.peakConnections = max(ep.peakConnections, ep.connections)
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			ep.connections--
+		})
+	}, true
+}
+
 // Runs returns a copy of all runs recorded so far.
 func (e *Endpoints) Runs() []RequestRun {
 	e.mu.Lock()
@@ -78,6 +135,13 @@
 	return runs
 }
 
+// Refusals returns a copy of all refusals recorded so far.
+func (e *Endpoints) Refusals() []RequestRefusal {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]RequestRefusal(nil), e.refusals...)
+}
+
 // Peak returns the most requests that an endpoint has had in flight at once.
 func (e *Endpoints) Peak(name string) int {
 	e.mu.Lock()
@@ -85,37 +149,63 @@
 	return e.endpoints[name].peak
 }
 
+// PeakConnections returns the most connections that an endpoint has had at once.
+func (e *Endpoints) PeakConnections(name string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.endpoints[name].peakConnections
+}
+
 // Call runs one request.
 func (e *Endpoints) Call(ctx context.Context, request platform.EndpointRequest) (platform.EndpointAnswer, error) {
-	run, err := e.begin(request)
+	run, faults, err := e.begin(request)
 	if err != nil {
 		return platform.EndpointAnswer{}, err
 	}
-	cut := e.clock.Sleep(ctx, e.options.Work(request.Endpoint, request.Body))
+	wait := e.options.Work(request.Endpoint, request.Body) + faults.Delay + spread(request.RequestID, faults.Spread)
+	cut := e.clock.Sleep(ctx, wait)
 	e.finish(request, run, cut != nil)
 	if cut != nil {
 		return platform.EndpointAnswer{}, cut
 	}
-	return platform.EndpointAnswer{
+	if faults.LoseAnswers > 0 {
+		return platform.EndpointAnswer{}, errAnswerLost
+	}
+	answer := platform.EndpointAnswer{
 		RequestID:   request.RequestID,
 		Status:      200,
 		Body:        append([]byte("done "), request.Body...),
 		ContentType: request.ContentType,
-	}, nil
+	}
+	if faults.MixAnswers > 0 {
+		answer.RequestID += "-other"
+	}
+	return answer, nil
 }
 
-func (e *Endpoints) begin(request platform.EndpointRequest) (*RequestRun, error) {
+// spread returns a delay below limit that depends only on the request.
+func spread(requestID string, limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(requestID))
+	return time.Duration(hash.Sum64() % uint64(limit))
+}
+
+// begin takes a slot. It returns the faults that apply to the answer.
+func (e *Endpoints) begin(request platform.EndpointRequest) (*RequestRun, EndpointFaults, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ep, ok := e.endpoints[request.Endpoint]
-	if !ok {
-		return nil, platform.ErrNotSent
+	if !ok || ep.faults.Down {
+		return nil, EndpointFaults{}, platform.ErrNotSent
 	}
 	if !ep.leaving.IsZero() {
-		return nil, platform.ErrEndpointLeaving
+		return nil, EndpointFaults{}, e.refuse(request, ep, platform.ErrEndpointLeaving)
 	}
 	if ep.total >= e.options.Slots {
-		return nil, platform.ErrEndpointBusy
+		return nil, EndpointFaults{}, e.refuse(request, ep, platform.ErrEndpointBusy)
 	}
 	ep.total++
 	ep.peak = max(ep.peak, ep.total)
@@ -125,7 +215,23 @@
 		Body: string(request.Body), Idempotent: request.Idempotent, Started: e.clock.Now(),
 	}
 	e.runs = append(e.runs, run)
-	return run, nil
+	faults := ep.faults
+	ep.faults.LoseAnswers = max(0, faults.LoseAnswers-1)
+	ep.faults.MixAnswers = max(0, faults.MixAnswers-1)
+	return run, faults, nil
+}
+
+// refuse records a refusal. The caller holds mu.
+func (e *Endpoints) refuse(request platform.EndpointRequest, ep *endpoint, reason error) error {
+	refusal := RequestRefusal{
+		Endpoint: request.Endpoint, From: request.From, RequestID: request.RequestID,
+		At: e.clock.Now(), Reason: reason,
+	}
+	if !ep.leaving.IsZero() {
+		refusal.AfterLeaving = refusal.At.Sub(ep.leaving)
+	}
+	e.refusals = append(e.refusals, refusal)
+	return reason
 }
 
 func (e *Endpoints) finish(request platform.EndpointRequest, run *RequestRun, cut bool) {
@@ -143,7 +249,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ep, ok := e.endpoints[name]
-	if !ok {
+	if !ok || ep.faults.Down {
 		return platform.EndpointLoad{}, platform.ErrNotSent
 	}
 	load := platform.EndpointLoad{InFlight: map[string]int{}, Leaving: !ep.leaving.IsZero()}
--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,176 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+)
+
+// TestStoreFaultsPerVM guards against a cut between one VM and the store that reaches other VMs.
+func TestStoreFaultsPerVM(t *testing.T) {
+	s := NewStore(clock.NewFake(origin))
+	a, b := WithCaller(context.Background(), "a"), WithCaller(context.Background(), "b")
+	s.SetFaultsFor("a", StoreFaults{Down: true})
+	_, err := s.Put(a, platform.PutRequest{Key: "k"})
+	assert.ErrorIs(t, err, errUnavailable)
+	_, err = s.Put(b, platform.PutRequest{Key: "k"})
+	assert.NilError(t, err)
+	s.Heal()
+	s.SetFaultsFor("a", StoreFaults{LoseAnswers: 1})
+	_, err = s.Put(a, platform.PutRequest{Key: "l"})
+	assert.ErrorIs(t, err, errAnswerLost)
+	_, err = s.Get(a, "l")
+	assert.NilError(t, err, "the write took effect")
+	counts := s.Counts()
+	assert.Equal(t, counts.Kinds[CallPut], int64(2))
+	assert.Equal(t, counts.VMs["a"], int64(2))
+}
+
+// TestStoreHistory guards against a watch that silently misses changes which are no longer in the history.
+func TestStoreHistory(t *testing.T) {
+	ctx := context.Background()
+	s := NewStore(clock.NewFake(origin))
+	s.SetHistory(2)
+	for _, key := range []string{"a", "b", "c"} {
+		_, err := s.Put(ctx, platform.PutRequest{Key: key})
+		assert.NilError(t, err)
+	}
+	_, err := s.Watch(ctx, platform.WatchRequest{After: 0, Wait: time.Second})
+	assert.ErrorIs(t, err, platform.ErrCompacted)
+	result, err := s.Watch(ctx, platform.WatchRequest{After: 1, Wait: time.Second})
+	assert.NilError(t, err)
+	assert.Equal(t, len(result.Events), 2)
+}
+
+// TestStoreOpenWatch guards against open watches that are not counted or survive an outage of their VM.
+func TestStoreOpenWatch(t *testing.T) {
+	s := NewStore(clock.NewFake(origin))
+	failed := make(chan error, 1)
+	go func() {
+		_, err := s.Watch(WithCaller(context.Background(), "a"), platform.WatchRequest{Wait: time.Minute})
+		failed <- err
+	}()
+	for s.Counts().OpenWatches == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.SetFaultsFor("a", StoreFaults{Down: true})
+	assert.ErrorIs(t, <-failed, errUnavailable)
+	assert.Equal(t, s.Counts().OpenWatches, int64(0))
+	assert.Equal(t, s.Counts().Watches, int64(1))
+}
+
+// TestStoreLease guards against keys that outlive their lease.
+func TestStoreLease(t *testing.T) {
+	ctx := context.Background()
+	fake := clock.NewFake(origin)
+	s := NewStore(fake)
+	lease, err := s.GrantLease(ctx, 3*time.Second)
+	assert.NilError(t, err)
+	_, err = s.Put(ctx, platform.PutRequest{Key: "k", Lease: lease})
+	assert.NilError(t, err)
+	fake.Advance(2 * time.Second)
+	assert.NilError(t, s.RenewLease(ctx, lease))
+	fake.Advance(3*time.Second + time.Millisecond)
+	_, err = s.Get(ctx, "k")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, s.RenewLease(ctx, lease), platform.ErrLeaseExpired)
+}
+
+// TestVMListLag guards against a list that shows changes at once.
+func TestVMListLag(t *testing.T) {
+	ctx := context.Background()
+	fake := clock.NewFake(origin)
+	l := NewVMList(fake, 2*time.Second, []platform.VM{{Name: "a"}})
+	l.Update(func([]platform.VM) []platform.VM { return nil })
+	seen, err := l.List(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(seen.VMs), 1)
+	fake.Advance(2 * time.Second)
+	seen, err = l.List(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(seen.VMs), 0)
+}
+
+func testEndpoints() (*Endpoints, *clock.Fake) {
+	fake := clock.NewFake(origin)
+	return NewEndpoints(fake, []platform.VM{{Name: "e", Role: platform.RoleEndpoint}}, EndpointOptions{
+		Slots: 1, Connections: 1, Work: func(string, []byte) time.Duration { return time.Second },
+	}), fake
+}
+
+// TestEndpointLimits guards against endpoints that take more than their slots and connections, or work while leaving.
+func TestEndpointLimits(t *testing.T) {
+	e, fake := testEndpoints()
+	ctx, cut := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := e.Call(ctx, platform.EndpointRequest{Endpoint: "e", RequestID: "1", From: "vm"})
+		done <- err
+	}()
+	for fake.Sleepers() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := e.Call(ctx, platform.EndpointRequest{Endpoint: "e", RequestID: "2"})
+	assert.ErrorIs(t, err, platform.ErrEndpointBusy)
+	load, err := e.Load(ctx, "e", "")
+	assert.NilError(t, err)
+	assert.Equal(t, load.InFlight["vm"], 1)
+	e.SetLeaving("e")
+	fake.Advance(500 * time.Millisecond)
+	_, err = e.Call(ctx, platform.EndpointRequest{Endpoint: "e", RequestID: "3"})
+	assert.ErrorIs(t, err, platform.ErrEndpointLeaving)
+	assert.Equal(t, e.Refusals()[1].AfterLeaving, 500*time.Millisecond)
+	cut()
+	assert.ErrorIs(t, <-done, context.Canceled)
+	assert.Assert(t, e.Runs()[0].Cut)
+	disconnect, ok := e.Connect("e")
+	assert.Assert(t, ok)
+	_, ok = e.Connect("e")
+	assert.Assert(t, !ok)
+	disconnect()
+	_, ok = e.Connect("e")
+	assert.Assert(t, ok)
+}
+
+// TestNetworkCut guards against cuts that fail connections at once, lose data or cut the wrong way.
+func TestNetworkCut(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, listener.Close()) }()
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			_, _ = io.Copy(conn, conn)
+		}
+	}()
+	network := NewNetwork()
+	network.Place("a", "z1")
+	network.Place("b", "z2", listener.Addr().String())
+	conn, err := network.Dialer("a")(context.Background(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, conn.Close()) }()
+	network.Cut("b", "a")
+	assert.Assert(t, network.Open("a", "b") && !network.Open("b", "a"))
+	_, err = conn.Write([]byte("echo"))
+	assert.NilError(t, err, "the other way is open")
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	text := make([]byte, 4)
+	_, err = conn.Read(text)
+	assert.ErrorContains(t, err, "timeout")
+	network.Heal("a", "b")
+	assert.NilError(t, conn.SetReadDeadline(time.Time{}))
+	_, err = io.ReadFull(conn, text)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), "echo")
+	network.CutZone("z1")
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err = network.Dialer("a")(ctx, "tcp", listener.Addr().String())
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -16,16 +17,58 @@
 // maxStoreEvents bounds the history that a watch can start from.
 const maxStoreEvents = 4096
 
+// maxHistoryBytes bounds the memory of the history: log commits are up to 512 KiB each.
+const maxHistoryBytes = 64 << 20
+
 // StoreCounts is the number of calls that the store has served.
 type StoreCounts struct {
+	// Reads, Writes and Watches are sums; an open watch counts once.
 	Reads   int64
 	Writes  int64
 	Watches int64
+	// Kinds counts the calls of each kind.
+	Kinds map[StoreCall]int64
+	// VMs counts the calls of each VM that names itself.
+	VMs map[string]int64
+	// OpenWatches is the number of watches that are open now.
+	OpenWatches int64
+}
+
+// StoreCall is a kind of call to the store.
+type StoreCall string
+
+// The kinds of calls.
+const (
+	CallGet    StoreCall = "get"
+	CallList   StoreCall = "list"
+	CallPut    StoreCall = "put"
+	CallDelete StoreCall = "delete"
+	CallGrant  StoreCall = "grant_lease"
+	CallRenew  StoreCall = "renew_lease"
+	CallRevoke StoreCall = "revoke_lease"
+	CallWatch  StoreCall = "watch"
+)
+
+// count records a call. The caller of count holds the store's mu.
+func (c *StoreCounts) count(ctx context.Context, kind StoreCall) {
+	switch kind {
+	case CallGet, CallList:
+		c.Reads++
+	case CallWatch:
+		c.Watches++
+	default:
+		c.Writes++
+	}
+	c.Kinds[kind]++
+	if vm := Caller(ctx); vm != "" {
+		c.VMs[vm]++
+	}
 }
 
 // Store is an in-memory key-value service with compare-and-swap, leases and watches.
 type Store struct {
 	clock clock.Clock
+	gate  *gate
 
 	mu        sync.Mutex // guards all fields below
 	revision  platform.Revision
@@ -35,7 +78,10 @@
 	events    []platform.Event
 	changed   chan struct{} // closed and replaced on every change
 	counts    StoreCounts
-	faults    StoreFaults
+	// compacted is the highest revision that is no longer in events; historyBytes is the size of events.
+	compacted    platform.Revision
+	maxEvents    int
+	historyBytes int
 }
 
 type storeLease struct {
@@ -43,65 +89,67 @@
 	expires time.Time
 }
 
-// StoreFaults are faults to order.
-type StoreFaults struct {
-	// Down makes every call fail without effect.
-	Down bool
-	// Delay is added to every call.
-	Delay time.Duration
-	// LoseAnswers makes the next n writes take effect and then fail.
-	LoseAnswers int
-}
-
 // NewStore returns an empty store.
 func NewStore(c clock.Clock) *Store {
 	return &Store{
-		clock:   c,
-		keys:    map[string]platform.KeyValue{},
-		leases:  map[platform.LeaseID]*storeLease{},
-		changed: make(chan struct{}),
+		clock:     c,
+		gate:      newGate(c),
+		maxEvents: maxStoreEvents,
+		keys:      map[string]platform.KeyValue{},
+		leases:    map[platform.LeaseID]*storeLease{},
+		changed:   make(chan struct{}),
+		counts:    StoreCounts{Kinds: map[StoreCall]int64{}, VMs: map[string]int64{}},
 	}
 }
 
-// SetFaults replaces the ordered faults.
+// SetFaults replaces the faults that apply to VMs without faults of their own.
 func (s *Store) SetFaults(faults StoreFaults) {
+	s.gate.set(faults)
+	s.wake()
+}
+
+// SetFaultsFor orders faults for the calls of one VM.
+func (s *Store) SetFaultsFor(vm string, faults StoreFaults) {
+	s.gate.setFor(vm, faults)
+	s.wake()
+}
+
+// Heal removes all faults.
+func (s *Store) Heal() { s.gate.heal() }
+
+// SetHistory bounds the number of changes that a watch can start from.
+func (s *Store) SetHistory(events int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = faults
-	s.signal()
+	s.maxEvents = events
+	s.trimHistory()
 }
 
 // Counts returns the calls served so far.
 func (s *Store) Counts() StoreCounts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.counts
+	counts := s.counts
+	counts.Kinds = maps.Clone(s.counts.Kinds)
+	counts.VMs = maps.Clone(s.counts.VMs)
+	return counts
 }
 
-// enter applies the ordered faults before a call.
-func (s *Store) enter(ctx context.Context) error {
+// wake lets open watches notice new faults.
+func (s *Store) wake() {
 	s.mu.Lock()
-	faults := s.faults
-	s.mu.Unlock()
-	if faults.Delay > 0 {
-		if err := s.clock.Sleep(ctx, faults.Delay); err != nil {
-			return err
-		}
-	}
-	if faults.Down {
-		return errUnavailable
-	}
-	return ctx.Err()
+	defer s.mu.Unlock()
+	s.signal()
 }
 
 // Get returns one key.
 func (s *Store) Get(ctx context.Context, key string) (platform.KeyValue, error) {
-	if err := s.enter(ctx); err != nil {
+	if err := s.gate.enter(ctx); err != nil {
 		return platform.KeyValue{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Reads++
+	s.counts.count(ctx, CallGet)
 	s.expireLeases()
 	kv, ok := s.keys[key]
 	if !ok {
@@ -112,12 +160,12 @@
 
 // List returns all keys with a prefix in order.
 func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
-	if err := s.enter(ctx); err != nil {
+	if err := s.gate.enter(ctx); err != nil {
 		return platform.Listing{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Reads++
+	s.counts.count(ctx, CallList)
 	s.expireLeases()
 	listing := platform.Listing{Revision: s.revision}
 	for key, kv := range s.keys {
@@ -131,12 +179,12 @@
 
 // Put writes a key if it has the expected revision.
 func (s *Store) Put(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
-	if err := s.enter(ctx); err != nil {
+	if err := s.gate.enter(ctx); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Writes++
+	s.counts.count(ctx, CallPut)
 	s.expireLeases()
 	if len(request.Value) > platform.MaxValueBytes {
 		return 0, platform.ErrTooLarge
@@ -156,17 +204,17 @@
 	}
 	s.keys[request.Key] = kv
 	s.record(platform.Event{KeyValue: kv})
-	return kv.Revision, s.loseAnswer()
+	return kv.Revision, s.gate.loseAnswer(ctx)
 }
 
 // Delete removes a key if it has the expected revision.
 func (s *Store) Delete(ctx context.Context, key string, expected platform.Revision) error {
-	if err := s.enter(ctx); err != nil {
+	if err := s.gate.enter(ctx); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Writes++
+	s.counts.count(ctx, CallDelete)
 	s.expireLeases()
 	kv, ok := s.keys[key]
 	if !ok {
@@ -176,106 +224,49 @@
 		return platform.ErrConflict
 	}
 	s.remove(key)
-	return s.loseAnswer()
+	return s.gate.loseAnswer(ctx)
 }
 
 // GrantLease starts a lease.
 func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	if err := s.enter(ctx); err != nil {
+	if err := s.gate.enter(ctx); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Writes++
+	s.counts.count(ctx, CallGrant)
 	s.nextLease++
 	s.leases[s.nextLease] = &storeLease{ttl: ttl, expires: s.clock.Now().Add(ttl)}
-	return s.nextLease, s.loseAnswer()
+	return s.nextLease, s.gate.loseAnswer(ctx)
 }
 
 // RenewLease extends a lease by its TTL.
 func (s *Store) RenewLease(ctx context.Context, id platform.LeaseID) error {
-	if err := s.enter(ctx); err != nil {
+	if err := s.gate.enter(ctx); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Writes++
+	s.counts.count(ctx, CallRenew)
 	s.expireLeases()
 	lease, ok := s.leases[id]
 	if !ok {
 		return platform.ErrLeaseExpired
 	}
 	lease.expires = s.clock.Now().Add(lease.ttl)
-	return s.loseAnswer()
+	return s.gate.loseAnswer(ctx)
 }
 
 // RevokeLease ends a lease and removes its keys.
 func (s *Store) RevokeLease(ctx context.Context, id platform.LeaseID) error {
-	if err := s.enter(ctx); err != nil {
+	if err := s.gate.enter(ctx); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Writes++
+	s.counts.count(ctx, CallRevoke)
 	s.endLease(id)
-	return s.loseAnswer()
-}
-
-// Watch returns the changes after a revision, waiting for the first one up to the requested time.
-func (s *Store) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
-	if err := s.enter(ctx); err != nil {
-		return platform.WatchResult{}, err
-	}
-	s.mu.Lock()
-	s.counts.Watches++
-	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, request.Wait)
-	defer cancel()
-	for {
-		result, changed, err := s.changesAfter(request)
-		if err != nil || len(result.Events) > 0 {
-			return result, err
-		}
-		if !s.waitForChange(ctx, changed) {
-			return result, nil
-		}
-	}
-}
-
-// leaseSweepInterval is how often a waiting watch looks for expired leases.
-const leaseSweepInterval = 50 * time.Millisecond
-
-func (s *Store) waitForChange(ctx context.Context, changed <-chan struct{}) bool {
-	timer := time.NewTimer(leaseSweepInterval)
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (s *Store) changesAfter(request platform.WatchRequest) (platform.WatchResult, <-chan struct{}, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.Down {
-		return platform.WatchResult{}, nil, errUnavailable
-	}
-	s.expireLeases()
-	if len(s.events) > 0 && s.events[0].Revision > request.After+1 && s.revision > request.After && len(s.events) == maxStoreEvents {
-		return platform.WatchResult{}, nil, platform.ErrCompacted
-	}
-	result := platform.WatchResult{Revision: s.revision}
-	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Revision > request.After })
-	for _, event := range s.events[first:] {
-		if strings.HasPrefix(event.Key, request.Prefix) {
-			result.Events = append(result.Events, event)
-		}
-	}
-	return result, s.changed, nil
+	return s.gate.loseAnswer(ctx)
 }
 
 // expireLeases ends the leases whose time has come. The caller holds mu.
@@ -308,22 +299,22 @@
 
 func (s *Store) record(event platform.Event) {
 	s.events = append(s.events, event)
-	if len(s.events) > maxStoreEvents {
-		s.events = s.events[len(s.events)-maxStoreEvents:]
-	}
+	s.historyBytes += len(event.Value)
+	s.trimHistory()
 	s.signal()
 }
 
+// trimHistory drops the oldest changes beyond the bounds. The caller holds mu.
+func (s *Store) trimHistory() {
+	for len(s.events) > s.maxEvents || s.historyBytes > maxHistoryBytes && len(s.events) > 1 {
+		s.compacted = s.events[0].Revision
+		s.historyBytes -= len(s.events[0].Value)
+		s.events[0] = platform.Event{}
+		s.events = s.events[1:]
+	}
+}
+
 func (s *Store) signal() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
-
-// loseAnswer reports an unknown outcome if such a fault was ordered. The caller holds mu.
-func (s *Store) loseAnswer() error {
-	if s.faults.LoseAnswers <= 0 {
-		return nil
-	}
-	s.faults.LoseAnswers--
-	return errAnswerLost
-}
--- /dev/null
+++ b/standin/store_watch.go
@@ -0,0 +1,84 @@
+package standin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"siskinstack.example/siskinstack/platform"
+)
+
+// leaseSweepInterval is how often a waiting watch looks for expired leases.
+const leaseSweepInterval = 50 * time.Millisecond
+
+// Watch returns the changes after a revision, waiting for the first one up to the requested time.
+func (s *Store) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
+	if err := s.gate.enter(ctx); err != nil {
+		return platform.WatchResult{}, err
+	}
+	s.openWatch(ctx)
+	defer s.closeWatch()
+	wait, cancel := context.WithTimeout(ctx, request.Wait)
+	defer cancel()
+	for {
+		result, changed, err := s.changesAfter(ctx, request)
+		if err != nil || len(result.Events) > 0 {
+			return result, err
+		}
+		if s.waitForChange(wait, changed) {
+			continue
+		}
+		if ctx.Err() != nil {
+			return platform.WatchResult{}, ctx.Err()
+		}
+		result, _, err = s.changesAfter(ctx, request)
+		return result, err
+	}
+}
+
+func (s *Store) openWatch(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.count(ctx, CallWatch)
+	s.counts.OpenWatches++
+}
+
+func (s *Store) closeWatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.OpenWatches--
+}
+
+func (s *Store) waitForChange(ctx context.Context, changed <-chan struct{}) bool {
+	timer := time.NewTimer(leaseSweepInterval)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Store) changesAfter(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, <-chan struct{}, error) {
+	if s.gate.down(ctx) {
+		return platform.WatchResult{}, nil, errUnavailable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	if request.After < s.compacted {
+		return platform.WatchResult{}, nil, platform.ErrCompacted
+	}
+	result := platform.WatchResult{Revision: s.revision}
+	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Revision > request.After })
+	for _, event := range s.events[first:] {
+		if strings.HasPrefix(event.Key, request.Prefix) {
+			result.Events = append(result.Events, event)
+		}
+	}
+	return result, s.changed, nil
+}
--- /dev/null
+++ b/standin/task.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"time"
+
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/resource"
+)
+
+// task is one task on a worker. Its state is settled up to a moment, and moved on when it is looked at.
+type task struct {
+	request platform.StartRequest
+	plan    TaskPlan
+	run     *TaskRun
+
+	settled time.Time
+	// speed is the work done per second; a throttled task is slower than 1.
+	speed float64
+	// leaseLeft is counted on the worker's own clock.
+	leaseLeft time.Duration
+	// stopAt is zero unless the task has been asked to stop.
+	stopAt     time.Time
+	saveOnStop bool
+	usage      []usageChange
+}
+
+// usageChange is the usage of a task from a moment on.
+type usageChange struct {
+	from time.Time
+	used resource.Vector
+}
+
+func newTask(now time.Time, request platform.StartRequest, plan TaskPlan, resumed time.Duration) *task {
+	run := &TaskRun{
+		Task: request.Task, Team: request.Team, Worker: request.Worker,
+		Shard: request.Shard, Epoch: request.Epoch, Room: request.Room, AtMostOnce: request.AtMostOnce,
+		Started: now, Phase: platform.PhaseRunning, Resumed: resumed, Progress: resumed,
+	}
+	return &task{
+		request: request, plan: plan, run: run, settled: now, speed: 1, leaseLeft: request.Lease,
+		usage: []usageChange{{now, plan.Used}},
+	}
+}
+
+func (t *task) running() bool { return t.run.Phase == platform.PhaseRunning }
+
+// settle moves the task on to now and ends it at the first of: work done, lease over, stop.
+func (t *task) settle(now time.Time, pace float64) {
+	end, phase := t.settled.Add(scale(t.leaseLeft, 1/pace)), platform.PhaseStopped
+	if !t.stopAt.IsZero() && t.stopAt.Before(end) {
+		end = t.stopAt
+	}
+	if finish, ok := t.finish(); ok && !finish.After(end) {
+		end, phase = finish, platform.PhaseSucceeded
+		if t.plan.Fails {
+			phase = platform.PhaseFailed
+		}
+	}
+	if now.Before(end) {
+		t.advance(now, pace)
+		return
+	}
+	t.advance(end, pace)
+	t.end(end, phase)
+}
+
+// finish returns when the work will be done.
+func (t *task) finish() (time.Time, bool) {
+	if t.plan.RunFor <= 0 || t.speed <= 0 {
+		return time.Time{}, false
+	}
+	left := max(t.plan.RunFor-t.run.Progress, 0)
+	return t.settled.Add(scale(left, 1/t.speed)), true
+}
+
+func (t *task) advance(to time.Time, pace float64) {
+	passed := to.Sub(t.settled)
+	t.run.Progress += scale(passed, t.speed)
+	t.leaseLeft -= scale(passed, pace)
+	t.settled = to
+}
+
+func scale(d time.Duration, by float64) time.Duration {
+	if by == 1 {
+		return d
+	}
+	return time.Duration(float64(d) * by)
+}
+
+func (t *task) stopWithin(now time.Time, grace time.Duration) {
+	at := now.Add(grace)
+	if t.stopAt.IsZero() || at.Before(t.stopAt) {
+		t.stopAt = at
+	}
+}
+
+// throttle limits the processor time. The task must be settled.
+func (t *task) throttle(now time.Time, milliCPU int64) {
+	wanted := t.plan.Used.MilliCPU
+	if wanted == 0 {
+		wanted = t.request.Room.MilliCPU
+	}
+	if wanted <= 0 {
+		return
+	}
+	t.speed = min(1, float64(milliCPU)/float64(wanted))
+	used := t.plan.Used
+	used.MilliCPU = min(used.MilliCPU, milliCPU)
+	t.usage = append(t.usage, usageChange{now, used})
+}
+
+func (t *task) end(at time.Time, phase platform.TaskPhase) {
+	t.run.Ended = at
+	t.run.Phase = phase
+}
+
+func (t *task) report(now time.Time, lag time.Duration) platform.TaskReport {
+	end := now
+	if !t.run.Ended.IsZero() {
+		end = t.run.Ended
+	}
+	return platform.TaskReport{
+		Task: t.request.Task, Team: t.request.Team, Room: t.request.Room, Phase: t.run.Phase,
+		Used: t.usedAt(now.Add(-lag)), UsageLag: lag, RunFor: end.Sub(t.run.Started),
+	}
+}
+
+// usedAt returns the usage at a moment; nothing before the start and after the end.
+func (t *task) usedAt(at time.Time) resource.Vector {
+	if !t.run.Ended.IsZero() && !at.Before(t.run.Ended) {
+		return resource.Vector{}
+	}
+	var used resource.Vector
+	for _, change := range t.usage {
+		if !change.from.After(at) {
+			used = change.used
+		}
+	}
+	return used
+}
--- a/standin/vms.go
+++ b/standin/vms.go
@@ -13,6 +13,7 @@
 type VMList struct {
 	clock clock.Clock
 	lag   time.Duration
+	gate  *gate
 
 	mu       sync.Mutex // guards versions
 	versions []vmVersion
@@ -26,9 +27,15 @@
 // NewVMList returns a list that shows changes after lag; the first contents are visible at once.
 func NewVMList(c clock.Clock, lag time.Duration, vms []platform.VM) *VMList {
 	first := vmVersion{at: c.Now().Add(-lag), vms: append([]platform.VM(nil), vms...)}
-	return &VMList{clock: c, lag: lag, versions: []vmVersion{first}}
+	return &VMList{clock: c, lag: lag, gate: newGate(c), versions: []vmVersion{first}}
 }
 
+// SetFaults replaces the faults that apply to VMs without faults of their own.
+func (l *VMList) SetFaults(faults Faults) { l.gate.set(faults) }
+
+// SetFaultsFor orders faults for the calls of one VM.
+func (l *VMList) SetFaultsFor(vm string, faults Faults) { l.gate.setFor(vm, faults) }
+
 // Update changes the list; readers see it after the lag.
 func (l *VMList) Update(change func(vms []platform.VM) []platform.VM) {
 	l.mu.Lock()
@@ -40,6 +47,9 @@
 
 // List returns the VMs as they were Lag ago.
 func (l *VMList) List(ctx context.Context) (platform.VMs, error) {
+	if err := l.gate.enter(ctx); err != nil {
+		return platform.VMs{}, err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	visible := l.clock.Now().Add(-l.lag)
@@ -50,5 +60,5 @@
 		}
 	}
 	l.versions = l.versions[newest:]
-	return platform.VMs{VMs: append([]platform.VM(nil), l.versions[0].vms...), Lag: l.lag}, ctx.Err()
+	return platform.VMs{VMs: append([]platform.VM(nil), l.versions[0].vms...), Lag: l.lag}, nil
 }
--- a/standin/workers.go
+++ b/standin/workers.go
@@ -15,10 +15,12 @@
 
 // TaskPlan is the behaviour of one task.
 type TaskPlan struct {
-	// RunFor is the run time; 0 runs until stopped.
+	// RunFor is the run time; 0 runs until stopped. A resumed task runs only what its checkpoint left.
 	RunFor time.Duration
 	Used   resource.Vector
 	Fails  bool
+	// StopsIn is how long a task that is asked to stop takes, up to the grace time of the call.
+	StopsIn time.Duration
 }
 
 // TaskRun is one run of a task, as the workers recorded it.
@@ -35,21 +37,42 @@
 	// Ended is zero while the task runs.
 	Ended time.Time
 	Phase platform.TaskPhase
+	// Resumed is the work that a checkpoint of an earlier attempt had saved; Progress is the work done at the end.
+	Resumed  time.Duration
+	Progress time.Duration
+	// Lost is true if the worker was killed with the task.
+	Lost bool
 }
 
+// WorkerCounts is the number of calls that reached the workers, and of the refusals among them.
+type WorkerCounts struct {
+	Starts, Renewals, Stops, Checkpoints, Throttles int64
+	StaleEpochs, StaleAttempts, NoRoom              int64
+}
+
+// defaultUsageLag is the lag with which workers report usage.
+const defaultUsageLag = 2 * time.Second
+
 // Workers is a set of workers that run tasks under leases.
 type Workers struct {
 	clock clock.Clock
 	plan  RunPlan
 
-	mu      sync.Mutex // guards all fields below
-	workers map[string]*worker
-	runs    []*TaskRun
+	mu       sync.Mutex // guards all fields below
+	usageLag time.Duration
+	workers  map[string]*worker
+	runs     []*TaskRun
+	// saved is the work that checkpoints hold, by task.
+	saved  map[taskName]time.Duration
+	counts WorkerCounts
 }
 
 type worker struct {
-	vm    platform.VM
-	down  bool
+	vm     platform.VM
+	faults WorkerFaults
+	// pace is the speed of the worker's own clock, by which leases end.
+	pace  float64
+	late  []lateCall
 	epoch map[string]int64 // highest epoch seen for each shard
 	tasks map[taskName]*task
 }
@@ -59,44 +82,33 @@
 	index int32
 }
 
-type task struct {
-	request platform.StartRequest
-	plan    TaskPlan
-	run     *TaskRun
-	lease   time.Time
-}
-
 // NewWorkers returns workers for the VMs with the worker role.
 func NewWorkers(c clock.Clock, vms []platform.VM, plan RunPlan) *Workers {
-	w := &Workers{clock: c, plan: plan, workers: map[string]*worker{}}
+	w := &Workers{
+		clock: c, plan: plan, usageLag: defaultUsageLag,
+		workers: map[string]*worker{}, saved: map[taskName]time.Duration{},
+	}
 	for _, vm := range vms {
-		if vm.Role != platform.RoleWorker {
-			continue
+		if vm.Role == platform.RoleWorker {
+			w.workers[vm.Name] = &worker{vm: vm, pace: 1, epoch: map[string]int64{}, tasks: map[taskName]*task{}}
 		}
-		w.workers[vm.Name] = &worker{vm: vm, epoch: map[string]int64{}, tasks: map[taskName]*task{}}
 	}
 	return w
 }
 
-// SetDown makes a worker unreachable; its tasks go on until their leases end.
-func (w *Workers) SetDown(name string, down bool) {
+// SetUsageLag sets the lag with which usage is reported.
+func (w *Workers) SetUsageLag(lag time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.workers[name].down = down
+	w.usageLag = lag
 }
 
-// Fail ends a worker with all its tasks; it comes back empty.
-func (w *Workers) Fail(name string) {
+// SetPace sets the speed of a worker's own clock: 1.01 ends leases one percent early.
+func (w *Workers) SetPace(name string, pace float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	machine := w.workers[name]
-	for _, t := range machine.tasks {
-		if t.run.Phase == platform.PhaseRunning {
-			t.end(w.clock.Now(), platform.PhaseStopped)
-		}
-	}
-	machine.tasks = map[taskName]*task{}
-	machine.epoch = map[string]int64{}
+	w.settle(w.workers[name])
+	w.workers[name].pace = pace
 }
 
 // Runs returns a copy of all runs recorded so far.
@@ -113,68 +125,81 @@
 	return runs
 }
 
-// reach returns a reachable worker after checking the epoch of the call. The caller holds mu.
-func (w *Workers) reach(name string, authority platform.Authority) (*worker, error) {
-	machine, ok := w.workers[name]
-	if !ok {
-		return nil, platform.ErrWorkerGone
-	}
-	if machine.down {
-		return nil, errUnavailable
-	}
+// Counts returns the calls that reached the workers.
+func (w *Workers) Counts() WorkerCounts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.counts
+}
+
+// admit checks the epoch of a call that has reached a worker. The caller holds mu.
+func (w *Workers) admit(machine *worker, authority platform.Authority) error {
 	w.settle(machine)
 	if authority.Epoch < machine.epoch[authority.Shard] {
-		return nil, platform.ErrStaleEpoch
+		w.counts.StaleEpochs++
+		return platform.ErrStaleEpoch
 	}
 	machine.epoch[authority.Shard] = authority.Epoch
-	return machine, nil
+	return nil
 }
 
 // Start runs a task under a lease.
 func (w *Workers) Start(ctx context.Context, request platform.StartRequest) error {
-	if err := ctx.Err(); err != nil {
-		return err
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	machine, err := w.reach(request.Worker, request.Authority)
-	if err != nil {
-		return err
-	}
+	return w.deliver(ctx, request.Worker, func(machine *worker) error {
+		w.counts.Starts++
+		if err := w.admit(machine, request.Authority); err != nil {
+			return err
+		}
+		return w.start(machine, request)
+	})
+}
+
+func (w *Workers) start(machine *worker, request platform.StartRequest) error {
 	name := taskName{request.Task.Job, request.Task.Index}
 	if held, ok := machine.tasks[name]; ok {
 		if held.request.Task.Attempt == request.Task.Attempt {
 			return nil
 		}
-		if held.request.Task.Attempt > request.Task.Attempt || held.run.Phase == platform.PhaseRunning {
+		if held.request.Task.Attempt > request.Task.Attempt || held.running() {
+			w.counts.StaleAttempts++
 			return platform.ErrStaleAttempt
 		}
 	}
 	if !machine.inUse().Add(request.Room).Fits(machine.vm.Room) {
+		w.counts.NoRoom++
 		return platform.ErrNoRoom
 	}
-	now := w.clock.Now()
-	run := &TaskRun{
-		Task: request.Task, Team: request.Team, Worker: request.Worker, Zone: machine.vm.Zone,
-		Shard: request.Shard, Epoch: request.Epoch, Room: request.Room, AtMostOnce: request.AtMostOnce,
-		Started: now, Phase: platform.PhaseRunning,
+	var resumed time.Duration
+	if request.Checkpointable {
+		resumed = w.saved[name]
 	}
-	w.runs = append(w.runs, run)
-	machine.tasks[name] = &task{request: request, plan: w.plan(request), run: run, lease: now.Add(request.Lease)}
+	plan := w.plan(request)
+	plan.Fails = plan.Fails || machine.faults.FailTasks
+	t := newTask(w.clock.Now(), request, plan, resumed)
+	t.run.Zone = machine.vm.Zone
+	w.runs = append(w.runs, t.run)
+	machine.tasks[name] = t
 	return nil
 }
 
 // Renew extends the leases of a shard's tasks on a worker and reports them.
 func (w *Workers) Renew(ctx context.Context, request platform.RenewRequest) (platform.WorkerReport, error) {
-	if err := ctx.Err(); err != nil {
-		return platform.WorkerReport{}, err
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	machine, err := w.reach(request.Worker, request.Authority)
+	var report platform.WorkerReport
+	err := w.deliver(ctx, request.Worker, func(machine *worker) error {
+		w.counts.Renewals++
+		if err := w.admit(machine, request.Authority); err != nil {
+			return err
+		}
+		report = w.renew(machine, request)
+		return nil
+	})
 	if err != nil {
 		return platform.WorkerReport{}, err
 	}
+	return report, nil
+}
+
+func (w *Workers) renew(machine *worker, request platform.RenewRequest) platform.WorkerReport {
 	machine.forget(request.Acknowledged)
 	now := w.clock.Now()
 	report := platform.WorkerReport{Worker: request.Worker, Room: machine.vm.Room}
@@ -182,108 +207,92 @@
 		if t.request.Shard != request.Shard {
 			continue
 		}
-		if t.run.Phase == platform.PhaseRunning {
-			t.lease = now.Add(request.Lease)
+		if t.running() {
+			t.leaseLeft = request.Lease
 		}
-		report.Tasks = append(report.Tasks, t.report(now))
+		report.Tasks = append(report.Tasks, t.report(now, w.usageLag))
 	}
-	return report, nil
+	return report
 }
 
-// Stop ends a task.
+// Stop ends a task within its grace time.
 func (w *Workers) Stop(ctx context.Context, request platform.StopRequest) error {
-	t, err := w.find(ctx, request)
-	if err != nil || t == nil {
-		return err
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if t.run.Phase == platform.PhaseRunning {
-		t.end(w.clock.Now(), platform.PhaseStopped)
-	}
-	return nil
+	return w.deliver(ctx, request.Worker, func(machine *worker) error {
+		w.counts.Stops++
+		t, err := w.find(machine, request.Authority, request.Task)
+		if err != nil || t == nil {
+			return err
+		}
+		t.saveOnStop = t.saveOnStop || request.Checkpoint
+		t.stopWithin(w.clock.Now(), min(request.Grace, t.plan.StopsIn))
+		w.settle(machine)
+		return nil
+	})
 }
 
-// Checkpoint saves the state of a task.
+// Checkpoint saves the progress of a checkpointable task.
 func (w *Workers) Checkpoint(ctx context.Context, request platform.StopRequest) error {
-	_, err := w.find(ctx, request)
-	return err
+	return w.deliver(ctx, request.Worker, func(machine *worker) error {
+		w.counts.Checkpoints++
+		t, err := w.find(machine, request.Authority, request.Task)
+		if err != nil || t == nil {
+			return err
+		}
+		w.save(t)
+		return nil
+	})
 }
 
-// Throttle limits the processor time of a task.
+// Throttle limits the processor time of a task, which slows it.
 func (w *Workers) Throttle(ctx context.Context, request platform.ThrottleRequest) error {
-	stop := platform.StopRequest{Authority: request.Authority, Worker: request.Worker, Task: request.Task}
-	t, err := w.find(ctx, stop)
-	if err != nil || t == nil {
-		return err
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	t.plan.Used.MilliCPU = min(t.plan.Used.MilliCPU, request.MilliCPU)
-	return nil
+	return w.deliver(ctx, request.Worker, func(machine *worker) error {
+		w.counts.Throttles++
+		t, err := w.find(machine, request.Authority, request.Task)
+		if err != nil || t == nil {
+			return err
+		}
+		t.throttle(w.clock.Now(), request.MilliCPU)
+		return nil
+	})
 }
 
-func (w *Workers) find(ctx context.Context, request platform.StopRequest) (*task, error) {
-	if err := ctx.Err(); err != nil {
+// find returns the running task of a call; nil if the worker does not run that attempt. The caller holds mu.
+func (w *Workers) find(machine *worker, authority platform.Authority, ref platform.TaskRef) (*task, error) {
+	if err := w.admit(machine, authority); err != nil {
 		return nil, err
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	machine, err := w.reach(request.Worker, request.Authority)
-	if err != nil {
-		return nil, err
-	}
-	t, ok := machine.tasks[taskName{request.Task.Job, request.Task.Index}]
-	if !ok || t.request.Task.Attempt != request.Task.Attempt {
+	t, ok := machine.tasks[taskName{ref.Job, ref.Index}]
+	if !ok || t.request.Task.Attempt != ref.Attempt || !t.running() {
 		return nil, nil
 	}
 	return t, nil
 }
 
-// settle ends the tasks whose run time or lease is over. The caller holds mu.
+// save keeps the progress of a task. The caller holds mu.
+func (w *Workers) save(t *task) {
+	if t.request.Checkpointable {
+		w.saved[taskName{t.request.Task.Job, t.request.Task.Index}] = t.run.Progress
+	}
+}
+
+// settle brings the tasks of a worker up to the present. The caller holds mu.
 func (w *Workers) settle(machine *worker) {
 	now := w.clock.Now()
 	for _, t := range machine.tasks {
-		if t.run.Phase != platform.PhaseRunning {
+		if !t.running() {
 			continue
 		}
-		t.settle(now)
-	}
-}
-
-func (t *task) settle(now time.Time) {
-	finish := t.run.Started.Add(t.plan.RunFor)
-	finished := t.plan.RunFor > 0 && !now.Before(finish) && finish.Before(t.lease)
-	switch {
-	case finished && t.plan.Fails:
-		t.end(finish, platform.PhaseFailed)
-	case finished:
-		t.end(finish, platform.PhaseSucceeded)
-	case now.After(t.lease):
-		t.end(t.lease, platform.PhaseStopped)
-	}
-}
-
-func (t *task) end(at time.Time, phase platform.TaskPhase) {
-	t.run.Ended = at
-	t.run.Phase = phase
-}
-
-func (t *task) report(now time.Time) platform.TaskReport {
-	end := now
-	if !t.run.Ended.IsZero() {
-		end = t.run.Ended
-	}
-	return platform.TaskReport{
-		Task: t.request.Task, Team: t.request.Team, Room: t.request.Room,
-		Phase: t.run.Phase, Used: t.plan.Used, RunFor: end.Sub(t.run.Started),
+		t.settle(now, machine.pace)
+		if !t.running() && t.saveOnStop {
+			w.save(t)
+		}
 	}
 }
 
 func (m *worker) inUse() resource.Vector {
 	var used resource.Vector
 	for _, t := range m.tasks {
-		if t.run.Phase == platform.PhaseRunning {
+		if t.running() {
 			used = used.Add(t.request.Room)
 		}
 	}
@@ -294,7 +303,7 @@
 	for _, ref := range acknowledged {
 		name := taskName{ref.Job, ref.Index}
 		t, ok := m.tasks[name]
-		if ok && t.request.Task.Attempt == ref.Attempt && t.run.Phase != platform.PhaseRunning {
+		if ok && t.request.Task.Attempt == ref.Attempt && !t.running() {
 			delete(m.tasks, name)
 		}
 	}
