Serve the stand-in platform with endpoints, delays and callers told apart

Cause: the stand-in server had no endpoints of its own, no delays between zones and could not tell which VM called.

--- a/standin/server/endpoint.go
+++ b/standin/server/endpoint.go
@@ -46,8 +46,8 @@
 		return
 	}
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+		// The outcome stays unknown to the caller: the connection ends without an answer.
+		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(httpplatform.HeaderRequestID, answer.RequestID)
 	w.Header().Set("Content-Type", answer.ContentType)
--- /dev/null
+++ b/standin/server/server_test.go
@@ -0,0 +1,70 @@
+package server
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/site"
+)
+
+func startTest(t *testing.T) *Platform {
+	t.Helper()
+	p, err := Start(Options{
+		Site: site.Jadeleaf(), Clock: clock.Real{},
+		Plan: func(platform.StartRequest) standin.TaskPlan { return standin.TaskPlan{} },
+		Work: func(string, []byte) time.Duration { return time.Millisecond },
+	})
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
+
+// TestCallersAreToldApart guards against faults for one VM that reach another one over HTTP.
+func TestCallersAreToldApart(t *testing.T) {
+	ctx := context.Background()
+	p := startTest(t)
+	a, b := httpplatform.New(p.URLFor("entry-0")), httpplatform.New(p.URLFor("entry-1"))
+	defer a.Close()
+	defer b.Close()
+	p.Store.SetFaultsFor("entry-0", standin.StoreFaults{Down: true})
+	_, err := a.Put(ctx, platform.PutRequest{Key: "k"})
+	assert.ErrorContains(t, err, "unavailable")
+	_, err = b.Put(ctx, platform.PutRequest{Key: "k"})
+	assert.NilError(t, err)
+	_, err = b.Put(ctx, platform.PutRequest{Key: "k"})
+	assert.ErrorIs(t, err, platform.ErrConflict)
+	list, err := b.VMs().List(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.VMs), 106)
+}
+
+// TestEndpointOverHTTP guards against answers, refusals and lost answers that change on their way over HTTP.
+func TestEndpointOverHTTP(t *testing.T) {
+	ctx := context.Background()
+	p := startTest(t)
+	vm := p.Fleet[len(p.Fleet)-1]
+	caller := httpplatform.NewEndpoints(2)
+	defer caller.Close()
+	request := platform.EndpointRequest{
+		Endpoint: vm.Name, Address: vm.Address, RequestID: "r", From: "entry-1", Body: []byte("x"),
+	}
+	answer, err := caller.Call(ctx, request)
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.Body), "done x")
+	assert.Equal(t, answer.RequestID, "r")
+	p.Endpoints.SetFaults(vm.Name, standin.EndpointFaults{LoseAnswers: 1})
+	_, err = caller.Call(ctx, request)
+	assert.ErrorContains(t, err, "EOF")
+	p.Endpoints.SetLeaving(vm.Name)
+	_, err = caller.Call(ctx, request)
+	assert.ErrorIs(t, err, platform.ErrEndpointLeaving)
+	assert.Equal(t, len(p.Endpoints.Runs()), 2)
+	assert.Assert(t, p.Endpoints.PeakConnections(vm.Name) > 0)
+}
--- /dev/null
+++ b/standin/site/site.go
@@ -0,0 +1,132 @@
+// Package site describes the two sites whose sizes and delays the demo and the stand-in platform use by default.
+package site
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/resource"
+)
+
+// Site is the size of a fleet and the delays of its network.
+type Site struct {
+	Name   string
+	Region string
+	// Zones lists the names of the availability zones.
+	Zones    []string
+	EntryVMs int
+
+	Workers        int
+	WorkersPerRack int
+	WorkerRoom     resource.Vector
+
+	Service     string
+	Endpoints   int
+	Slots       int32
+	Connections int32
+
+	// ZoneDelay is added to calls between zones, ClientDelay to calls of clients.
+	ZoneDelay   time.Duration
+	ClientDelay time.Duration
+	VMListLag   time.Duration
+
+	Teams []Team
+}
+
+// Team is a team with its share and its ceiling in parts of the fleet.
+type Team struct {
+	Name  string
+	Share int64
+	// CeilingPercent is the part of the whole fleet that the team may use.
+	CeilingPercent int64
+}
+
+const (
+	gib = 1 << 30
+	// kvaraliZoneDelay and jadeleafZoneDelay are the sites' measured round trips between zones.
+	kvaraliZoneDelay  = 500 * time.Microsecond
+	jadeleafZoneDelay = time.Millisecond
+	clientDelay       = time.Millisecond
+	vmListLag         = 2 * time.Second
+)
+
+// Names lists the known sites.
+func Names() []string { return []string{"jadeleaf", "kvarali"} }
+
+// ByName returns a known site.
+func ByName(name string) (Site, error) {
+	switch name {
+	case "jadeleaf":
+		return Jadeleaf(), nil
+	case "kvarali":
+		return Kvarali(), nil
+	}
+	return Site{}, eris.Errorf("site %q is not known; choose one of %v", name, Names())
+}
+
+// Jadeleaf returns the slide imaging site in Taichung.
+func Jadeleaf() Site {
+	s := common("jadeleaf", "taichung")
+	s.Service = "orders"
+	s.WorkerRoom = resource.Vector{MilliCPU: 64_000, MemoryBytes: 128 * gib}
+	s.ZoneDelay = jadeleafZoneDelay
+	s.Teams = []Team{
+		{"stitching", 8, 60}, {"archive", 4, 40}, {"previews", 3, 30},
+		{"scanners", 1, 10}, {"billing", 1, 10}, {"research", 1, 10},
+	}
+	return s
+}
+
+// Kvarali returns the booking site in Kartli.
+func Kvarali() Site {
+	s := common("kvarali", "kartli")
+	s.Service = "tickets"
+	s.WorkerRoom = resource.Vector{MilliCPU: 64_000, MemoryBytes: 256 * gib}
+	s.ZoneDelay = kvaraliZoneDelay
+	s.Teams = []Team{
+		{"bookings", 8, 60}, {"rosters", 4, 40}, {"ledgers", 3, 30},
+		{"kiosks", 1, 10}, {"guides", 1, 10}, {"shafts", 1, 10},
+	}
+	return s
+}
+
+func common(name, region string) Site {
+	return Site{
+		Name: name, Region: region, Zones: []string{region + "-1", region + "-2", region + "-3"}, EntryVMs: 6,
+		Workers: 50, WorkersPerRack: 8, Endpoints: 50, Slots: 8, Connections: 60,
+		ClientDelay: clientDelay, VMListLag: vmListLag,
+	}
+}
+
+// Total returns the room of all workers.
+func (s Site) Total() resource.Vector { return s.WorkerRoom.Scale(int64(s.Workers)) }
+
+// EntryVM returns the name of an entry VM.
+func (Site) EntryVM(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+// Zone returns the zone of the i-th VM of a role.
+func (s Site) Zone(i int) string { return s.Zones[i%len(s.Zones)] }
+
+// Fleet returns all VMs; endpoints still need their addresses. Racks hold workers of one zone only.
+func (s Site) Fleet() []platform.VM {
+	var vms []platform.VM
+	for i := range s.EntryVMs {
+		vms = append(vms, platform.VM{Name: s.EntryVM(i), Role: platform.RoleEntry, Zone: s.Zone(i)})
+	}
+	for i := range s.Workers {
+		rack := i / len(s.Zones) / s.WorkersPerRack
+		vms = append(vms, platform.VM{
+			Name: fmt.Sprintf("worker-%d", i), Role: platform.RoleWorker, Zone: s.Zone(i),
+			Rack: fmt.Sprintf("%s-rack-%d", s.Zone(i), rack), Room: s.WorkerRoom,
+		})
+	}
+	for i := range s.Endpoints {
+		vms = append(vms, platform.VM{
+			Name: fmt.Sprintf("endpoint-%d", i), Role: platform.RoleEndpoint, Zone: s.Zone(i), Service: s.Service,
+		})
+	}
+	return vms
+}
