--- /dev/null
+++ b/jsoncheck/findings.go
@@ -0,0 +1,91 @@
+package jsoncheck
+
+import (
+	"fmt"
+	"strings"
+)
+
+// maxFindings bounds a report, so that hostile input can't make it large.
+const maxFindings = 200
+
+// Finding is one fault of the input.
+type Finding struct {
+	// Path is the place in the JSON document, for example $.peers[2].address.
+	Path    string
+	Message string
+}
+
+// String returns the path and the message on one line.
+func (f Finding) String() string { return f.Path + ": " + f.Message }
+
+// Findings are the faults of one document, in the order of their detection.
+type Findings []Finding
+
+// Add appends a finding with a message in the manner of fmt.Sprintf. Findings beyond the bound are dropped.
+func (f *Findings) Add(path, format string, args ...any) {
+	switch {
+	case len(*f) < maxFindings:
+		*f = append(*f, Finding{Path: path, Message: fmt.Sprintf(format, args...)})
+	case len(*f) == maxFindings:
+		*f = append(*f, Finding{Path: "$", Message: "further findings are left out"})
+	}
+}
+
+// Lines returns one line for each finding.
+func (f Findings) Lines() []string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = finding.String()
+	}
+	return lines
+}
+
+// Err returns all findings as one error, or nil if there are none.
+func (f Findings) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return &Error{Findings: f}
+}
+
+// Error holds the findings of a document that is not sound.
+type Error struct {
+	Findings Findings
+}
+
+// Error returns all findings, separated by semicolons.
+func (e *Error) Error() string { return strings.Join(e.Findings.Lines(), "; ") }
+
+// Child returns the path of a field.
+func Child(path, field string) string {
+	if isPlainName(field) {
+		return path + "." + field
+	}
+	return fmt.Sprintf("%s[%s]", path, shorten(field))
+}
+
+// Index returns the path of a list element.
+func Index(path string, i int) string { return fmt.Sprintf("%s[%d]", path, i) }
+
+func isPlainName(name string) bool {
+	if name == "" || len(name) > maxQuotedBytes {
+		return false
+	}
+	for _, c := range name {
+		letter := c == '_' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !letter && (c < '0' || c > '9') {
+			return false
+		}
+	}
+	return true
+}
+
+// maxQuotedBytes bounds the part of the input that a message repeats.
+const maxQuotedBytes = 64
+
+func shorten(text string) string {
+	if len(text) <= maxQuotedBytes {
+		return fmt.Sprintf("%q", text)
+	}
+	return fmt.Sprintf("%q...", text[:maxQuotedBytes])
+}
