Validate settings and report every finding with its JSON path

Cause: settings were decoded without checks, so faults showed up one at a time or at the first connection. Conclusion: unsound settings no longer start a daemon.

--- a/cmd/siskind/main.go
+++ b/cmd/siskind/main.go
@@ -3,51 +3,88 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/go-logr/stdr"
-	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
-	"google.golang.org/protobuf/encoding/protojson"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/daemon"
+	"siskinstack.example/siskinstack/jsoncheck"
+	"siskinstack.example/siskinstack/settings"
 )
 
-func main() { os.Exit(execute()) }
+// Exit statuses.
+const (
+	exitFailed  = 1
+	exitUnsound = 2
+)
+
+func main() { os.Exit(executeUntilSignal()) }
 
-func execute() int {
+func executeUntilSignal() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	return execute(ctx, os.Args, os.Stdout, os.Stderr)
+}
+
+func execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	config := func() []cli.Flag {
+		return []cli.Flag{&cli.StringFlag{Name: "config", Required: true, Usage: "settings `FILE`"}}
+	}
 	command := &cli.Command{
-		Name:  "siskind",
-		Usage: "serve one entry VM of siskinstack",
-		Commands: []*cli.Command{{
-			Name:   "run",
-			Usage:  "serve until a signal arrives",
-			Flags:  []cli.Flag{&cli.StringFlag{Name: "config", Required: true, Usage: "settings `FILE`"}},
-			Action: run,
-		}},
+		Name:      "siskind",
+		Usage:     "serve one entry VM of siskinstack",
+		Writer:    stdout,
+		ErrWriter: stderr,
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "serve until a signal arrives", Flags: config(), Action: run},
+			{Name: "validate", Usage: "report all findings about the settings", Flags: config(), Action: validate},
+		},
 	}
-	if err := command.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "siskind:", err)
-		return 1
+	err := command.Run(ctx, args)
+	var unsound *jsoncheck.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &unsound):
+		for _, line := range unsound.Findings.Lines() {
+			_, _ = fmt.Fprintln(stderr, line)
+		}
+		return exitUnsound
+	default:
+		_, _ = fmt.Fprintln(stderr, "siskind:", err)
+		return exitFailed
 	}
-	return 0
 }
 
-func run(ctx context.Context, command *cli.Command) error {
-	text, err := os.ReadFile(command.String("config"))
+func load(command *cli.Command) (*siskinv1.Settings, error) {
+	loaded, findings, err := settings.Load(command.String("config"))
+	if err != nil {
+		return nil, err
+	}
+	return loaded, findings.Err()
+}
+
+func validate(_ context.Context, command *cli.Command) error {
+	loaded, err := load(command)
 	if err != nil {
-		return eris.Wrap(err, "read settings")
+		return err
 	}
-	settings := &siskinv1.Settings{}
-	if err := protojson.Unmarshal(text, settings); err != nil {
-		return eris.Wrap(err, "decode settings")
+	_, err = fmt.Fprintf(command.Root().Writer, "settings of %s are sound\n", loaded.GetVm())
+	return err
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	loaded, err := load(command)
+	if err != nil {
+		return err
 	}
-	return daemon.New(settings, stdr.New(log.Default())).Run(ctx)
+	return daemon.New(loaded, stdr.New(log.Default())).Run(ctx)
 }
--- a/jsoncheck/decode.go
+++ b/jsoncheck/decode.go
@@ -27,6 +27,16 @@
 // Decode replaces the content of into by the JSON document in data. It returns every fault of the document; if there is
 // any, into is left empty. The error concerns the message type only, never the document.
 func Decode(data []byte, into proto.Message) (Findings, error) {
+	findings, err := DecodePartial(data, into)
+	if len(findings) > 0 {
+		proto.Reset(into)
+	}
+	return findings, err
+}
+
+// DecodePartial is like Decode, but keeps the sound fields of a document with findings, so that checks of the content
+// can add their own findings to the report. Such a message must not be put to use.
+func DecodePartial(data []byte, into proto.Message) (Findings, error) {
 	message := into.ProtoReflect()
 	proto.Reset(into)
 	if err := checkSupported(message.Descriptor(), map[protoreflect.FullName]bool{}); err != nil {
@@ -39,9 +49,6 @@
 	d.input = json.NewDecoder(bytes.NewReader(data))
 	d.input.UseNumber()
 	d.message("$", message)
-	if len(d.findings) > 0 {
-		proto.Reset(into)
-	}
 	return d.findings, nil
 }
 
--- a/jsoncheck/findings.go
+++ b/jsoncheck/findings.go
@@ -31,6 +31,27 @@
 	}
 }
 
+// Merge appends the findings of a further check, without those at or below a place that already has one. A field that
+// could not be read would otherwise be reported as missing too.
+func (f *Findings) Merge(further Findings) {
+	earlier := *f
+	for _, finding := range further {
+		if !earlier.cover(finding.Path) {
+			f.Add(finding.Path, "%s", finding.Message)
+		}
+	}
+}
+
+func (f Findings) cover(path string) bool {
+	for _, finding := range f {
+		rest, below := strings.CutPrefix(path, finding.Path)
+		if below && (rest == "" || rest[0] == '.' || rest[0] == '[') {
+			return true
+		}
+	}
+	return false
+}
+
 // Lines returns one line for each finding.
 func (f Findings) Lines() []string {
 	lines := make([]string, len(f))
--- a/jsoncheck/jsoncheck_test.go
+++ b/jsoncheck/jsoncheck_test.go
@@ -15,14 +15,14 @@
 
 // Guards against a check that stops at the first fault or names the wrong place.
 func TestDecodeReportsAllFindings(t *testing.T) {
-	document := `{"vm": 7, "peers": [{"address": "a"}, {"addres_s": "b"}, {"address": null, "address": "c"}],
+	document := `{"vm": 7, "peers": [{"address": "a"}, {"port": "b"}, {"address": null, "address": "c"}],
 		"limits": {"maxBodyBytes": 1, "max_body_bytes": 9223372036854775808, "max_queued_tasks": 1.5},
 		"operators": {}, "telemetry": {"sample_ratio": "x"}}`
 	findings, err := jsoncheck.Decode([]byte(document), &siskinv1.Settings{})
 	assert.NilError(t, err)
 	want := []string{
 		"$.vm: is a number, not a string",
-		"$.peers[1].addres_s: unknown field",
+		"$.peers[1].port: unknown field",
 		"$.peers[2].address: is null; leave the field out instead",
 		"$.peers[2].address: duplicate key",
 		"$.limits.maxBodyBytes: unknown field; the name is max_body_bytes",
