--- a/owner/owner.go
+++ b/owner/owner.go
@@ -71,6 +71,7 @@
 	log, err := shardlog.Open(ctx, shardlog.Options{
 		Store: options.Store, Clock: options.Clock, Shard: options.Right.Shard, Writer: options.Writer,
 		Owner: options.VM, Epoch: options.Right.Epoch, Apply: o.apply,
+		Check: options.Right.Check,
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/shardlog/commit.go
@@ -0,0 +1,212 @@
+package shardlog
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/storeclient"
+)
+
+// storedKey is a key of this shard in the store.
+type storedKey struct {
+	key      string
+	revision platform.Revision
+	sequence int64
+}
+
+// errNotSent means that no attempt to write the entry was sent.
+var errNotSent = eris.New("entry was not sent")
+
+// commitAll writes the pending appends and reports whether the log can go on.
+func (l *Log) commitAll(ctx context.Context) bool {
+	for l.hasPending() {
+		if !l.commitNext(ctx) {
+			return false
+		}
+	}
+	return true
+}
+
+// commitNext writes the pending appends that fit into one entry and reports whether the log can go on.
+func (l *Log) commitNext(ctx context.Context) bool {
+	batch := l.takeBatch()
+	if len(batch) == 0 {
+		return true
+	}
+	err := l.commit(ctx, batch)
+	if errors.Is(err, errNotSent) && ctx.Err() == nil {
+		l.putBack(batch)
+		return l.sleep(ctx, l.backoff.Next()) == nil
+	}
+	if errors.Is(err, errNotSent) {
+		err = ErrClosed
+	}
+	for _, p := range batch {
+		p.done <- err
+	}
+	if err != nil {
+		l.fail(err)
+		return false
+	}
+	l.backoff.Reset()
+	return true
+}
+
+// commit writes one batch and applies it.
+func (l *Log) commit(ctx context.Context, batch []*pendingAppend) error {
+	var records []*siskinv1.Record
+	for _, p := range batch {
+		records = append(records, p.records...)
+	}
+	started := l.options.Clock.Now()
+	if err := l.write(ctx, records); err != nil {
+		return err
+	}
+	for _, record := range records {
+		l.options.Apply(record)
+	}
+	l.options.Metrics.committed(len(records), l.options.Clock.Now().Sub(started))
+	return nil
+}
+
+// attempt is the state of writing one entry.
+type attempt struct {
+	entry *siskinv1.LogEntry
+	key   string
+	value []byte
+	// sent is true once an attempt may have taken effect.
+	sent bool
+	// checked is the time of the last successful check of the right.
+	checked time.Time
+}
+
+func (l *Log) newAttempt(records []*siskinv1.Record) (*attempt, error) {
+	entry := &siskinv1.LogEntry{
+		Format: Format, Shard: l.options.Shard, Sequence: l.sequence + 1, Nonce: l.nonces.take(),
+		Writer: l.options.Writer, Epoch: l.options.Epoch, Records: records,
+	}
+	value, err := encode(kindEntry, entry)
+	if err != nil {
+		return nil, err
+	}
+	return &attempt{entry: entry, key: entryKey(l.options.Shard, entry.GetSequence()), value: value}, nil
+}
+
+// write appends one entry. An unknown outcome is resolved by sending the same value again, and by reading the key back
+// when it exists already. After an error other than errNotSent the log must not be used any more, because the entry may
+// still appear at its sequence.
+func (l *Log) write(ctx context.Context, records []*siskinv1.Record) error {
+	a, err := l.newAttempt(records)
+	if err != nil {
+		return err
+	}
+	backoff := storeclient.NewBackoff(retryMin, retryMax, l.options.Random)
+	for {
+		finished, err := l.try(ctx, a)
+		if finished || err != nil {
+			return err
+		}
+		if !a.sent {
+			return errNotSent
+		}
+		l.options.Metrics.unknown.Inc()
+		if l.sleep(ctx, backoff.Next()) != nil {
+			return l.resolve(a, ErrUnknown)
+		}
+	}
+}
+
+// try sends the entry once and reports whether its outcome is known.
+func (l *Log) try(ctx context.Context, a *attempt) (bool, error) {
+	now := l.options.Clock.Now()
+	if err := l.options.Check(); err != nil {
+		return true, l.resolve(a, eris.Wrap(ErrFenced, err.Error()))
+	}
+	a.checked = now
+	revision, err := l.put(ctx, a.key, a.value)
+	switch {
+	case err == nil:
+		return true, l.accept(a, revision)
+	case errors.Is(err, platform.ErrConflict):
+		return l.readBack(ctx, a)
+	case errors.Is(err, platform.ErrTooLarge):
+		return true, eris.Wrap(ErrTooLarge, a.key)
+	case !errors.Is(err, platform.ErrNotSent):
+		a.sent = true
+	}
+	return false, nil
+}
+
+// accept takes the entry for durable, unless the answer came so late that a successor may have written, covered and
+// deleted an entry at this sequence in the meantime.
+func (l *Log) accept(a *attempt, revision platform.Revision) error {
+	if l.options.Clock.Now().Sub(a.checked) >= l.rules.answerLimit {
+		return eris.Wrapf(ErrUnknown, "answer for %s came after %v", a.key, l.rules.answerLimit)
+	}
+	l.sequence = a.entry.GetSequence()
+	l.noteEntry(storedKey{key: a.key, revision: revision, sequence: l.sequence}, len(a.value))
+	return nil
+}
+
+// readBack tells an entry of this writer, whose answer was lost, from one of another owner.
+func (l *Log) readBack(ctx context.Context, a *attempt) (bool, error) {
+	kv, err := l.get(ctx, a.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return true, eris.Wrapf(ErrUnknown, "%s was deleted", a.key)
+	}
+	if err != nil {
+		a.sent = true // the key exists; whose entry it is must still be found out
+		return false, nil
+	}
+	found := &siskinv1.LogEntry{}
+	if err := decode(kindEntry, a.key, kv.Value, found); err != nil {
+		return true, eris.Wrap(ErrUnknown, err.Error())
+	}
+	if !l.rules.sameEntry(found, a.entry) {
+		l.options.Metrics.fenced.Inc()
+		return true, ErrFenced
+	}
+	l.options.Metrics.resolved.Inc()
+	return true, l.accept(a, kv.Revision)
+}
+
+func sameEntry(a, b *siskinv1.LogEntry) bool {
+	return a.GetWriter() == b.GetWriter() && a.GetEpoch() == b.GetEpoch() && a.GetNonce() == b.GetNonce()
+}
+
+// resolve makes a last attempt to find out what became of an entry that is not sent again.
+func (l *Log) resolve(a *attempt, reason error) error {
+	if !a.sent {
+		return reason
+	}
+	ctx, cancel := clock.WithTimeout(context.WithoutCancel(l.life), l.options.Clock, writeTimeout)
+	defer cancel()
+	if _, err := l.get(ctx, a.key); err == nil {
+		if finished, err := l.readBack(ctx, a); finished {
+			return err
+		}
+	}
+	return eris.Wrap(ErrUnknown, reason.Error())
+}
+
+func (l *Log) put(ctx context.Context, key string, value []byte) (platform.Revision, error) {
+	ctx, cancel := clock.WithTimeout(ctx, l.options.Clock, writeTimeout)
+	defer cancel()
+	return l.options.Store.Put(ctx, platform.PutRequest{Key: key, Value: value})
+}
+
+func (l *Log) get(ctx context.Context, key string) (platform.KeyValue, error) {
+	ctx, cancel := clock.WithTimeout(ctx, l.options.Clock, writeTimeout)
+	defer cancel()
+	return l.options.Store.Get(ctx, key)
+}
+
+func (l *Log) sleep(ctx context.Context, d time.Duration) error {
+	return l.options.Clock.Sleep(ctx, d)
+}
--- /dev/null
+++ b/shardlog/keys.go
@@ -0,0 +1,32 @@
+package shardlog
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Prefix returns the prefix of a shard's log keys.
+func Prefix(shard string) string { return "log/" + shard + "/" }
+
+// SnapshotPrefix returns the prefix of a shard's snapshot chunks.
+func SnapshotPrefix(shard string) string { return "snap/" + shard + "/" }
+
+// HeadKey returns the key of a shard's snapshot manifest.
+func HeadKey(shard string) string { return "snaphead/" + shard }
+
+func entryKey(shard string, sequence int64) string {
+	return fmt.Sprintf("%s%016d", Prefix(shard), sequence)
+}
+
+// chunkPrefix holds the nonce besides the sequence, so that an interrupted snapshot never mixes with a later one.
+func chunkPrefix(shard string, sequence int64, nonce string) string {
+	return fmt.Sprintf("%s%016d-%s/", SnapshotPrefix(shard), sequence, nonce)
+}
+
+func chunkKey(prefix string, chunk int) string { return fmt.Sprintf("%s%06d", prefix, chunk) }
+
+// ShardOfJob returns the home shard named in a job identifier.
+func ShardOfJob(id string) (string, bool) {
+	shard, _, ok := strings.Cut(id, ".")
+	return shard, ok && shard != ""
+}
--- a/shardlog/log.go
+++ b/shardlog/log.go
@@ -1,323 +1,292 @@
 // Package shardlog keeps the durable records of one shard in the store. Records are written in group commits: one
 // store value holds many records. Only one writer can append at a sequence, because the key of an entry must not exist
 // before; a new owner appends a fence first, so that every later append of the previous owner fails.
+//
+// Guarantees:
+//   - Append returns nil only after the commit that holds its records has succeeded. The records of one Append are in
+//     one entry, and Apply has seen them before Append returns.
+//   - Apply sees every durable record exactly once and in the order of the log: during Open first the records of the
+//     newest snapshot, then those of the entries after it, later those of each commit. It is never called concurrently.
+//   - An error that IsNotDurable reports means that the records are not and will not become durable. After any other
+//     error the outcome is not known to this writer; the next owner's replay decides.
+//   - A value that is corrupt or of a newer format is neither overwritten nor deleted; Open fails and names its key.
+//
+// Deleted keys: an entry may be deleted only by an owner whose fence is older than keyRetention, and a writer trusts an
+// answer only if it came within answerLimit after a check of its right. Without this rule a writer that was paused
+// could create a key again that its successor wrote and deleted, and take its append for durable.
 package shardlog
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
-	"fmt"
-	"hash/crc32"
-	"strings"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/proto"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/storeclient"
 )
 
-// Format is the version of the record encoding that this program writes.
-const Format = 1
-
 const (
 	// commitInterval is the shortest time between two group commits of a shard.
 	commitInterval = 20 * time.Millisecond
-	// maxPending bounds the appends that wait for a commit.
-	maxPending = 65536
+	// defaultPendingRecords and defaultPendingBytes bound the records that wait for a commit.
+	defaultPendingRecords = 65536
+	defaultPendingBytes   = 32 << 20
 	// maxEntryBytes keeps an entry well below the store's largest value.
 	maxEntryBytes = 512 << 10
-	// writeTimeout bounds one store call.
+	// writeTimeout bounds one store call of the log.
 	writeTimeout = 2 * time.Second
-	checksumSize = 4
+	// closeTimeout bounds the commit of what is pending when the log is closed.
+	closeTimeout = 2 * time.Second
+	// keyRetention is the age that the owner's fence must have before the owner deletes keys of the log.
+	keyRetention = 30 * time.Second
+	// answerLimit is shorter than keyRetention by more than the drift of two clocks.
+	answerLimit = 20 * time.Second
+	retryMin    = 20 * time.Millisecond
+	retryMax    = time.Second
 )
 
 // Errors of the log.
 var (
-	// ErrFenced means that another owner has taken the log over. Nothing of the append is durable.
+	// ErrFenced means that another owner has taken the log over, or may have. Nothing of the append is durable.
 	ErrFenced = eris.New("another owner has taken over the log")
 	// ErrClosed means that the log takes no more appends. Nothing of the append is durable.
 	ErrClosed = eris.New("log is closed")
 	// ErrCorrupt means that a value of the log cannot be read. It is left as it is.
 	ErrCorrupt = eris.New("log value is corrupt or of a newer format")
-	// ErrFull means that too many appends wait. Nothing of the append is durable.
-	ErrFull = eris.New("too many appends wait for the store")
+	// ErrFull means that too many records wait. Nothing of the append is durable.
+	ErrFull = eris.New("too many records wait for the store")
+	// ErrTooLarge means that the records of one append do not fit into one entry. Nothing of the append is durable.
+	ErrTooLarge = eris.New("records of one append are larger than an entry")
+	// ErrWithdrawn means that the caller's context ended before the records were sent. Nothing of the append is durable.
+	ErrWithdrawn = eris.New("append was withdrawn before it was sent")
+	// ErrUnknown means that the writer could not find out whether the records are durable.
+	ErrUnknown = eris.New("outcome of the append is not known")
 )
 
+var notDurable = []error{ErrFenced, ErrClosed, ErrFull, ErrTooLarge, ErrWithdrawn}
+
+// IsNotDurable reports whether err proves that the records of an append are not and will not become durable.
+func IsNotDurable(err error) bool {
+	for _, target := range notDurable {
+		if errors.Is(err, target) {
+			return !errors.Is(err, ErrUnknown)
+		}
+	}
+	return false
+}
+
 // Options configures a log.
 type Options struct {
 	Store platform.Store
-	Clock clock.Clock
-	Shard string
-	// Writer is the identity of this owner: VM, incarnation and nonce.
+	// SnapshotStore is the store for snapshots and deletions; nil uses Store.
+	SnapshotStore platform.Store
+	Clock         clock.Clock
+	Shard         string
+	// Writer is the identity of this owner: VM and incarnation.
 	Writer string
 	Owner  string
 	Epoch  int64
-	// Apply receives every durable record in order, first during Open, then after each commit.
+	// Apply receives every durable record in order, first during Open, then after each commit. It must not block and
+	// must not call the log.
 	Apply func(*siskinv1.Record)
+	// Check returns an error if the owner's right has ended. It is called before each write; nil means no check.
+	Check func() error
+	// Snapshot returns records from which Apply rebuilds the state that results from all records applied so far. It is
+	// called between two commits; nil means no snapshots.
+	Snapshot func() []*siskinv1.Record
+	// SnapshotEntries and SnapshotBytes trigger a snapshot when the entries since the last one reach either.
+	SnapshotEntries int
+	SnapshotBytes   int
+	// MaxPendingRecords and MaxPendingBytes bound the records that wait for a commit.
+	MaxPendingRecords int
+	MaxPendingBytes   int
+	// Random returns numbers in [0, 1) for jitter and nonces.
+	Random  func() float64
+	Metrics *Metrics
+}
+
+func (o Options) withDefaults() Options {
+	if o.SnapshotStore == nil {
+		o.SnapshotStore = o.Store
+	}
+	if o.Check == nil {
+		o.Check = func() error { return nil }
+	}
+	if o.SnapshotEntries <= 0 {
+		o.SnapshotEntries = defaultSnapshotEntries
+	}
+	if o.SnapshotBytes <= 0 {
+		o.SnapshotBytes = defaultSnapshotBytes
+	}
+	if o.MaxPendingRecords <= 0 {
+		o.MaxPendingRecords = defaultPendingRecords
+	}
+	if o.MaxPendingBytes <= 0 {
+		o.MaxPendingBytes = defaultPendingBytes
+	}
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(nil)
+	}
+	return o
+}
+
+// rules are the safety rules of a writer. Tests break them one at a time.
+type rules struct {
+	answerLimit  time.Duration
+	keyRetention time.Duration
+	sameEntry    func(found, own *siskinv1.LogEntry) bool
 }
 
 // Log appends records of one shard.
 type Log struct {
 	options Options
+	nonces  nonceSource
+	rules   rules
+
+	mu           sync.Mutex // guards pending, pendingBytes, pendingCount and err
+	pending      []*pendingAppend
+	pendingBytes int
+	pendingCount int
+	err          error
 
-	mu       sync.Mutex // guards pending, err and sequence
-	pending  []pendingAppend
-	err      error
-	sequence int64
+	// The fields below belong to the writer: Open until it returns, then the goroutine in run.
+	backoff   *storeclient.Backoff
+	sequence  int64
+	fencedAt  time.Time
+	stored    []storedKey // entries in the store, in order
+	head      headState
+	sinceSnap trigger
+	snapshot  chan snapshotResult // not nil while a snapshot is being written
 
 	wake chan struct{}
 	done chan struct{}
+	life context.Context // ends the waits of the writer
 	stop context.CancelFunc
-}
 
-type pendingAppend struct {
-	records []*siskinv1.Record
-	done    chan error
+	closing chan struct{}
+	once    sync.Once
 }
 
 // Open takes the log over: it replays what is there, appends a fence, and starts the writer.
 func Open(ctx context.Context, options Options) (*Log, error) {
-	l := &Log{options: options, wake: make(chan struct{}, 1), done: make(chan struct{})}
-	if err := l.replay(ctx); err != nil {
+	l, err := load(ctx, options)
+	if err != nil {
 		return nil, err
 	}
-	fence := &siskinv1.Record{Change: &siskinv1.Record_Fence{
-		Fence: &siskinv1.Fence{Owner: options.Owner, Epoch: options.Epoch},
-	}}
-	if err := l.write(ctx, []*siskinv1.Record{fence}); err != nil {
-		return nil, eris.Wrap(err, "append fence")
-	}
-	run, stop := context.WithCancel(context.Background())
-	l.stop = stop
-	go l.run(run)
+	go l.run()
 	return l, nil
 }
 
-// Prefix returns the prefix of a shard's log keys.
-func Prefix(shard string) string { return "log/" + shard + "/" }
-
-func entryKey(shard string, sequence int64) string {
-	return fmt.Sprintf("%s%016d", Prefix(shard), sequence)
-}
-
-func (l *Log) replay(ctx context.Context) error {
-	listing, err := l.options.Store.List(ctx, Prefix(l.options.Shard))
-	if err != nil {
-		return eris.Wrap(err, "list log")
+// load takes the log over without starting the writer.
+func load(ctx context.Context, options Options) (*Log, error) {
+	l := &Log{
+		options: options.withDefaults(),
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+		closing: make(chan struct{}),
 	}
-	for _, kv := range listing.Entries {
-		entry, err := decodeEntry(kv.Value)
-		if err != nil {
-			return eris.Wrapf(err, "key %s", kv.Key)
-		}
-		for _, record := range entry.GetRecords() {
-			l.options.Apply(record)
+	l.rules = rules{answerLimit: answerLimit, keyRetention: keyRetention, sameEntry: sameEntry}
+	l.backoff = storeclient.NewBackoff(retryMin, retryMax, l.options.Random)
+	l.nonces = newNonceSource(l.options.Writer, l.options.Random)
+	l.life, l.stop = context.WithCancel(context.Background())
+	if err := l.takeOver(ctx); err != nil {
+		l.stop()
+		if errors.Is(err, ErrCorrupt) {
+			l.options.Metrics.corrupt.Inc()
 		}
-		l.sequence = entry.GetSequence()
+		return nil, err
 	}
-	return nil
+	return l, nil
 }
 
-// Append makes records durable together and returns when they are. An error other than ErrFenced, ErrClosed and
-// ErrFull means that the outcome is not known.
+// Append makes records durable together and returns when they are. See IsNotDurable for the meaning of errors.
 func (l *Log) Append(ctx context.Context, records ...*siskinv1.Record) error {
-	done := make(chan error, 1)
-	if err := l.enqueue(pendingAppend{records: records, done: done}); err != nil {
+	p, err := l.enqueue(records)
+	if err != nil {
 		return err
 	}
 	select {
-	case err := <-done:
+	case err := <-p.done:
 		return err
 	case <-ctx.Done():
-		return eris.Wrap(ctx.Err(), "outcome of the append is not known")
+		return l.withdraw(ctx, p)
 	}
 }
 
-func (l *Log) enqueue(p pendingAppend) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.err != nil {
-		return l.err
-	}
-	if len(l.pending) >= maxPending {
-		return ErrFull
-	}
-	l.pending = append(l.pending, p)
+// Close commits what is pending, for a bounded time, and ends the writer.
+func (l *Log) Close() {
+	l.once.Do(func() {
+		l.refuse(ErrClosed)
+		close(l.closing)
+	})
+	ctx, cancel := clock.WithTimeout(l.life, l.options.Clock, closeTimeout)
+	defer cancel()
 	select {
-	case l.wake <- struct{}{}:
-	default:
+	case <-l.done:
+	case <-ctx.Done():
+		l.stop()
+		<-l.done
 	}
-	return nil
 }
 
-// Close commits what is pending and ends the writer.
-func (l *Log) Close() {
-	l.mu.Lock()
-	if l.err == nil {
-		l.err = ErrClosed
-	}
-	l.mu.Unlock()
-	l.stop()
-	<-l.done
-}
+// Done returns a channel that is closed when the log takes no more appends, because it was closed or has failed.
+func (l *Log) Done() <-chan struct{} { return l.done }
 
-func (l *Log) run(ctx context.Context) {
+// run commits as appends arrive, until the log is closed or fails.
+func (l *Log) run() {
 	defer close(l.done)
-	for {
-		select {
-		case <-l.wake:
-		case <-ctx.Done():
-			l.commitAll(context.Background())
-			return
-		}
-		if !l.commitAll(ctx) {
-			return
-		}
-		_ = l.options.Clock.Sleep(ctx, commitInterval)
-	}
-}
-
-// commitAll writes the pending appends and reports whether the log can go on.
-func (l *Log) commitAll(ctx context.Context) bool {
-	for {
-		batch := l.takeBatch()
-		if len(batch) == 0 {
-			return true
-		}
-		var records []*siskinv1.Record
-		for _, p := range batch {
-			records = append(records, p.records...)
-		}
-		err := l.write(ctx, records)
-		if err == nil {
-			for _, record := range records {
-				l.options.Apply(record)
-			}
-		}
-		for _, p := range batch {
-			p.done <- err
-		}
-		if err != nil {
-			l.fail(err)
-			return false
-		}
-	}
-}
-
-func (l *Log) takeBatch() []pendingAppend {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	size := 0
-	n := 0
-	for n < len(l.pending) {
-		for _, record := range l.pending[n].records {
-			size += proto.Size(record)
-		}
-		if n > 0 && size > maxEntryBytes {
+	defer l.stop()
+	for l.next() {
+		if !l.commitNext(l.life) {
 			break
 		}
-		n++
+		l.collectSnapshot()
+		l.startSnapshot()
+		l.pause()
 	}
-	batch := l.pending[:n:n]
-	l.pending = l.pending[n:]
-	return batch
+	l.finish()
+	l.awaitSnapshot()
 }
 
-// fail ends the log; appends that still wait were never written.
-func (l *Log) fail(err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.err = err
-	for _, p := range l.pending {
-		p.done <- ErrClosed
-	}
-	l.pending = nil
-}
-
-// write appends one entry. An unknown outcome is resolved by reading the key back.
-func (l *Log) write(ctx context.Context, records []*siskinv1.Record) error {
-	entry := &siskinv1.LogEntry{
-		Format: Format, Shard: l.options.Shard, Sequence: l.sequence + 1,
-		Writer: l.options.Writer, Epoch: l.options.Epoch, Records: records,
-	}
-	value, err := encodeEntry(entry)
-	if err != nil {
-		return err
-	}
-	key := entryKey(l.options.Shard, entry.GetSequence())
-	for {
-		err := l.put(ctx, key, value)
-		if err == nil {
-			l.sequence++
-			return nil
-		}
-		if errors.Is(err, platform.ErrConflict) {
-			return l.resolveConflict(ctx, key, entry)
-		}
-		if ctx.Err() != nil {
-			return eris.Wrap(err, "append")
-		}
-		_ = l.options.Clock.Sleep(ctx, commitInterval)
+// next waits for an append and reports false when the log is being closed.
+func (l *Log) next() bool {
+	select {
+	case <-l.wake:
+		return true
+	case <-l.closing:
+		return false
 	}
 }
 
-func (l *Log) put(ctx context.Context, key string, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+// pause keeps commits apart, unless the log is being closed.
+func (l *Log) pause() {
+	ctx, cancel := context.WithCancel(l.life)
 	defer cancel()
-	_, err := l.options.Store.Put(ctx, platform.PutRequest{Key: key, Value: value})
-	return err
-}
-
-// resolveConflict tells an entry of this writer, whose answer was lost, from one of another owner.
-func (l *Log) resolveConflict(ctx context.Context, key string, entry *siskinv1.LogEntry) error {
-	kv, err := l.options.Store.Get(ctx, key)
-	if err != nil {
-		return eris.Wrap(err, "read entry back")
-	}
-	found, err := decodeEntry(kv.Value)
-	if err != nil {
-		return err
-	}
-	if found.GetWriter() == entry.GetWriter() && found.GetEpoch() == entry.GetEpoch() {
-		l.sequence++
-		return nil
-	}
-	return ErrFenced
-}
-
-func encodeEntry(entry *siskinv1.LogEntry) ([]byte, error) {
-	body, err := proto.Marshal(entry)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode entry")
-	}
-	return binary.BigEndian.AppendUint32(body, crc32.ChecksumIEEE(body)), nil
-}
-
-func decodeEntry(value []byte) (*siskinv1.LogEntry, error) {
-	if len(value) < checksumSize {
-		return nil, ErrCorrupt
-	}
-	body := value[:len(value)-checksumSize]
-	if crc32.ChecksumIEEE(body) != binary.BigEndian.Uint32(value[len(body):]) {
-		return nil, eris.Wrap(ErrCorrupt, "checksum")
-	}
-	entry := &siskinv1.LogEntry{}
-	if err := proto.Unmarshal(body, entry); err != nil {
-		return nil, eris.Wrap(ErrCorrupt, err.Error())
-	}
-	if entry.GetFormat() > Format {
-		return nil, eris.Wrapf(ErrCorrupt, "format %d", entry.GetFormat())
-	}
-	return entry, nil
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		select {
+		case <-l.closing:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	_ = l.options.Clock.Sleep(ctx, commitInterval)
+	cancel()
+	<-released
 }
 
-// ShardOfJob returns the home shard named in a job identifier.
-func ShardOfJob(id string) (string, bool) {
-	shard, _, ok := strings.Cut(id, ".")
-	return shard, ok && shard != ""
+// finish commits what is still pending.
+func (l *Log) finish() {
+	l.commitAll(l.life)
+	l.fail(ErrClosed)
 }
--- /dev/null
+++ b/shardlog/replay.go
@@ -0,0 +1,230 @@
+package shardlog
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/storeclient"
+)
+
+const (
+	// maxReadRounds bounds how often the log is read again because a key was missing.
+	maxReadRounds = 3
+	// maxFenceRounds bounds how many late entries of a former owner the fence steps over.
+	maxFenceRounds = 64
+)
+
+// ReplayCalls is the number of store calls that Open makes when nothing fails: the entries, the manifest, the chunks,
+// and the fence.
+const ReplayCalls = 4
+
+// content is what the store holds of a shard.
+type content struct {
+	head    headState
+	chunks  []*siskinv1.SnapshotChunk
+	entries []*siskinv1.LogEntry // those after the snapshot
+	stored  []storedKey          // all entries
+	bytes   int
+}
+
+// missingError is a CorruptError that may come from reading while a former owner was cleaning up.
+type missingError struct{ CorruptError }
+
+func (l *Log) takeOver(ctx context.Context) error {
+	found, err := l.readAll(ctx)
+	if err != nil {
+		return err
+	}
+	for _, chunk := range found.chunks {
+		l.applyAll(chunk.GetRecords())
+	}
+	l.sequence = found.head.sequence
+	for _, entry := range found.entries {
+		l.applyAll(entry.GetRecords())
+		l.sequence = entry.GetSequence()
+	}
+	l.head, l.stored = found.head, found.stored
+	l.sinceSnap = trigger{entries: len(found.entries), bytes: found.bytes}
+	return l.fence(ctx)
+}
+
+func (l *Log) applyAll(records []*siskinv1.Record) {
+	for _, record := range records {
+		l.options.Apply(record)
+	}
+}
+
+// readAll reads the log, and reads it again if a key is missing: a key may vanish between two calls when the former
+// owner's clean-up is still under way.
+func (l *Log) readAll(ctx context.Context) (*content, error) {
+	for round := 1; ; round++ {
+		found, err := l.readOnce(ctx)
+		var missing *missingError
+		if errors.As(err, &missing) && round < maxReadRounds {
+			continue
+		}
+		return found, err
+	}
+}
+
+// readOnce reads the entries before the manifest. An entry that was deleted before the first call is then covered by
+// the manifest that the second call finds.
+func (l *Log) readOnce(ctx context.Context) (*content, error) {
+	log, err := l.options.Store.List(ctx, Prefix(l.options.Shard))
+	if err != nil {
+		return nil, eris.Wrap(err, "list log")
+	}
+	found := &content{}
+	if err := l.readHead(ctx, &found.head); err != nil {
+		return nil, err
+	}
+	snapshots, err := l.options.Store.List(ctx, SnapshotPrefix(l.options.Shard))
+	if err != nil {
+		return nil, eris.Wrap(err, "list snapshots")
+	}
+	if err := l.readChunks(snapshots.Entries, found); err != nil {
+		return nil, err
+	}
+	return found, l.readEntries(log.Entries, found)
+}
+
+func (l *Log) readHead(ctx context.Context, head *headState) error {
+	key := HeadKey(l.options.Shard)
+	kv, err := l.get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return eris.Wrap(err, "read manifest")
+	}
+	message := &siskinv1.SnapshotHead{}
+	if err := decode(kindHead, key, kv.Value, message); err != nil {
+		return err
+	}
+	if message.GetShard() != l.options.Shard {
+		return corrupt(key, "manifest of shard %q", message.GetShard())
+	}
+	if message.GetEpoch() > l.options.Epoch {
+		return eris.Wrapf(ErrFenced, "manifest has epoch %d", message.GetEpoch())
+	}
+	head.revision = kv.Revision
+	head.sequence = message.GetSequence()
+	head.nonce = message.GetNonce()
+	head.count = int(message.GetChunks())
+	return nil
+}
+
+// readChunks decodes the chunks that the manifest names. Readable chunks of other snapshots are noted for deletion.
+func (l *Log) readChunks(entries []platform.KeyValue, found *content) error {
+	prefix := chunkPrefix(l.options.Shard, found.head.sequence, found.head.nonce)
+	for _, kv := range entries {
+		chunk := &siskinv1.SnapshotChunk{}
+		err := decode(kindChunk, kv.Key, kv.Value, chunk)
+		current := found.head.count > 0 && strings.HasPrefix(kv.Key, prefix)
+		if err != nil {
+			return err
+		}
+		key := storedKey{key: kv.Key, revision: kv.Revision, sequence: chunk.GetSequence()}
+		if !current {
+			found.head.obsolete = append(found.head.obsolete, key)
+			continue
+		}
+		if kv.Key != chunkKey(prefix, int(chunk.GetChunk())) || chunk.GetSequence() != found.head.sequence {
+			return corrupt(kv.Key, "chunk %d of sequence %d", chunk.GetChunk(), chunk.GetSequence())
+		}
+		found.chunks = append(found.chunks, chunk)
+		found.head.chunks = append(found.head.chunks, key)
+	}
+	if len(found.chunks) != found.head.count {
+		reason := "chunk of the current snapshot is missing"
+		return &missingError{CorruptError{Key: chunkKey(prefix, len(found.chunks)), Reason: reason}}
+	}
+	return nil
+}
+
+func (l *Log) readEntries(entries []platform.KeyValue, found *content) error {
+	last := found.head.sequence
+	for _, kv := range entries {
+		entry, err := l.decodeEntry(kv)
+		if err != nil {
+			return err
+		}
+		sequence := entry.GetSequence()
+		found.stored = append(found.stored, storedKey{key: kv.Key, revision: kv.Revision, sequence: sequence})
+		if sequence <= found.head.sequence {
+			continue
+		}
+		if sequence != last+1 {
+			return &missingError{CorruptError{Key: entryKey(l.options.Shard, last+1), Reason: "entry is missing"}}
+		}
+		last = sequence
+		found.entries = append(found.entries, entry)
+		found.bytes += len(kv.Value)
+	}
+	return nil
+}
+
+func (l *Log) decodeEntry(kv platform.KeyValue) (*siskinv1.LogEntry, error) {
+	entry := &siskinv1.LogEntry{}
+	if err := decode(kindEntry, kv.Key, kv.Value, entry); err != nil {
+		return nil, err
+	}
+	named, err := strconv.ParseInt(strings.TrimPrefix(kv.Key, Prefix(l.options.Shard)), 10, 64)
+	if err != nil || named != entry.GetSequence() || entry.GetShard() != l.options.Shard {
+		return nil, corrupt(kv.Key, "entry %d of shard %q", entry.GetSequence(), entry.GetShard())
+	}
+	if entry.GetEpoch() > l.options.Epoch {
+		return nil, eris.Wrapf(ErrFenced, "entry %d has epoch %d", entry.GetSequence(), entry.GetEpoch())
+	}
+	return entry, nil
+}
+
+// fence appends the fence. Entries that a former owner's late writes put in its way are applied first.
+func (l *Log) fence(ctx context.Context) error {
+	record := &siskinv1.Record{Change: &siskinv1.Record_Fence{
+		Fence: &siskinv1.Fence{Owner: l.options.Owner, Epoch: l.options.Epoch},
+	}}
+	backoff := storeclient.NewBackoff(retryMin, retryMax, l.options.Random)
+	for range maxFenceRounds {
+		err := l.write(ctx, []*siskinv1.Record{record})
+		switch {
+		case err == nil:
+			l.fencedAt = l.options.Clock.Now()
+			l.options.Apply(record)
+			return nil
+		case errors.Is(err, errNotSent):
+			if err := l.sleep(ctx, backoff.Next()); err != nil {
+				return eris.Wrap(err, "append fence")
+			}
+		case errors.Is(err, ErrFenced) && l.options.Check() == nil:
+			if err := l.stepOver(ctx); err != nil {
+				return err
+			}
+		default:
+			return eris.Wrap(err, "append fence")
+		}
+	}
+	return eris.Wrap(ErrFenced, "former owner keeps writing")
+}
+
+// stepOver applies the entry of a former owner that took the next sequence after the log was read.
+func (l *Log) stepOver(ctx context.Context) error {
+	kv, err := l.get(ctx, entryKey(l.options.Shard, l.sequence+1))
+	if err != nil {
+		return eris.Wrap(err, "read late entry")
+	}
+	entry, err := l.decodeEntry(kv)
+	if err != nil {
+		return err
+	}
+	l.applyAll(entry.GetRecords())
+	l.sequence++
+	l.noteEntry(storedKey{key: kv.Key, revision: kv.Revision, sequence: l.sequence}, len(kv.Value))
+	return nil
+}
--- /dev/null
+++ b/shardlog/snapshot.go
@@ -0,0 +1,280 @@
+package shardlog
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/storeclient"
+)
+
+const (
+	// defaultSnapshotEntries keeps the deletions, one per entry, and the chunks of a shard well below its commits.
+	defaultSnapshotEntries = 1024
+	defaultSnapshotBytes   = 8 << 20
+	// snapshotTimeout bounds writing one snapshot; a later trigger starts a new one.
+	snapshotTimeout = time.Minute
+	// maxHeadRounds bounds how often the manifest is written again after a conflict.
+	maxHeadRounds = 3
+)
+
+// trigger counts what was written since the last snapshot.
+type trigger struct {
+	entries int
+	bytes   int
+}
+
+// headState is the manifest and its chunks as last known.
+type headState struct {
+	revision platform.Revision
+	sequence int64
+	nonce    string
+	count    int
+	chunks   []storedKey
+	// obsolete are chunks of other snapshots, which may be deleted after the next manifest.
+	obsolete []storedKey
+}
+
+// snapshotPlan is a snapshot to be written. The state is that of the log at sequence.
+type snapshotPlan struct {
+	sequence  int64
+	nonce     string
+	chunks    [][]byte
+	head      []byte
+	expected  platform.Revision
+	obsolete  []storedKey
+	deletable []storedKey
+}
+
+// snapshotResult is what became of a plan.
+type snapshotResult struct {
+	err error
+	// head is the new manifest; after an error, only its chunks are set, and the manifest may or may not name them.
+	head headState
+	// deleted are the keys of log entries that no longer exist.
+	deleted map[string]bool
+}
+
+func (l *Log) noteEntry(key storedKey, size int) {
+	l.stored = append(l.stored, key)
+	l.sinceSnap.entries++
+	l.sinceSnap.bytes += size
+}
+
+func (l *Log) snapshotDue() bool {
+	due := l.sinceSnap.entries >= l.options.SnapshotEntries || l.sinceSnap.bytes >= l.options.SnapshotBytes
+	return due && l.options.Snapshot != nil && l.snapshot == nil && l.options.Check() == nil
+}
+
+// startSnapshot begins to write a snapshot beside the commits if one is due.
+func (l *Log) startSnapshot() {
+	if !l.snapshotDue() {
+		return
+	}
+	plan, err := l.planSnapshot()
+	if err != nil {
+		l.options.Metrics.snapshotFailed.Inc()
+		return
+	}
+	result := make(chan snapshotResult, 1)
+	l.snapshot = result
+	go func() {
+		ctx, cancel := clock.WithTimeout(l.life, l.options.Clock, snapshotTimeout)
+		defer cancel()
+		result <- l.writeSnapshot(ctx, plan)
+	}()
+}
+
+// collectSnapshot takes the result of a snapshot that has been written.
+func (l *Log) collectSnapshot() {
+	select {
+	case result := <-l.snapshot:
+		l.snapshot = nil
+		l.adopt(result)
+	default:
+	}
+}
+
+// awaitSnapshot ends a snapshot in progress. What it leaves behind is deleted by a later one.
+func (l *Log) awaitSnapshot() {
+	l.stop()
+	if l.snapshot != nil {
+		<-l.snapshot
+	}
+}
+
+func (l *Log) adopt(result snapshotResult) {
+	if result.err != nil {
+		l.options.Metrics.snapshotFailed.Inc()
+		l.head.obsolete = append(l.head.obsolete, result.head.chunks...)
+		return
+	}
+	l.options.Metrics.snapshots.Inc()
+	l.head = result.head
+	kept := l.stored[:0]
+	for _, key := range l.stored {
+		if !result.deleted[key.key] {
+			kept = append(kept, key)
+		}
+	}
+	l.stored = kept
+}
+
+// planSnapshot takes the state at the current sequence. It resets the trigger, so that a failed snapshot is tried again
+// only after as many further entries.
+func (l *Log) planSnapshot() (*snapshotPlan, error) {
+	l.sinceSnap = trigger{}
+	plan := &snapshotPlan{sequence: l.sequence, nonce: l.nonces.take(), expected: l.head.revision}
+	if err := l.encodeChunks(plan, l.options.Snapshot()); err != nil {
+		return nil, err
+	}
+	head, err := encode(kindHead, &siskinv1.SnapshotHead{
+		Format: Format, Shard: l.options.Shard, Sequence: plan.sequence, Chunks: int32(len(plan.chunks)),
+		Writer: l.options.Writer, Nonce: plan.nonce, Epoch: l.options.Epoch,
+	})
+	if err != nil {
+		return nil, err
+	}
+	plan.head = head
+	plan.obsolete = append(append(plan.obsolete, l.head.chunks...), l.head.obsolete...)
+	if l.options.Clock.Now().Sub(l.fencedAt) >= l.rules.keyRetention {
+		for _, key := range l.stored {
+			if key.sequence <= plan.sequence {
+				plan.deletable = append(plan.deletable, key)
+			}
+		}
+	}
+	return plan, nil
+}
+
+func (l *Log) encodeChunks(plan *snapshotPlan, records []*siskinv1.Record) error {
+	for first := 0; first < len(records) || len(plan.chunks) == 0; {
+		end, size := first, 0
+		for end < len(records) && (end == first || size+proto.Size(records[end])+recordOverhead <= maxEntryBytes) {
+			size += proto.Size(records[end]) + recordOverhead
+			end++
+		}
+		value, err := encode(kindChunk, &siskinv1.SnapshotChunk{
+			Format: Format, Shard: l.options.Shard, Sequence: plan.sequence,
+			Chunk: int32(len(plan.chunks)), Records: records[first:end],
+		})
+		if err != nil {
+			return err
+		}
+		plan.chunks = append(plan.chunks, value)
+		first = end
+	}
+	return nil
+}
+
+// writeSnapshot writes the chunks, then the manifest, then deletes what the manifest has made obsolete. A crash between
+// two steps leaves either the old or the new manifest with all its chunks and all entries after it.
+func (l *Log) writeSnapshot(ctx context.Context, plan *snapshotPlan) snapshotResult {
+	head := headState{sequence: plan.sequence, nonce: plan.nonce, count: len(plan.chunks)}
+	prefix := chunkPrefix(l.options.Shard, plan.sequence, plan.nonce)
+	for i, value := range plan.chunks {
+		key := chunkKey(prefix, i)
+		revision, err := l.putChunk(ctx, key, value)
+		if err != nil {
+			return snapshotResult{err: err, head: head}
+		}
+		head.chunks = append(head.chunks, storedKey{key: key, revision: revision, sequence: plan.sequence})
+	}
+	revision, err := l.putHead(ctx, plan)
+	if err != nil {
+		return snapshotResult{err: err, head: head}
+	}
+	head.revision = revision
+	result := snapshotResult{head: head, deleted: map[string]bool{}}
+	for _, key := range plan.obsolete {
+		if !l.remove(ctx, key) {
+			result.head.obsolete = append(result.head.obsolete, key)
+		}
+	}
+	for _, key := range plan.deletable {
+		if l.remove(ctx, key) {
+			result.deleted[key.key] = true
+		}
+	}
+	return result
+}
+
+// putChunk writes a chunk. Its key holds the nonce of the snapshot, so an existing key is an earlier attempt of this one.
+func (l *Log) putChunk(ctx context.Context, key string, value []byte) (platform.Revision, error) {
+	backoff := storeclient.NewBackoff(retryMin, retryMax, l.options.Random)
+	for {
+		if err := l.options.Check(); err != nil {
+			return 0, err
+		}
+		revision, err := l.putSnapshot(ctx, platform.PutRequest{Key: key, Value: value})
+		if errors.Is(err, platform.ErrConflict) {
+			kv, getErr := l.getSnapshot(ctx, key)
+			revision, err = kv.Revision, getErr
+		}
+		if err == nil || errors.Is(err, platform.ErrNotFound) {
+			return revision, err
+		}
+		if err := l.sleep(ctx, backoff.Next()); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// putHead writes the manifest by compare-and-swap and resolves a conflict or a lost answer by reading it back.
+func (l *Log) putHead(ctx context.Context, plan *snapshotPlan) (platform.Revision, error) {
+	key := HeadKey(l.options.Shard)
+	expected := plan.expected
+	for range maxHeadRounds {
+		if err := l.options.Check(); err != nil {
+			return 0, err
+		}
+		revision, err := l.putSnapshot(ctx, platform.PutRequest{Key: key, Value: plan.head, Expected: expected})
+		if err == nil {
+			return revision, nil
+		}
+		var found headState
+		if err := l.readHead(ctx, &found); err != nil {
+			return 0, err
+		}
+		if found.nonce == plan.nonce && found.revision != 0 {
+			return found.revision, nil
+		}
+		if found.sequence > plan.sequence {
+			return 0, eris.Wrapf(ErrFenced, "manifest covers sequence %d", found.sequence)
+		}
+		expected = found.revision
+	}
+	return 0, eris.Wrap(ErrUnknown, "write manifest")
+}
+
+// remove deletes a key that this owner knows to be readable and covered, and reports whether it is gone.
+func (l *Log) remove(ctx context.Context, key storedKey) bool {
+	if l.options.Check() != nil || ctx.Err() != nil {
+		return false
+	}
+	ctx, cancel := clock.WithTimeout(ctx, l.options.Clock, writeTimeout)
+	defer cancel()
+	err := l.options.SnapshotStore.Delete(ctx, key.key, key.revision)
+	if err == nil {
+		l.options.Metrics.deleted.Inc()
+	}
+	return err == nil || errors.Is(err, platform.ErrNotFound)
+}
+
+func (l *Log) putSnapshot(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
+	ctx, cancel := clock.WithTimeout(ctx, l.options.Clock, writeTimeout)
+	defer cancel()
+	return l.options.SnapshotStore.Put(ctx, request)
+}
+
+func (l *Log) getSnapshot(ctx context.Context, key string) (platform.KeyValue, error) {
+	ctx, cancel := clock.WithTimeout(ctx, l.options.Clock, writeTimeout)
+	defer cancel()
+	return l.options.SnapshotStore.Get(ctx, key)
+}
