--- a/owner/state.go
+++ b/owner/state.go
@@ -241,6 +241,13 @@
 	}
 }
 
+// snapshot returns the records that rebuild the durable state. The log calls it between two commits.
+func (o *Owner) snapshot() []*siskinv1.Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.records()
+}
+
 // submitToCore hands a job with its open tasks to the decision core. The caller holds mu.
 func (o *Owner) submitToCore(id string) {
 	j := o.state.jobs[id]
--- a/owner/work.go
+++ b/owner/work.go
@@ -11,7 +11,6 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/ownership"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/scheduler"
 	"siskinstack.example/siskinstack/shardlog"
@@ -125,17 +124,16 @@
 
 // refuseAppend turns an error of the log into a refusal that claims "not run" only if nothing is durable.
 func refuseAppend(err error) error {
-	for _, known := range []error{shardlog.ErrFenced, shardlog.ErrClosed, ownership.ErrExpired} {
-		if errors.Is(err, known) {
-			return refusal.New(refusal.ShardUnavailable, "%v", err)
-		}
-	}
-	for _, known := range []error{shardlog.ErrFull, platform.ErrNotSent} {
-		if errors.Is(err, known) {
-			return refusal.New(refusal.StoreUnavailable, "%v", err)
-		}
+	switch {
+	case errors.Is(err, ownership.ErrExpired), errors.Is(err, shardlog.ErrFenced), errors.Is(err, shardlog.ErrClosed):
+		return refusal.New(refusal.ShardUnavailable, "%v", err)
+	case errors.Is(err, shardlog.ErrTooLarge):
+		return refusal.New(refusal.BodyTooLarge, "%v", err)
+	case shardlog.IsNotDurable(err):
+		return refusal.New(refusal.StoreUnavailable, "%v", err)
+	default:
+		return refusal.New(refusal.AcceptanceUnknown, "%v", err)
 	}
-	return refusal.New(refusal.AcceptanceUnknown, "%v", err)
 }
 
 // Get returns the state of a job.
