Refuse late duplicate starts at the workers

Cause: a start delivered again after the worker forgot the ended task would run the task a second time; a renewal to a suspect worker extended leases whose end the owner was waiting for.

Change: workers keep the last closed attempt of a task and refuse starts up to it; a renewal with lease 0 only reports; a worker's renewal is brought forward when a task starts there.

--- a/owner/start.go
+++ b/owner/start.go
@@ -186,6 +186,10 @@
 	defer o.mu.Unlock()
 	if p := o.placement(start.request.Task, start.Worker); p != nil {
 		p.settled = o.options.Clock.Now()
+		w := o.worker(start.Worker)
+		if next := p.settled.Add(o.renewInterval(w)); next.Before(w.due) {
+			w.due = next
+		}
 	}
 }
 
--- a/standin/worker_faults.go
+++ b/standin/worker_faults.go
@@ -56,6 +56,7 @@
 	}
 	machine.tasks = map[taskName]*task{}
 	machine.epoch = map[string]int64{}
+	machine.closed = map[taskName]attemptID{}
 	machine.late = nil
 }
 
--- a/standin/workers.go
+++ b/standin/workers.go
@@ -75,6 +75,21 @@
 	late  []lateCall
 	epoch map[string]int64 // highest epoch seen for each shard
 	tasks map[taskName]*task
+	// closed are the last attempts that were stopped or forgotten; late starts of these are refused.
+	closed map[taskName]attemptID
+}
+
+// attemptID orders attempts of one task over successive owners of its shard.
+type attemptID struct {
+	epoch   int64
+	attempt int32
+}
+
+func (a attemptID) after(b attemptID) bool {
+	if a.epoch != b.epoch {
+		return a.epoch > b.epoch
+	}
+	return a.attempt > b.attempt
 }
 
 type taskName struct {
@@ -90,7 +105,8 @@
 	}
 	for _, vm := range vms {
 		if vm.Role == platform.RoleWorker {
-			w.workers[vm.Name] = &worker{vm: vm, pace: 1, epoch: map[string]int64{}, tasks: map[taskName]*task{}}
+			w.workers[vm.Name] = &worker{vm: vm, pace: 1, epoch: map[string]int64{},
+				tasks: map[taskName]*task{}, closed: map[taskName]attemptID{}}
 		}
 	}
 	return w
@@ -156,6 +172,11 @@
 
 func (w *Workers) start(machine *worker, request platform.StartRequest) error {
 	name := taskName{request.Task.Job, request.Task.Index}
+	id := attemptID{request.Epoch, request.Task.Attempt}
+	if closed, ok := machine.closed[name]; ok && !id.after(closed) {
+		w.counts.StaleAttempts++
+		return platform.ErrStaleAttempt
+	}
 	if held, ok := machine.tasks[name]; ok {
 		if held.request.Task.Attempt == request.Task.Attempt {
 			return nil
@@ -200,14 +221,14 @@
 }
 
 func (w *Workers) renew(machine *worker, request platform.RenewRequest) platform.WorkerReport {
-	machine.forget(request.Acknowledged)
+	machine.forget(request.Acknowledged, request.Epoch)
 	now := w.clock.Now()
 	report := platform.WorkerReport{Worker: request.Worker, Room: machine.vm.Room}
 	for _, t := range machine.tasks {
 		if t.request.Shard != request.Shard {
 			continue
 		}
-		if t.running() {
+		if t.running() && request.Lease > 0 {
 			t.leaseLeft = request.Lease
 		}
 		report.Tasks = append(report.Tasks, t.report(now, w.usageLag))
@@ -220,9 +241,13 @@
 	return w.deliver(ctx, request.Worker, func(machine *worker) error {
 		w.counts.Stops++
 		t, err := w.find(machine, request.Authority, request.Task)
-		if err != nil || t == nil {
+		if err != nil {
 			return err
 		}
+		machine.close(taskName{request.Task.Job, request.Task.Index}, attemptID{request.Epoch, request.Task.Attempt})
+		if t == nil {
+			return nil
+		}
 		t.saveOnStop = t.saveOnStop || request.Checkpoint
 		t.stopWithin(w.clock.Now(), min(request.Grace, t.plan.StopsIn))
 		w.settle(machine)
@@ -299,12 +324,20 @@
 	return used
 }
 
-func (m *worker) forget(acknowledged []platform.TaskRef) {
+func (m *worker) forget(acknowledged []platform.TaskRef, epoch int64) {
 	for _, ref := range acknowledged {
 		name := taskName{ref.Job, ref.Index}
 		t, ok := m.tasks[name]
 		if ok && t.request.Task.Attempt == ref.Attempt && !t.running() {
 			delete(m.tasks, name)
+			m.close(name, attemptID{epoch, ref.Attempt})
 		}
 	}
 }
+
+// close refuses an attempt and all before it from now on.
+func (m *worker) close(name taskName, id attemptID) {
+	if closed, ok := m.closed[name]; !ok || id.after(closed) {
+		m.closed[name] = id
+	}
+}
