--- a/owner/owner.go
+++ b/owner/owner.go
@@ -40,6 +40,8 @@
 	workerTimeout = 2 * time.Second
 	// refreshInterval is the time between two reads of configuration, limits and the VM list.
 	refreshInterval = 250 * time.Millisecond
+	// backgroundTimeout bounds the logging of ends; ends that were not logged are found again in the next report.
+	backgroundTimeout = 5 * time.Second
 	// stopGrace is how long a stopped task may take to shut down.
 	stopGrace = 10 * time.Second
 )
@@ -231,6 +233,15 @@
 	return platform.Authority{Shard: o.shard, Epoch: o.options.Right.Epoch}
 }
 
+// background runs a step that outlives the call that led to it, bounded by its own timeout.
+func (o *Owner) background(step func(ctx context.Context)) {
+	o.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), backgroundTimeout)
+		defer cancel()
+		step(ctx)
+	})
+}
+
 // append makes records durable. It ends the owner if another one has taken the log over.
 func (o *Owner) append(ctx context.Context, records ...*siskinv1.Record) error {
 	if len(records) == 0 {
--- a/owner/recovery.go
+++ b/owner/recovery.go
@@ -130,11 +130,7 @@
 	if len(unknown) == 0 {
 		return
 	}
-	o.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
-		defer cancel()
-		_ = o.append(ctx, unknown...)
-	})
+	o.background(func(ctx context.Context) { _ = o.append(ctx, unknown...) })
 }
 
 // claimedEnd returns the record of the end of a claimed task that is not running. The caller holds mu.
--- a/owner/report.go
+++ b/owner/report.go
@@ -35,10 +35,10 @@
 		o.resolveUncertain(ctx, p)
 	}
 	if len(found.unknown) > 0 {
-		o.tasks.Go(func() { o.logUnknown(ctx, found.unknown) })
+		o.background(func(ctx context.Context) { o.logUnknown(ctx, found.unknown) })
 	}
 	if len(found.ended) > 0 && !logging {
-		o.tasks.Go(func() { o.logEnds(ctx, report.Worker, found.ended) })
+		o.background(func(ctx context.Context) { o.logEnds(ctx, report.Worker, found.ended) })
 	}
 }
 
@@ -116,7 +116,7 @@
 		return
 	}
 	o.settle(p.ref, scheduler.Unknown)
-	o.tasks.Go(func() { o.logUnknown(ctx, []*placement{p}) })
+	o.background(func(ctx context.Context) { o.logUnknown(ctx, []*placement{p}) })
 }
 
 // stopAttempt stops an attempt that must not run and reports whether the worker confirmed it.
@@ -132,8 +132,6 @@
 
 // logEnds makes final ends durable and lets the worker forget them. What fails is found again in the next report.
 func (o *Owner) logEnds(ctx context.Context, worker string, tasks []platform.TaskReport) {
-	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
-	defer cancel()
 	o.mu.Lock()
 	records := o.endRecords(tasks)
 	o.mu.Unlock()
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -122,11 +122,7 @@
 		return
 	}
 	record := &siskinv1.Record{Change: &siskinv1.Record_WorkerUnused{WorkerUnused: &siskinv1.WorkerUnused{Worker: w.name}}}
-	o.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
-		defer cancel()
-		_ = o.append(ctx, record)
-	})
+	o.background(func(ctx context.Context) { _ = o.append(ctx, record) })
 }
 
 // renewDue renews the workers whose time has come and gives up on those whose leases have certainly ended.
@@ -148,7 +144,7 @@
 	o.expireRecovery(now)
 	o.mu.Unlock()
 	if len(lost) > 0 {
-		o.tasks.Go(func() { o.logUnknown(ctx, lost) })
+		o.background(func(ctx context.Context) { o.logUnknown(ctx, lost) })
 	}
 	for _, request := range requests {
 		o.call(ctx, func(ctx context.Context) { o.renew(ctx, request) })
