--- /dev/null
+++ b/scheduler/deadline.go
@@ -0,0 +1,77 @@
+package scheduler
+
+const (
+	// raiseQuantile of the learned run times is used to decide when work must start.
+	raiseQuantile = 0.9
+	// feasibleQuantile of the learned run times is used to decide whether it can still be ready in time.
+	feasibleQuantile = 0.5
+	// safetyFactor covers the time from the decision to the start, and run times above the quantile.
+	safetyFactor = 1.5
+)
+
+// raiseDeadlines gives urgent order to work that must start soon to be ready in time. Work that can no longer be ready
+// loses it, because it would take room from work that can.
+func (c *Cell) raiseDeadlines() {
+	kept := c.timed[:0]
+	for _, j := range c.timed {
+		if j.cancelled || j.counts.Queued+j.counts.Running == 0 {
+			continue
+		}
+		kept = append(kept, j)
+		if j.counts.Queued > 0 && j.Urgency != Urgent {
+			c.raiseOrLower(j)
+		}
+	}
+	clear(c.timed[len(kept):])
+	c.timed = kept
+}
+
+func (c *Cell) raiseOrLower(j *job) {
+	at := j.raiseAt()
+	raised := c.now >= at && c.feasible(j)
+	if raised == j.raised {
+		return
+	}
+	j.dequeue()
+	j.raised, j.raisedAt = raised, at
+	c.enqueue(j)
+}
+
+// raiseAt returns the time from which a job has urgent order.
+func (j *job) raiseAt() Time {
+	estimate := j.estimate(raiseQuantile)
+	if estimate == 0 {
+		// Nothing is known of the run time: leave it half of the time there is.
+		return j.Accepted + (j.ReadyBy-j.Accepted)/2
+	}
+	return j.ReadyBy - Time(float64(estimate)*safetyFactor)
+}
+
+func (c *Cell) feasible(j *job) bool {
+	return c.now+j.estimate(feasibleQuantile) <= j.ReadyBy
+}
+
+// AtRisk reports whether a job with a ready-by time no longer looks able to meet it.
+func (c *Cell) AtRisk(id string) (bool, error) {
+	j, ok := c.jobs[id]
+	if !ok {
+		return false, ErrUnknownJob
+	}
+	if j.ReadyBy == 0 || j.cancelled {
+		return false, nil
+	}
+	if j.counts.Queued > 0 {
+		return !c.feasible(j), nil
+	}
+	if j.counts.Running == 0 {
+		return false, nil
+	}
+	estimate := j.estimate(feasibleQuantile)
+	for slot := range j.tasks {
+		t := &j.tasks[slot]
+		if t.state == taskRunning && max(t.started+estimate, c.now) > j.ReadyBy {
+			return true, nil
+		}
+	}
+	return false, nil
+}
--- /dev/null
+++ b/scheduler/drain.go
@@ -0,0 +1,75 @@
+package scheduler
+
+// SetDraining starts or ends the drain of the shard's availability zone. After the end the zone fills gradually.
+func (c *Cell) SetDraining(draining bool) {
+	if c.draining == draining {
+		return
+	}
+	c.draining = draining
+	c.capacity++
+	if draining {
+		c.drainSince, c.evacuateAt = c.now, c.now
+		c.ramping = false
+		if c.reservation != nil {
+			c.dropReservation(c.reservation.job)
+		}
+		return
+	}
+	c.ramping = true
+	c.rampSince = c.now
+	c.rampFrom = c.used.DominantShare(c.total)
+}
+
+// rampAllows reports whether a returned zone may take more work now.
+func (c *Cell) rampAllows() bool {
+	if !c.ramping {
+		return true
+	}
+	elapsed := c.now - c.rampSince
+	if elapsed >= c.options.RampTime {
+		c.ramping = false
+		return true
+	}
+	return c.used.DominantShare(c.total) < c.rampFrom+float64(elapsed)/float64(c.options.RampTime)
+}
+
+// evacuate stops work in a draining zone under the rate limit. Services run on until SetIndexes says that their
+// replacements run elsewhere, tasks that cannot run again run to their end, and tasks without checkpoints get a grace
+// time to end by themselves.
+func (c *Cell) evacuate(plan *Plan) {
+	interval := Time(float64(Time(1e9)) / max(c.options.EvacuationsPerSecond, 1e-3))
+	for range c.workers {
+		w := c.workers[c.evacuateStart%len(c.workers)]
+		if w != nil && !c.evacuateWorker(w, interval, plan) {
+			return
+		}
+		c.evacuateStart = (c.evacuateStart + 1) % len(c.workers)
+	}
+	// Time in which nothing was left to stop earns no later burst.
+	c.evacuateAt = max(c.evacuateAt, c.now)
+}
+
+// evacuateWorker stops the tasks of a worker that may be moved, and reports whether the rate limit let it finish.
+func (c *Cell) evacuateWorker(w *worker, interval Time, plan *Plan) bool {
+	for i := 0; i < len(w.tasks); i++ {
+		ref := w.tasks[i]
+		if !c.evacuates(ref) {
+			continue
+		}
+		if c.evacuateAt > c.now {
+			return false
+		}
+		before := len(plan.Stops)
+		c.stopUnit(ref, StopDraining, nil, plan)
+		c.evacuateAt += interval * Time(len(plan.Stops)-before)
+	}
+	return true
+}
+
+func (c *Cell) evacuates(ref taskRef) bool {
+	j := ref.job
+	if j.Kind == Service || j.AtMostOnce || ref.task().flags&flagStopping != 0 {
+		return false
+	}
+	return j.Checkpoint || c.now-c.drainSince >= c.options.EvacuationGrace
+}
--- /dev/null
+++ b/scheduler/gang.go
@@ -0,0 +1,311 @@
+package scheduler
+
+import (
+	"sort"
+
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler/policy/reserve"
+)
+
+// gangScratch is reused by the searches for gang jobs.
+type gangScratch struct {
+	fits  []int32 // by worker
+	racks []rackFit
+	// avoid holds workers that are not considered.
+	avoid map[int32]bool
+}
+
+// rackFit is the number of a gang's tasks that a rack can take.
+type rackFit struct {
+	rack int32
+	fit  int
+}
+
+// reservation keeps workers for one gang job at a time, so that two gang jobs never hold parts of what the other needs.
+type reservation struct {
+	job     *job
+	workers []int32
+	since   Time
+	// until is when the work on the workers is expected to have ended; 0 if not known.
+	until Time
+}
+
+// tryGang starts all waiting tasks of a gang job or none.
+func (c *Cell) tryGang(j *job, plan *Plan) bool {
+	n := j.counts.Queued
+	if j.held > 0 || n == 0 {
+		return false
+	}
+	if !c.options.Policies.Permit.Permit(j.team.running, j.shape.need.Scale(int64(n)), j.team.Limit) {
+		c.dropReservation(j)
+		return false
+	}
+	if c.gangBlocked(j) || !c.fitGang(j, n) {
+		j.gangBlockedAt = c.capacity
+		c.examine(j)
+		c.reserveFor(j, n)
+		return false
+	}
+	c.dropReservation(j)
+	c.startGang(j, plan)
+	return true
+}
+
+// gangBlocked reports whether a gang job cannot fit for reasons that need no search.
+func (c *Cell) gangBlocked(j *job) bool {
+	if j.gangBlockedAt == c.capacity {
+		return true
+	}
+	reserved := c.reservation != nil && c.reservation.job == j
+	return !reserved && c.failed.cover(c.capacity, j.Each)
+}
+
+// fitGang finds the racks for the tasks: the fullest single rack that takes all, else as few racks as possible. The
+// result is in the scratch space.
+func (c *Cell) fitGang(j *job, n int) bool {
+	if c.gangScratch.avoidFailed(j) && c.fitGangAround(j, n) {
+		return true
+	}
+	clear(c.gangScratch.avoid)
+	return c.fitGangAround(j, n)
+}
+
+// avoidFailed collects the workers on which the last starts of waiting tasks failed, and reports whether there are any.
+func (s *gangScratch) avoidFailed(j *job) bool {
+	if s.avoid == nil {
+		s.avoid = map[int32]bool{}
+	}
+	clear(s.avoid)
+	for slot := range j.tasks {
+		if t := &j.tasks[slot]; t.state == taskQueued && t.avoid > 0 {
+			s.avoid[t.avoid-1] = true
+		}
+	}
+	return len(s.avoid) > 0
+}
+
+func (c *Cell) fitGangAround(j *job, n int) bool {
+	s := &c.gangScratch
+	s.fits = append(s.fits[:0], make([]int32, len(c.workers))...)
+	s.racks = s.racks[:0]
+	total := 0
+	onlyRack := c.gangRack(j)
+	for rack, members := range c.racks {
+		if onlyRack >= 0 && int32(rack) != onlyRack {
+			continue
+		}
+		fit := 0
+		for _, id := range members {
+			s.fits[id] = int32(c.gangFit(j, c.workers[id], n))
+			fit += int(s.fits[id])
+		}
+		if fit > 0 {
+			s.racks = append(s.racks, rackFit{int32(rack), fit})
+			total += fit
+		}
+	}
+	if total < n {
+		return false
+	}
+	return s.chooseRacks(n, j.SameRack)
+}
+
+// gangRack returns the rack to which earlier started tasks bind a gang job, or -1.
+func (c *Cell) gangRack(j *job) int32 {
+	if !j.SameRack || j.counts.Running == 0 {
+		return -1
+	}
+	for slot := range j.tasks {
+		if t := &j.tasks[slot]; t.state == taskRunning {
+			return c.workers[t.worker-1].rack
+		}
+	}
+	return -1
+}
+
+// gangFit returns how many tasks of a gang job a worker can take now, at most n.
+func (c *Cell) gangFit(j *job, w *worker, n int) int {
+	mine := w.reserved == j && w.takesWork()
+	if c.index.bucket[w.id] == notIndexed && !mine || c.gangScratch.avoid[w.id] {
+		return 0
+	}
+	need := c.needOn(j, w)
+	fit := copies(need, c.index.free[w.id], n)
+	if w.health.limit > 0 {
+		fit = min(fit, int(w.health.limit)-len(w.tasks))
+	}
+	return max(fit, 0)
+}
+
+// copies returns how often need fits into room, at most n.
+func copies(need, room resource.Vector, n int) int {
+	if room.IsNegative() {
+		return 0
+	}
+	for _, pair := range [...][2]int64{
+		{need.MilliCPU, room.MilliCPU}, {need.MemoryBytes, room.MemoryBytes}, {need.Accelerators, room.Accelerators},
+	} {
+		if pair[0] > 0 {
+			n = min(n, int(min(pair[1]/pair[0], int64(n))))
+		}
+	}
+	return n
+}
+
+// chooseRacks orders the racks that will be used first and reports whether the gang job can start.
+func (s *gangScratch) chooseRacks(n int, strict bool) bool {
+	best := -1
+	for i, r := range s.racks {
+		if r.fit >= n && (best < 0 || r.fit < s.racks[best].fit) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		s.racks[0], s.racks[best] = s.racks[best], s.racks[0]
+		return true
+	}
+	if strict {
+		return false
+	}
+	sort.Slice(s.racks, func(a, b int) bool {
+		if s.racks[a].fit != s.racks[b].fit {
+			return s.racks[a].fit > s.racks[b].fit
+		}
+		return s.racks[a].rack < s.racks[b].rack
+	})
+	return true
+}
+
+// startGang starts the waiting tasks on the racks in the scratch space.
+func (c *Cell) startGang(j *job, plan *Plan) {
+	s := &c.gangScratch
+	for _, r := range s.racks {
+		members := append([]int32(nil), c.racks[r.rack]...)
+		sort.SliceStable(members, func(a, b int) bool { return s.fits[members[a]] > s.fits[members[b]] })
+		for _, id := range members {
+			w := c.workers[id]
+			need := c.needOn(j, w)
+			for range s.fits[id] {
+				slot, ok := j.nextQueued()
+				if !ok {
+					return
+				}
+				plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, w, need))
+			}
+		}
+	}
+}
+
+// startReserved tries the gang job that workers are kept for before any other work.
+func (c *Cell) startReserved(plan *Plan, maxStarts int) {
+	r := c.reservation
+	if r == nil || maxStarts <= 0 || !c.rampAllows() {
+		return
+	}
+	if r.job.parked != WaitNone || c.now-r.since > 2*c.options.ReserveAfter {
+		// The choice may be out of date: another set of workers may be free sooner.
+		c.dropReservation(r.job)
+	}
+	c.refreshShape(r.job.shape, r.job.team)
+	c.tryGang(r.job, plan)
+}
+
+// reserveFor keeps workers for a gang job that has waited too long, unless another one has that already.
+func (c *Cell) reserveFor(j *job, n int) {
+	if c.reservation != nil || j.parked != WaitNone || c.now-j.Accepted < c.options.ReserveAfter {
+		return
+	}
+	var candidates []reserve.Candidate
+	onlyRack := c.gangRack(j)
+	for _, w := range c.workers {
+		if w == nil || !w.takesWork() || (onlyRack >= 0 && w.rack != onlyRack) {
+			continue
+		}
+		need := c.needOn(j, w)
+		candidates = append(candidates, reserve.Candidate{
+			Worker: w.id, Rack: w.rack,
+			Now: copies(need, c.index.free[w.id], n), Later: copies(need, w.Room.Sub(w.lasting()), n),
+		})
+	}
+	chosen := c.options.Policies.Reserve.Reserve(candidates, n, j.SameRack)
+	if chosen == nil {
+		return
+	}
+	r := &reservation{job: j, workers: chosen, since: c.now}
+	c.reservation = r
+	for _, id := range chosen {
+		w := c.workers[id]
+		w.reserved = j
+		r.until = max(r.until, c.endOfWork(w))
+		c.reindex(w)
+	}
+}
+
+// Reservation returns the gang job that workers are kept for, and the workers; empty if there is none.
+func (c *Cell) Reservation() (id string, workers []string) {
+	if c.reservation == nil {
+		return "", nil
+	}
+	for _, worker := range c.reservation.workers {
+		if w := c.workers[worker]; w != nil && w.reserved == c.reservation.job {
+			workers = append(workers, w.Name)
+		}
+	}
+	return c.reservation.job.ID, workers
+}
+
+// lasting returns the room of the tasks on a worker that do not end by themselves.
+func (w *worker) lasting() resource.Vector {
+	var room resource.Vector
+	for _, ref := range w.tasks {
+		if ref.job.Kind == Service {
+			room = room.Add(ref.room())
+		}
+	}
+	return room
+}
+
+// endOfWork returns when the tasks on a worker are expected to have ended.
+func (c *Cell) endOfWork(w *worker) Time {
+	end := c.now
+	for _, ref := range w.tasks {
+		if ref.job.Kind != Service {
+			end = max(end, ref.task().started+ref.job.estimate(feasibleQuantile))
+		}
+	}
+	return end
+}
+
+// dropReservation gives the workers that are kept for j back.
+func (c *Cell) dropReservation(j *job) {
+	r := c.reservation
+	if j == nil || r == nil || r.job != j {
+		return
+	}
+	c.reservation = nil
+	for _, id := range r.workers {
+		if w := c.workers[id]; w != nil && w.reserved == j {
+			w.reserved = nil
+			c.reindex(w)
+		}
+	}
+}
+
+// pickBackfill returns a reserved worker for a task that is expected to end before the reservation needs the room.
+func (c *Cell) pickBackfill(j *job) (*worker, resource.Vector) {
+	r := c.reservation
+	estimate := j.estimate(raiseQuantile)
+	if r == nil || j.Kind != Batch || estimate == 0 || c.now+estimate > r.until {
+		return nil, resource.Vector{}
+	}
+	for _, id := range r.workers {
+		w := c.workers[id]
+		if w == nil || w.reserved != r.job || !w.takesWork() {
+			continue
+		}
+		if need := c.needOn(j, w); need.Fits(c.index.free[id]) {
+			return w, need
+		}
+	}
+	return nil, resource.Vector{}
+}
--- /dev/null
+++ b/scheduler/job.go
@@ -0,0 +1,293 @@
+package scheduler
+
+import (
+	"sort"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstack.example/siskinstack/resource"
+)
+
+// job is a job with the tasks that this shard holds.
+type job struct {
+	Job
+	team  *team
+	shape *shape
+	class *usageClass
+	tasks []task          // by slot
+	slots map[int32]int32 // slot by index; nil if the indexes are consecutive
+	rooms []resource.Vector
+	// hint is a slot before which no task can be started.
+	hint      int32
+	held      int
+	counts    Counts
+	cancelled bool
+	parked    WaitReason
+	// spread counts a service's running tasks by rack, and by worker under ^identifier.
+	spread map[int32]int32
+
+	inParked bool
+	inLane   bool
+	lane     int
+	token    uint32
+	raised   bool
+	raisedAt Time
+	updating bool
+	blamed   bool
+	// gangBlockedAt is the capacity count at which a gang job found no room; examined the topology at which it was
+	// checked whether the job can ever run.
+	gangBlockedAt uint64
+	examined      uint64
+	failedOn      []int32
+	// claims is the number of tasks for which room is being freed.
+	claims int
+}
+
+// Submit adds a job. It returns a *QueueFullError if too many tasks wait.
+func (c *Cell) Submit(spec Job) error {
+	if err := c.Admit(len(spec.Indexes)); err != nil {
+		return err
+	}
+	return c.Restore(spec)
+}
+
+// Admit reports whether tasks more may wait. A caller that makes jobs durable asks before it does so.
+func (c *Cell) Admit(tasks int) error {
+	if c.queued+tasks > c.options.MaxQueued {
+		return &QueueFullError{Queued: c.queued, Limit: c.options.MaxQueued, Tasks: tasks}
+	}
+	return nil
+}
+
+// Restore adds a job that was accepted before, whether or not the queue is full.
+func (c *Cell) Restore(spec Job) error {
+	if _, ok := c.jobs[spec.ID]; ok {
+		return ErrDuplicateJob
+	}
+	if spec.Each.IsNegative() {
+		return eris.Wrapf(ErrBadJob, "job %q needs a negative amount", spec.ID)
+	}
+	if spec.MaxAttempts <= 0 {
+		spec.MaxAttempts = defaultMaxAttempts
+	}
+	j := &job{Job: spec, team: c.team(spec.Team), class: c.class(spec.Queue, spec.Team)}
+	j.shape = c.shapeOf(j)
+	j.Indexes = nil
+	if !j.addTasks(spec.Indexes) {
+		c.releaseShape(j.shape)
+		return eris.Wrapf(ErrBadJob, "job %q names an index twice", spec.ID)
+	}
+	c.jobs[spec.ID] = j
+	c.waitMore(j, len(j.tasks))
+	j.parked = c.neverRuns(j)
+	if j.parked != WaitNone {
+		c.park(j)
+	}
+	c.enqueue(j)
+	if j.ReadyBy > 0 {
+		c.timed = append(c.timed, j)
+	}
+	return nil
+}
+
+// addTasks appends tasks for the indexes, and reports whether all of them were new.
+func (j *job) addTasks(indexes []int32) bool {
+	sorted := append([]int32(nil), indexes...)
+	sort.Slice(sorted, func(a, b int) bool { return sorted[a] < sorted[b] })
+	for i := 1; i < len(sorted); i++ {
+		if sorted[i] == sorted[i-1] {
+			return false
+		}
+	}
+	first := len(j.tasks)
+	j.tasks = append(make([]task, 0, first+len(sorted)), j.tasks...)
+	for range sorted {
+		j.tasks = append(j.tasks, task{attempt: j.FirstAttempt})
+	}
+	j.Indexes = append(j.Indexes, sorted...)
+	if !consecutive(j.Indexes) {
+		j.mapSlots()
+		return true
+	}
+	j.slots = nil
+	j.Indexes = j.Indexes[:min(1, len(j.Indexes)):min(1, len(j.Indexes))]
+	if len(j.Indexes) == 1 {
+		j.Indexes = []int32{j.Indexes[0]}
+	}
+	return true
+}
+
+func consecutive(indexes []int32) bool {
+	for i, index := range indexes {
+		if index != indexes[0]+int32(i) {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *job) mapSlots() {
+	j.slots = make(map[int32]int32, len(j.Indexes))
+	for slot, index := range j.Indexes {
+		j.slots[index] = int32(slot)
+	}
+}
+
+// slotOf returns the slot of an index.
+func (j *job) slotOf(index int32) (int32, bool) {
+	if j.slots != nil {
+		slot, ok := j.slots[index]
+		return slot, ok
+	}
+	if len(j.tasks) == 0 {
+		return 0, false
+	}
+	slot := int64(index) - int64(j.Indexes[0])
+	return int32(slot), slot >= 0 && slot < int64(len(j.tasks))
+}
+
+// indexOf returns the index of a slot.
+func (j *job) indexOf(slot int32) int32 {
+	if j.slots != nil {
+		return j.Indexes[slot]
+	}
+	return j.Indexes[0] + slot
+}
+
+func (j *job) id(slot int32) TaskID { return TaskID{Job: j.ID, Index: j.indexOf(slot)} }
+
+// waitMore adds n to the waiting tasks of a job.
+func (c *Cell) waitMore(j *job, n int) {
+	j.counts.Queued += n
+	c.queued += n
+	if j.parked == WaitNone {
+		j.team.waiting = j.team.waiting.Add(j.Each.Scale(int64(n)))
+	}
+}
+
+// Cancel ends a job: queued tasks are cancelled at once, running ones are returned to be stopped.
+func (c *Cell) Cancel(id string) ([]Stop, error) {
+	j, ok := c.jobs[id]
+	if !ok {
+		return nil, ErrUnknownJob
+	}
+	if !j.cancelled {
+		j.cancelled = true
+		j.counts.Cancelled += j.counts.Queued
+		c.waitMore(j, -j.counts.Queued)
+		j.dequeue()
+		c.dropReservation(j)
+		if j.inParked {
+			c.parkedDead++
+		}
+	}
+	if j.counts.Running == 0 {
+		return nil, nil
+	}
+	stops := make([]Stop, 0, j.counts.Running)
+	for slot := range j.tasks {
+		if j.tasks[slot].state == taskRunning {
+			stops = append(stops, c.stop(taskRef{j, int32(slot)}, StopCancelled, nil))
+		}
+	}
+	return stops, nil
+}
+
+// SetIndexes makes indexes the set of tasks that this shard holds of a job. New ones wait, queued ones that are no
+// longer named are dropped, and running ones are returned to be stopped: their replacements run elsewhere.
+func (c *Cell) SetIndexes(id string, indexes []int32) ([]Stop, error) {
+	j, ok := c.jobs[id]
+	if !ok {
+		return nil, ErrUnknownJob
+	}
+	if j.cancelled {
+		return nil, nil
+	}
+	wanted := make(map[int32]bool, len(indexes))
+	var added []int32
+	for _, index := range indexes {
+		if wanted[index] {
+			return nil, eris.Wrapf(ErrBadJob, "index %d is named twice", index)
+		}
+		wanted[index] = true
+		if _, ok := j.slotOf(index); !ok {
+			added = append(added, index)
+		}
+	}
+	c.growTasks(j, added)
+	stops := c.applyIndexes(j, wanted)
+	c.unparkIfPossible(j)
+	c.enqueue(j)
+	return stops, nil
+}
+
+func (c *Cell) growTasks(j *job, added []int32) {
+	if len(added) == 0 {
+		return
+	}
+	if j.slots == nil {
+		all := make([]int32, len(j.tasks))
+		for slot := range all {
+			all[slot] = j.indexOf(int32(slot))
+		}
+		j.Indexes = all
+	}
+	j.addTasks(added)
+	c.waitMore(j, len(added))
+}
+
+func (c *Cell) applyIndexes(j *job, wanted map[int32]bool) []Stop {
+	var stops []Stop
+	for slot := range j.tasks {
+		t, ref := &j.tasks[slot], taskRef{j, int32(slot)}
+		keep := wanted[j.indexOf(ref.slot)]
+		switch {
+		case keep && t.state == taskRemoved:
+			t.state = taskQueued
+			c.waitMore(j, 1)
+			j.hint = min(j.hint, ref.slot)
+		case keep && t.flags&flagLeaving != 0:
+			t.flags &^= flagLeaving
+		case !keep && t.state == taskQueued:
+			c.setHeld(ref, false)
+			t.state = taskRemoved
+			c.waitMore(j, -1)
+		case !keep && t.state == taskRunning:
+			t.flags |= flagLeaving
+			stops = append(stops, c.stop(ref, c.replacedReason(), nil))
+		}
+	}
+	return stops
+}
+
+func (c *Cell) replacedReason() StopReason {
+	if c.draining {
+		return StopDraining
+	}
+	return StopReplaced
+}
+
+// Counts returns the states of a job's tasks.
+func (c *Cell) Counts(id string) (Counts, error) {
+	j, ok := c.jobs[id]
+	if !ok {
+		return Counts{}, ErrUnknownJob
+	}
+	return j.counts, nil
+}
+
+// Forget drops a job whose tasks have all ended.
+func (c *Cell) Forget(id string) error {
+	j, ok := c.jobs[id]
+	if !ok {
+		return ErrUnknownJob
+	}
+	if j.counts.Queued+j.counts.Running > 0 {
+		return eris.Wrapf(ErrNotEnded, "job %q", id)
+	}
+	j.dequeue()
+	c.dropReservation(j)
+	c.releaseShape(j.shape)
+	delete(c.jobs, id)
+	return nil
+}
--- /dev/null
+++ b/scheduler/park.go
@@ -0,0 +1,117 @@
+package scheduler
+
+// examine parks a job that found no room if it can never run with the present workers and limits.
+func (c *Cell) examine(j *job) {
+	if j.examined == c.topology {
+		return
+	}
+	if reason := c.neverRuns(j); reason != WaitNone {
+		c.dropReservation(j)
+		c.park(j)
+		j.parked = reason
+	}
+}
+
+// park takes a job out of its queue until workers or teams change.
+func (c *Cell) park(j *job) {
+	j.dequeue()
+	if !j.inParked {
+		j.inParked = true
+		c.parked = append(c.parked, j)
+	}
+	j.team.waiting = j.team.waiting.Sub(j.Each.Scale(int64(j.counts.Queued)))
+	if j.parked == WaitNone {
+		j.parked = WaitNoRoom
+	}
+}
+
+// examineParked returns the parked jobs that can run after a change to their queues.
+func (c *Cell) examineParked() {
+	if c.parkedAt == c.topology && 2*c.parkedDead <= len(c.parked) {
+		return
+	}
+	c.parkedAt, c.parkedDead = c.topology, 0
+	kept := c.parked[:0]
+	for _, j := range c.parked {
+		if j.cancelled || j.counts.Queued == 0 && j.counts.Running == 0 {
+			j.inParked = false
+			continue
+		}
+		c.unparkIfPossible(j)
+		if j.parked == WaitNone {
+			j.inParked = false
+			continue
+		}
+		kept = append(kept, j)
+	}
+	clear(c.parked[len(kept):])
+	c.parked = kept
+}
+
+// unparkIfPossible examines a parked job again.
+func (c *Cell) unparkIfPossible(j *job) {
+	if j.parked == WaitNone {
+		return
+	}
+	reason := c.neverRuns(j)
+	if reason != WaitNone {
+		j.parked = reason
+		return
+	}
+	j.parked = WaitNone
+	j.team.waiting = j.team.waiting.Add(j.Each.Scale(int64(j.counts.Queued)))
+	c.enqueue(j)
+}
+
+// neverRuns returns why a job cannot run with the present workers and limits even if all of them were free.
+func (c *Cell) neverRuns(j *job) WaitReason {
+	j.examined = c.topology
+	switch {
+	case !j.team.known:
+		return WaitUnknownTeam
+	case !j.Each.Fits(j.team.Limit):
+		return WaitOverCeiling
+	case len(c.roomKinds) == 0:
+		// No worker is known yet, as after a takeover.
+		return WaitNone
+	case !c.fitsSomeWorker(j):
+		return WaitTooLarge
+	case j.Kind != Gang:
+		return WaitNone
+	}
+	n := j.counts.Queued + j.counts.Running
+	if !j.Each.Scale(int64(n)).Fits(j.team.Limit) {
+		return WaitOverCeiling
+	}
+	if !c.gangFitsEmpty(j, n) {
+		return WaitGangTooBig
+	}
+	return WaitNone
+}
+
+func (c *Cell) fitsSomeWorker(j *job) bool {
+	for room := range c.roomKinds {
+		if j.Each.Fits(room) {
+			return true
+		}
+	}
+	return false
+}
+
+// gangFitsEmpty reports whether the workers, or those of one rack, could take the whole gang job if they were empty.
+func (c *Cell) gangFitsEmpty(j *job, n int) bool {
+	total := 0
+	for _, members := range c.racks {
+		rack := 0
+		for _, id := range members {
+			if w := c.workers[id]; w.present && !w.Leaving {
+				rack += copies(j.Each, w.Room, n)
+			}
+		}
+		if rack >= n {
+			return true
+		}
+		total += rack
+	}
+	return total >= n && !j.SameRack
+}
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import (
+	"hash/fnv"
+
+	"siskinstack.example/siskinstack/resource"
+)
+
+const (
+	// spreadChoices is the number of racks without a task of the service among which the best worker is taken.
+	spreadChoices = 4
+	// spreadRacks bounds the racks examined once one with room is known.
+	spreadRacks = 128
+)
+
+// start reserves the room for a task and returns the order to start it.
+func (c *Cell) start(ref taskRef, w *worker, need resource.Vector) Start {
+	t := ref.task()
+	t.attempt++
+	c.place(ref, w, need)
+	return Start{Task: ref.job.id(ref.slot), Attempt: t.attempt, Worker: w.Name, Room: need, Team: ref.job.Team}
+}
+
+// pick returns the worker for a task and the room that the task takes there, or nil.
+func (c *Cell) pick(j *job, slot int32) (*worker, resource.Vector) {
+	s := j.shape
+	if w := c.pickProbe(j); w != nil {
+		return w, c.needOn(j, w)
+	}
+	avoid := j.tasks[slot].avoid - 1
+	id, need := c.findBest(s, avoid)
+	if id < 0 && avoid >= 0 {
+		id, need = c.findBest(s, -1)
+	}
+	if id < 0 {
+		return c.pickBackfill(j)
+	}
+	if s.service {
+		id, need = c.findSpread(j, avoid, id, need)
+	}
+	return c.workers[id], need
+}
+
+// needOn returns the room that a task of j takes on w.
+func (c *Cell) needOn(j *job, w *worker) resource.Vector {
+	return c.options.Policies.Filter.Need(j.Each, j.shape.learned, w.Room)
+}
+
+// spreadChoice is a worker with what makes it better or worse for a service.
+type spreadChoice struct {
+	worker       int32
+	need         resource.Vector
+	rack, onSelf int32
+	score        float64
+}
+
+func (a spreadChoice) better(b spreadChoice) bool {
+	switch {
+	case a.rack != b.rack:
+		return a.rack < b.rack
+	case a.onSelf != b.onSelf:
+		return a.onSelf < b.onSelf
+	default:
+		return a.score < b.score
+	}
+}
+
+// findSpread returns a worker in a rack with the fewest tasks of the service, starting from a known one.
+func (c *Cell) findSpread(j *job, avoid, known int32, need resource.Vector) (int32, resource.Vector) {
+	best := c.spreadChoice(j, c.workers[known], need)
+	first := int(hashOf(j.ID)) + j.counts.Running
+	unused := 0
+	for i := 0; i < min(len(c.racks), spreadRacks) && unused < spreadChoices; i++ {
+		rack := int32((first + i) % len(c.racks))
+		if j.spread[rack] > best.rack {
+			continue
+		}
+		found := false
+		for _, id := range c.racks[rack] {
+			w := c.workers[id]
+			if id == avoid || c.index.bucket[id] == notIndexed || w.health.limit > 0 {
+				continue
+			}
+			need := c.needOn(j, w)
+			if !need.Fits(c.index.free[id]) {
+				continue
+			}
+			found = true
+			if choice := c.spreadChoice(j, w, need); choice.better(best) {
+				best = choice
+			}
+		}
+		if found && j.spread[rack] == 0 {
+			unused++
+		}
+	}
+	return best.worker, best.need
+}
+
+func (c *Cell) spreadChoice(j *job, w *worker, need resource.Vector) spreadChoice {
+	return spreadChoice{
+		worker: w.id, need: need, rack: j.spread[w.rack], onSelf: j.spread[^w.id],
+		score: c.options.Policies.Score.Score(c.index.free[w.id], need, c.index.scale),
+	}
+}
+
+func hashOf(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32() >> 1
+}
--- /dev/null
+++ b/scheduler/plan.go
@@ -0,0 +1,89 @@
+package scheduler
+
+// Plan decides what to start and stop now, at most maxStarts starts; a gang job that would exceed maxStarts is started
+// as a whole. The room of the starts is reserved: the caller checks each with Recheck before it carries it out, and
+// reports StartFailed for those that it did not carry out.
+func (c *Cell) Plan(now Time, maxStarts int) Plan {
+	c.advance(now)
+	var plan Plan
+	c.examineParked()
+	c.raiseDeadlines()
+	c.refreshOwed()
+	c.probeSuspended()
+	c.repeatStops(&plan)
+	c.enforceLimits(&plan)
+	if c.draining {
+		c.evacuate(&plan)
+		return plan
+	}
+	c.continueUpdates(&plan)
+	c.startWork(&plan, maxStarts)
+	if len(plan.Starts) < maxStarts && c.rampAllows() {
+		c.reclaim(&plan)
+	}
+	return plan
+}
+
+// startWork starts tasks in fair order until nothing more fits.
+func (c *Cell) startWork(plan *Plan, maxStarts int) {
+	for _, t := range c.teamList {
+		for i := range t.lanes {
+			t.lanes[i].rewind()
+		}
+		t.candidate, t.exhausted = nil, !t.known
+	}
+	c.startReserved(plan, maxStarts)
+	for len(plan.Starts) < maxStarts && c.rampAllows() {
+		t := c.nextTeam()
+		if t == nil {
+			return
+		}
+		if !c.tryCandidate(t, plan) {
+			t.skipCandidate()
+		}
+	}
+}
+
+// nextTeam returns the team whose candidate is next: first teams with urgent work inside the share that they are
+// owed, then the team with the lowest weighted share.
+func (c *Cell) nextTeam() *team {
+	var best *team
+	bestUrgent := false
+	for _, t := range c.teamList {
+		if t.exhausted {
+			continue
+		}
+		if t.candidate == nil || t.candidate.counts.Queued == 0 {
+			c.nextCandidate(t)
+			if t.candidate == nil {
+				continue
+			}
+		}
+		urgent := t.lane == laneUrgent && t.share*float64(max(t.Share, 1)) < t.owed
+		if best == nil || (urgent && !bestUrgent) || (urgent == bestUrgent && t.share < best.share) {
+			best, bestUrgent = t, urgent
+		}
+	}
+	return best
+}
+
+// tryCandidate starts one task of a team's candidate, or the whole of it if it is a gang job.
+func (c *Cell) tryCandidate(t *team, plan *Plan) bool {
+	j := t.candidate
+	c.refreshShape(j.shape, t)
+	if j.Kind == Gang {
+		return c.tryGang(j, plan)
+	}
+	slot, ok := j.nextQueued()
+	if !ok || !c.options.Policies.Permit.Permit(t.running, j.shape.need, t.Limit) {
+		return false
+	}
+	w, need := c.pick(j, slot)
+	if w == nil {
+		j.shape.blockedAt = c.capacity
+		c.examine(j)
+		return false
+	}
+	plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, w, need))
+	return true
+}
--- /dev/null
+++ b/scheduler/policies.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler/policy/filter"
+	"siskinstack.example/siskinstack/scheduler/policy/order"
+	"siskinstack.example/siskinstack/scheduler/policy/permit"
+	"siskinstack.example/siskinstack/scheduler/policy/preempt"
+	"siskinstack.example/siskinstack/scheduler/policy/reserve"
+	"siskinstack.example/siskinstack/scheduler/policy/score"
+)
+
+// Filter decides how much room a task takes on a worker; a worker without that room is not considered.
+type Filter interface {
+	Need(declared, learned, room resource.Vector) resource.Vector
+}
+
+// Score orders the workers that can take a task; lower is better.
+type Score interface {
+	Score(free, need, scale resource.Vector) float64
+}
+
+// Order decides which team and which of its jobs is next.
+type Order interface {
+	Share(used, fleet resource.Vector, weight int64) float64
+	Key(accepted Time, canWait bool) Time
+	Owed(demands []order.Demand, owed []float64)
+}
+
+// Permit decides whether a team may run more.
+type Permit interface {
+	Permit(running, need, limit resource.Vector) bool
+}
+
+// Reserve chooses workers to keep for a gang job.
+type Reserve interface {
+	Reserve(candidates []reserve.Candidate, count int, sameRack bool) []int32
+}
+
+// Preempt ranks running tasks by the work that stopping them loses.
+type Preempt interface {
+	Waste(v preempt.Victim) Time
+}
+
+// Policies are the replaceable decisions of a cell.
+type Policies struct {
+	Filter  Filter
+	Score   Score
+	Order   Order
+	Permit  Permit
+	Reserve Reserve
+	Preempt Preempt
+}
+
+// DefaultPolicies returns the policies of design.md, section 2.9.
+func DefaultPolicies() Policies {
+	return Policies{
+		Filter:  filter.Learned{},
+		Score:   score.BestFit{},
+		Order:   order.DominantShare{},
+		Permit:  permit.Limit{},
+		Reserve: reserve.MostFree{},
+		Preempt: preempt.LeastWaste{},
+	}
+}
--- /dev/null
+++ b/scheduler/policy/order/order.go
@@ -0,0 +1,66 @@
+// Package order decides who is next: weighted dominant-resource fairness across teams, urgency and age inside a team.
+package order
+
+import (
+	"time"
+
+	"siskinstack.example/siskinstack/resource"
+)
+
+// canWaitPenalty is how much later work that can wait is treated as accepted. Being a fixed offset, it bounds how long
+// newer normal work can overtake it.
+const canWaitPenalty = 10 * time.Minute
+
+// DominantShare orders teams by weighted dominant share.
+type DominantShare struct{}
+
+// Share returns the weighted dominant share of a team.
+func (DominantShare) Share(used, fleet resource.Vector, weight int64) float64 {
+	return used.DominantShare(fleet) / float64(max(weight, 1))
+}
+
+// Key returns the position of a job among the jobs of its team; lower keys go first.
+func (DominantShare) Key(accepted time.Duration, canWait bool) time.Duration {
+	if canWait {
+		return accepted + canWaitPenalty
+	}
+	return accepted
+}
+
+// Demand is what a team has and wants, as a dominant share of the fleet.
+type Demand struct {
+	Weight int64
+	Wanted float64
+}
+
+// Owed splits the fleet by weight. What a team does not want is split among the others.
+func (DominantShare) Owed(demands []Demand, owed []float64) {
+	left, weights := 1.0, 0.0
+	for i, demand := range demands {
+		owed[i] = -1
+		if demand.Wanted <= 0 {
+			owed[i] = 0
+			continue
+		}
+		weights += float64(max(demand.Weight, 1))
+	}
+	for satisfied := true; satisfied && weights > 0; {
+		satisfied = false
+		level := left / weights
+		for i, demand := range demands {
+			weight := float64(max(demand.Weight, 1))
+			if owed[i] >= 0 || demand.Wanted > level*weight {
+				continue
+			}
+			owed[i] = demand.Wanted
+			left -= demand.Wanted
+			weights -= weight
+			satisfied = true
+		}
+	}
+	for i, demand := range demands {
+		if owed[i] < 0 {
+			owed[i] = max(left, 0) / weights * float64(max(demand.Weight, 1))
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/policy/score/score.go
@@ -0,0 +1,21 @@
+// Package score orders the workers that can take a task.
+package score
+
+import "siskinstack.example/siskinstack/resource"
+
+// BestFit prefers the worker with the least room left, so that large gaps stay for large tasks.
+type BestFit struct{}
+
+// Score returns the room left after placement as a share of scale, summed over the dimensions. Lower is better.
+func (BestFit) Score(free, need, scale resource.Vector) float64 {
+	left := free.Sub(need)
+	return part(left.MilliCPU, scale.MilliCPU) + part(left.MemoryBytes, scale.MemoryBytes) +
+		part(left.Accelerators, scale.Accelerators)
+}
+
+func part(amount, scale int64) float64 {
+	if scale <= 0 {
+		return 0
+	}
+	return float64(amount) / float64(scale)
+}
--- /dev/null
+++ b/scheduler/recheck.go
@@ -0,0 +1,34 @@
+package scheduler
+
+import "github.com/rotisserie/eris"
+
+// Recheck reports whether a start still fits the newest state. If it returns an error, the caller does not carry the
+// start out and reports StartFailed.
+func (c *Cell) Recheck(start Start) error {
+	ref, err := c.lookup(start.Task)
+	if err != nil {
+		return err
+	}
+	t := ref.task()
+	if t.state != taskRunning || t.attempt != start.Attempt {
+		return eris.Wrap(ErrStaleStart, "the attempt is not the current one")
+	}
+	w := c.workers[t.worker-1]
+	switch {
+	case w.Name != start.Worker:
+		return eris.Wrap(ErrStaleStart, "the task was placed on another worker")
+	case t.flags&flagStopping != 0:
+		return eris.Wrap(ErrStaleStart, "the task is to stop")
+	case c.draining:
+		return eris.Wrap(ErrStaleStart, "the availability zone drains")
+	case !w.present || w.Leaving:
+		return eris.Wrapf(ErrStaleStart, "worker %q leaves", w.Name)
+	case w.health.suspended:
+		return eris.Wrapf(ErrStaleStart, "worker %q is suspended", w.Name)
+	case !w.used.Fits(w.Room):
+		return eris.Wrapf(ErrStaleStart, "worker %q has less room than before", w.Name)
+	case !ref.job.team.known || !ref.job.team.running.Fits(ref.job.team.Limit):
+		return eris.Wrapf(ErrStaleStart, "team %q is over its limit", start.Team)
+	}
+	return nil
+}
--- /dev/null
+++ b/scheduler/reclaim.go
@@ -0,0 +1,248 @@
+package scheduler
+
+import "siskinstack.example/siskinstack/resource"
+
+const (
+	// reclaimsPerPass bounds the stops for other work in one pass.
+	reclaimsPerPass = 128
+	// reclaimWindow is the number of workers whose tasks are considered in one pass.
+	reclaimWindow = 1024
+	// claimantsPerTeam is the number of waiting jobs per team for which room is sought in one pass.
+	claimantsPerTeam = 4
+)
+
+// claimant is a waiting job that may take room from running work.
+type claimant struct {
+	job *job
+	// urgent claimants may also take from less urgent work of their own team.
+	urgent bool
+}
+
+// reclaim stops lent work for teams that have less than they are owed, and less urgent work for urgent work.
+func (c *Cell) reclaim(plan *Plan) {
+	claimants := c.claimants()
+	if len(claimants) == 0 {
+		return
+	}
+	victims := c.reclaimable()
+	if len(victims) == 0 {
+		return
+	}
+	limit := len(plan.Stops) + reclaimsPerPass
+	for _, claim := range claimants {
+		if claim.job.Kind == Gang {
+			c.reclaimGang(claim, plan)
+			continue
+		}
+		for len(plan.Stops) < limit && c.mayClaim(claim) && c.reclaimOne(claim, victims, plan) {
+		}
+	}
+}
+
+// claimants returns the first waiting jobs of the teams, in the order of teams with the lowest share first.
+func (c *Cell) claimants() []claimant {
+	var found []claimant
+	for _, t := range c.teamList {
+		if !t.known || t.waiting.IsZero() {
+			continue
+		}
+		taken := 0
+		for lane := range t.lanes {
+			for i := range t.lanes[lane].entries {
+				e := &t.lanes[lane].entries[i]
+				if taken == claimantsPerTeam {
+					break
+				}
+				if e.job.token != e.token || e.job.counts.Queued == e.job.held {
+					continue
+				}
+				taken++
+				claim := claimant{job: e.job, urgent: lane == laneUrgent}
+				c.refreshShape(e.job.shape, t)
+				if c.mayClaim(claim) {
+					found = append(found, claim)
+				}
+			}
+		}
+	}
+	return found
+}
+
+// mayClaim reports whether more room may be freed for a job: its team has less than it is owed even after all that is
+// being freed for it has been used, or the job is urgent.
+func (c *Cell) mayClaim(claim claimant) bool {
+	t, need := claim.job.team, claim.job.shape.need
+	if claim.job.claims >= claim.job.counts.Queued-claim.job.held {
+		return false
+	}
+	if !c.options.Policies.Permit.Permit(t.running.Sub(t.stopping).Add(t.reclaimed), need, t.Limit) {
+		return false
+	}
+	return claim.urgent || c.underOwed(t, need)
+}
+
+func (c *Cell) underOwed(t *team, need resource.Vector) bool {
+	return c.dominantWith(t, t.reclaimed.Add(need)) <= t.owed
+}
+
+// reclaimable returns the tasks in the next window of workers that may give way, least waste first.
+func (c *Cell) reclaimable() []victim {
+	var victims []victim
+	for range min(reclaimWindow, len(c.workers)) {
+		w := c.workers[c.victimStart%len(c.workers)]
+		c.victimStart = (c.victimStart + 1) % len(c.workers)
+		if w == nil || !w.present || w.Leaving || w.health.suspended {
+			continue
+		}
+		for _, ref := range w.tasks {
+			if c.canYield(ref) {
+				victims = append(victims, c.victim(ref))
+			}
+		}
+	}
+	sortVictims(victims)
+	return victims
+}
+
+// reclaimOne frees room for one task of the claimant on the worker where that wastes least.
+func (c *Cell) reclaimOne(claim claimant, victims []victim, plan *Plan) bool {
+	freed := map[int32]resource.Vector{}
+	chosen := map[int32][]taskRef{}
+	for _, v := range victims {
+		t := v.ref.task()
+		if t.flags&flagStopping != 0 || t.state != taskRunning || !c.mayTake(claim, v.ref) {
+			continue
+		}
+		id := t.worker - 1
+		freed[id] = freed[id].Add(v.ref.room())
+		chosen[id] = append(chosen[id], v.ref)
+		need := c.needOn(claim.job, c.workers[id])
+		if need.Fits(c.index.free[id].Max(resource.Vector{}).Add(freed[id])) {
+			return c.stopChosen(claim, chosen[id], need, plan)
+		}
+	}
+	return false
+}
+
+// stopChosen stops the chosen tasks of one worker, apart from those that are not needed for the room after all.
+func (c *Cell) stopChosen(claim claimant, refs []taskRef, need resource.Vector, plan *Plan) bool {
+	id := refs[0].task().worker - 1
+	room := c.index.free[id].Max(resource.Vector{})
+	for _, ref := range refs {
+		room = room.Add(ref.room())
+	}
+	before := len(plan.Stops)
+	for i := len(refs) - 1; i >= 0; i-- {
+		without := room.Sub(refs[i].room())
+		if need.Fits(without) {
+			room = without
+			continue
+		}
+		if refs[i].task().flags&flagStopping == 0 {
+			c.stopUnit(refs[i], StopPreempted, claim.job, plan)
+		}
+	}
+	if len(plan.Stops) == before {
+		return false
+	}
+	c.countClaims(claim.job, 1)
+	return true
+}
+
+// countClaims makes the last ordered stop count for n tasks of a job.
+func (c *Cell) countClaims(j *job, n int) {
+	c.stopping[len(c.stopping)-1].claims = n
+	j.claims += n
+}
+
+// reclaimGang frees room for a gang job on the workers that are kept for it.
+func (c *Cell) reclaimGang(claim claimant, plan *Plan) {
+	r, j := c.reservation, claim.job
+	if r == nil || r.job != j || j.claims > 0 {
+		return
+	}
+	missing, victims := c.gangVictims(r, claim)
+	before := len(plan.Stops)
+	room := map[int32]resource.Vector{}
+	pending := map[int32][]taskRef{}
+	for _, v := range victims {
+		if missing <= 0 {
+			break
+		}
+		if !c.mayTake(claim, v.ref) {
+			continue
+		}
+		t := v.ref.task()
+		id := t.worker - 1
+		need := c.needOn(j, c.workers[id])
+		had := c.freeSoon(c.workers[id]).Add(room[id])
+		room[id] = room[id].Add(v.ref.room())
+		pending[id] = append(pending[id], v.ref)
+		gained := copies(need, had.Add(v.ref.room()), j.counts.Queued) - copies(need, had, j.counts.Queued)
+		if gained == 0 {
+			continue
+		}
+		missing -= gained
+		for _, ref := range pending[id] {
+			if ref.task().flags&flagStopping == 0 {
+				c.stopUnit(ref, StopPreempted, j, plan)
+			}
+		}
+		room[id], pending[id] = resource.Vector{}, nil
+	}
+	if len(plan.Stops) > before {
+		c.countClaims(j, 1)
+	}
+}
+
+// gangVictims returns how many tasks of the gang job lack room on the kept workers, and what may give way there.
+func (c *Cell) gangVictims(r *reservation, claim claimant) (int, []victim) {
+	missing := claim.job.counts.Queued
+	var victims []victim
+	for _, id := range r.workers {
+		w := c.workers[id]
+		if w == nil || w.reserved != r.job {
+			continue
+		}
+		missing -= copies(c.needOn(r.job, w), c.freeSoon(w), missing)
+		for _, ref := range w.tasks {
+			if c.canYield(ref) {
+				victims = append(victims, c.victim(ref))
+			}
+		}
+	}
+	sortVictims(victims)
+	return missing, victims
+}
+
+// freeSoon returns the room of a worker that is free or being freed.
+func (c *Cell) freeSoon(w *worker) resource.Vector {
+	free := c.index.free[w.id]
+	for _, ref := range w.tasks {
+		if ref.task().flags&flagStopping != 0 {
+			free = free.Add(ref.room())
+		}
+	}
+	return free
+}
+
+// canYield reports whether a running task may be stopped for other work at all.
+func (c *Cell) canYield(ref taskRef) bool {
+	return ref.job.Kind != Service && !ref.job.AtMostOnce && ref.task().flags&flagStopping == 0
+}
+
+// mayTake reports whether a running task may give way to the claimant.
+func (c *Cell) mayTake(claim claimant, ref taskRef) bool {
+	j := ref.job
+	if j.team == claim.job.team {
+		return claim.urgent && j.Urgency != Urgent && !j.raised
+	}
+	if !c.underOwed(claim.job.team, claim.job.shape.need) {
+		return false
+	}
+	room := ref.room()
+	if j.Kind == Gang {
+		room = room.Scale(int64(j.counts.Running))
+	}
+	return c.dominantWith(j.team, resource.Vector{}.Sub(j.team.stopping).Sub(room)) >= j.team.owed
+}
--- /dev/null
+++ b/scheduler/search.go
@@ -0,0 +1,120 @@
+package scheduler
+
+import "siskinstack.example/siskinstack/resource"
+
+// maxFailedSearches bounds the remembered vectors for which no room was found.
+const maxFailedSearches = 16
+
+// shapeKey identifies tasks that fit in the same places.
+type shapeKey struct {
+	declared resource.Vector
+	class    *usageClass
+	service  bool
+}
+
+// shape is shared by all jobs whose tasks fit in the same places: one failed search answers for all of them.
+type shape struct {
+	shapeKey
+	refs int
+	// learned is the learned size, at most the team's limit.
+	learned resource.Vector
+	// need is the room taken on the largest worker.
+	need resource.Vector
+	// version and topology are those for which need was computed.
+	version  uint64
+	topology uint64
+	// blockedAt is the capacity count at which no room was found.
+	blockedAt uint64
+}
+
+func (c *Cell) shapeOf(j *job) *shape {
+	key := shapeKey{declared: j.Each, class: j.class, service: j.Kind == Service}
+	s, ok := c.shapes[key]
+	if !ok {
+		s = &shape{shapeKey: key}
+		c.shapes[key] = s
+	}
+	s.refs++
+	return s
+}
+
+func (c *Cell) releaseShape(s *shape) {
+	s.refs--
+	if s.refs == 0 {
+		delete(c.shapes, s.shapeKey)
+	}
+}
+
+// refreshShape recomputes the room of a shape after something was learned or the workers or limits changed.
+func (c *Cell) refreshShape(s *shape, t *team) {
+	if s.version == s.class.version && s.topology == c.topology {
+		return
+	}
+	s.version, s.topology = s.class.version, c.topology
+	s.learned = s.class.size()
+	if t.known {
+		s.learned = s.learned.Min(t.Limit)
+	}
+	s.need = c.options.Policies.Filter.Need(s.declared, s.learned, c.index.scale)
+	s.blockedAt = 0
+}
+
+// failedSearches remembers for which rooms no worker was found since room was last freed.
+type failedSearches struct {
+	capacity uint64
+	needs    []resource.Vector
+}
+
+func (f *failedSearches) cover(capacity uint64, need resource.Vector) bool {
+	if f.capacity != capacity {
+		f.capacity = capacity
+		f.needs = f.needs[:0]
+	}
+	for _, failed := range f.needs {
+		if failed.Fits(need) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *failedSearches) add(need resource.Vector) {
+	if len(f.needs) < maxFailedSearches {
+		f.needs = append(f.needs, need)
+	}
+}
+
+// findBest returns the worker with the best score for a shape and the room that the task takes there, or -1.
+func (c *Cell) findBest(s *shape, avoid int32) (int32, resource.Vector) {
+	if !c.failed.cover(c.capacity, s.need) {
+		if id := c.index.find(c.options.Policies.Score, s.need, avoid); id >= 0 {
+			return id, s.need
+		}
+		if avoid < 0 {
+			c.failed.add(s.need)
+		}
+	}
+	return c.findSmaller(s, avoid)
+}
+
+// findSmaller looks at workers with less room than the learned size, on which the task is accounted at less.
+func (c *Cell) findSmaller(s *shape, avoid int32) (int32, resource.Vector) {
+	if s.need == s.declared || c.failed.cover(c.capacity, s.declared) {
+		return -1, resource.Vector{}
+	}
+	best, bestNeed, bestScore := int32(-1), resource.Vector{}, 0.0
+	for _, w := range c.workers {
+		if w == nil || w.id == avoid || c.index.bucket[w.id] == notIndexed {
+			continue
+		}
+		need := c.options.Policies.Filter.Need(s.declared, s.learned, w.Room)
+		if need == s.need || !need.Fits(c.index.free[w.id]) {
+			continue
+		}
+		score := c.options.Policies.Score.Score(c.index.free[w.id], need, c.index.scale)
+		if best < 0 || score < bestScore {
+			best, bestNeed, bestScore = w.id, need, score
+		}
+	}
+	return best, bestNeed
+}
--- /dev/null
+++ b/scheduler/stop.go
@@ -0,0 +1,155 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler/policy/preempt"
+)
+
+// stopRepeat is how long a stop may take effect before it is ordered again, as the first order may have been lost.
+const stopRepeat = 5 * time.Second
+
+// pendingStop is a stop that was ordered and has not taken effect.
+type pendingStop struct {
+	ref     taskRef
+	attempt int32
+	reason  StopReason
+	at      Time
+	room    resource.Vector
+	benefit *job // job for which the room is freed, or nil
+	claims  int  // tasks of benefit for which this stop counts
+}
+
+// stop orders a running task to stop and returns the order.
+func (c *Cell) stop(ref taskRef, reason StopReason, benefit *job) Stop {
+	t := ref.task()
+	if t.flags&flagStopping == 0 {
+		room := ref.room()
+		t.flags |= flagStopping
+		ref.job.team.stopping = ref.job.team.stopping.Add(room)
+		if benefit != nil {
+			benefit.team.reclaimed = benefit.team.reclaimed.Add(room)
+		}
+		c.stopping = append(c.stopping, pendingStop{
+			ref: ref, attempt: t.attempt, reason: reason, at: c.now, room: room, benefit: benefit,
+		})
+	}
+	return c.stopOrder(ref, reason)
+}
+
+func (c *Cell) stopOrder(ref taskRef, reason StopReason) Stop {
+	t := ref.task()
+	return Stop{
+		Task: ref.job.id(ref.slot), Attempt: t.attempt, Worker: c.workers[t.worker-1].Name,
+		Checkpoint: ref.job.Checkpoint && reason != StopCancelled, Reason: reason,
+	}
+}
+
+// stopSoon orders a task to stop with the next plan.
+func (c *Cell) stopSoon(ref taskRef, reason StopReason) {
+	c.stop(ref, reason, nil)
+	c.stopping[len(c.stopping)-1].at = c.now - stopRepeat
+}
+
+// repeatStops drops the stops that have taken effect and orders the others again after a while.
+func (c *Cell) repeatStops(plan *Plan) {
+	kept := c.stopping[:0]
+	for _, p := range c.stopping {
+		t := p.ref.task()
+		if t.state != taskRunning || t.attempt != p.attempt || t.flags&flagStopping == 0 {
+			if p.benefit != nil {
+				p.benefit.team.reclaimed = p.benefit.team.reclaimed.Sub(p.room)
+				p.benefit.claims -= p.claims
+			}
+			continue
+		}
+		if c.now-p.at >= stopRepeat {
+			p.at = c.now
+			plan.Stops = append(plan.Stops, c.stopOrder(p.ref, p.reason))
+		}
+		kept = append(kept, p)
+	}
+	clear(c.stopping[len(kept):])
+	c.stopping = kept
+}
+
+// victim is a running task, or a whole gang job, that may give way.
+type victim struct {
+	ref   taskRef
+	waste Time
+}
+
+func (c *Cell) victim(ref taskRef) victim {
+	j := ref.job
+	v := preempt.Victim{
+		Service: j.Kind == Service, AtMostOnce: j.AtMostOnce, Checkpoint: j.Checkpoint,
+		Tasks: 1, Ran: c.now - ref.task().started,
+	}
+	if j.Kind == Gang {
+		v.Tasks = j.counts.Running
+	}
+	return victim{ref, c.options.Policies.Preempt.Waste(v)}
+}
+
+// sortVictims orders victims by the work that stopping them loses.
+func sortVictims(victims []victim) {
+	sort.SliceStable(victims, func(a, b int) bool { return victims[a].waste < victims[b].waste })
+}
+
+// stopUnit orders a task to stop, or all tasks of its gang job, because the rest of a gang job cannot work alone.
+func (c *Cell) stopUnit(ref taskRef, reason StopReason, benefit *job, plan *Plan) {
+	if ref.job.Kind != Gang {
+		plan.Stops = append(plan.Stops, c.stop(ref, reason, benefit))
+		return
+	}
+	for slot := range ref.job.tasks {
+		member := taskRef{ref.job, int32(slot)}
+		if t := member.task(); t.state == taskRunning && t.flags&flagStopping == 0 {
+			plan.Stops = append(plan.Stops, c.stop(member, reason, benefit))
+		}
+	}
+}
+
+// enforceLimits stops work of teams that have more running than their limit, which happens when a limit is lowered.
+func (c *Cell) enforceLimits(plan *Plan) {
+	for _, t := range c.teamList {
+		if t.known && !t.running.Sub(t.stopping).Fits(t.Limit) {
+			c.enforceLimit(t, plan)
+		}
+	}
+}
+
+func (c *Cell) enforceLimit(t *team, plan *Plan) {
+	var victims []victim
+	for _, w := range c.workers {
+		if w == nil {
+			continue
+		}
+		for _, ref := range w.tasks {
+			if ref.job.team == t && ref.task().flags&flagStopping == 0 {
+				victims = append(victims, c.victim(ref))
+			}
+		}
+	}
+	sortVictims(victims)
+	for _, v := range victims {
+		over := t.running.Sub(t.stopping)
+		if over.Fits(t.Limit) {
+			return
+		}
+		task := v.ref.task()
+		if task.flags&flagStopping != 0 || !relieves(v.ref.room(), over, t.Limit) {
+			continue
+		}
+		c.stopUnit(v.ref, StopCeiling, nil, plan)
+	}
+}
+
+// relieves reports whether room has some of the amounts that are over the limit.
+func relieves(room, over, limit resource.Vector) bool {
+	return over.MilliCPU > limit.MilliCPU && room.MilliCPU > 0 ||
+		over.MemoryBytes > limit.MemoryBytes && room.MemoryBytes > 0 ||
+		over.Accelerators > limit.Accelerators && room.Accelerators > 0
+}
--- /dev/null
+++ b/scheduler/task.go
@@ -0,0 +1,316 @@
+package scheduler
+
+import (
+	"github.com/rotisserie/eris"
+
+	"siskinstack.example/siskinstack/resource"
+)
+
+// taskState is the state of a task.
+type taskState uint8
+
+const (
+	taskQueued taskState = iota
+	taskRunning
+	taskDone
+	// taskRemoved tasks are held by another shard.
+	taskRemoved
+)
+
+const (
+	// flagHeld tasks may still run under an earlier owner.
+	flagHeld uint8 = 1 << iota
+	// flagStopping tasks have been asked to stop.
+	flagStopping
+	// flagOld tasks run an older version of their service.
+	flagOld
+	// flagLeaving tasks leave the shard when they end.
+	flagLeaving
+)
+
+// task is kept small, because a shard holds one for each queued and each running task.
+type task struct {
+	started  Time
+	worker   int32 // identifier + 1; 0 if the task does not run
+	avoid    int32 // identifier + 1 of the worker on which the last start failed
+	attempt  int32
+	pos      int32 // in the worker's list
+	room     uint16
+	failures uint16
+	state    taskState
+	flags    uint8
+}
+
+// place records that a task runs on a worker, in the given room.
+func (c *Cell) place(ref taskRef, w *worker, room resource.Vector) {
+	j, t := ref.job, ref.task()
+	c.setHeld(ref, false)
+	c.waitMore(j, -1)
+	j.counts.Running++
+	t.state = taskRunning
+	t.worker = w.id + 1
+	t.pos = int32(len(w.tasks))
+	t.room = j.internRoom(room)
+	t.started = c.now
+	w.tasks = append(w.tasks, ref)
+	c.addUsed(w, room)
+	j.team.running = j.team.running.Add(room)
+	c.refreshShare(j.team)
+	if j.Kind == Service {
+		j.addSpread(w, 1)
+	}
+	c.reindex(w)
+}
+
+// unplace records that a task no longer runs; it waits again.
+func (c *Cell) unplace(ref taskRef) {
+	j, t := ref.job, ref.task()
+	w := c.workers[t.worker-1]
+	room := j.rooms[t.room]
+	last := len(w.tasks) - 1
+	moved := w.tasks[last]
+	w.tasks[t.pos] = moved
+	moved.task().pos = t.pos
+	w.tasks[last] = taskRef{}
+	w.tasks = w.tasks[:last]
+	c.addUsed(w, resource.Vector{}.Sub(room))
+	j.team.running = j.team.running.Sub(room)
+	if t.flags&flagStopping != 0 {
+		j.team.stopping = j.team.stopping.Sub(room)
+	}
+	c.refreshShare(j.team)
+	if j.Kind == Service {
+		j.addSpread(w, -1)
+	}
+	c.endProbe(w, ref)
+	t.worker = 0
+	t.state = taskQueued
+	t.flags &^= flagStopping | flagOld
+	j.counts.Running--
+	c.waitMore(j, 1)
+	j.hint = min(j.hint, ref.slot)
+	c.reindex(w)
+	c.releaseID(w)
+}
+
+func (c *Cell) addUsed(w *worker, room resource.Vector) {
+	w.used = w.used.Add(room)
+	if w.present {
+		c.used = c.used.Add(room)
+	}
+}
+
+func (j *job) addSpread(w *worker, n int32) {
+	if j.spread == nil {
+		j.spread = map[int32]int32{}
+	}
+	for _, key := range [2]int32{w.rack, ^w.id} {
+		j.spread[key] += n
+		if j.spread[key] == 0 {
+			delete(j.spread, key)
+		}
+	}
+}
+
+// internRoom returns the number of a room among the few different ones that the job's tasks have had.
+func (j *job) internRoom(room resource.Vector) uint16 {
+	for i := len(j.rooms) - 1; i >= 0; i-- {
+		if j.rooms[i] == room {
+			return uint16(i)
+		}
+	}
+	if len(j.rooms) > 1<<16-1 {
+		j.compactRooms()
+	}
+	j.rooms = append(j.rooms, room)
+	return uint16(len(j.rooms) - 1)
+}
+
+// compactRooms drops the rooms that no running task has any more.
+func (j *job) compactRooms() {
+	old := j.rooms
+	j.rooms = nil
+	for slot := range j.tasks {
+		if t := &j.tasks[slot]; t.state == taskRunning {
+			t.room = j.internRoom(old[t.room])
+		}
+	}
+}
+
+func (c *Cell) lookup(id TaskID) (taskRef, error) {
+	j, ok := c.jobs[id.Job]
+	if !ok {
+		return taskRef{}, ErrUnknownJob
+	}
+	slot, ok := j.slotOf(id.Index)
+	if !ok || j.tasks[slot].state == taskRemoved {
+		return taskRef{}, eris.Wrapf(ErrUnknownJob, "task %d", id.Index)
+	}
+	return taskRef{j, slot}, nil
+}
+
+// Adopt records a task that was found running on a worker after a takeover.
+func (c *Cell) Adopt(id TaskID, attempt int32, name string, room resource.Vector) error {
+	ref, err := c.lookup(id)
+	if err != nil {
+		return err
+	}
+	worker, ok := c.workerIDs[name]
+	t := ref.task()
+	if !ok || t.state != taskQueued || attempt < t.attempt || room.IsNegative() {
+		return eris.Wrapf(ErrCannotAdopt, "task %v on worker %q", id, name)
+	}
+	c.revive(ref)
+	t.attempt = attempt
+	c.place(ref, c.workers[worker], room)
+	if ref.job.cancelled {
+		c.stopSoon(ref, StopCancelled)
+	}
+	return nil
+}
+
+// revive undoes the cancellation of a waiting task that turns out to run or to have ended.
+func (c *Cell) revive(ref taskRef) {
+	if j := ref.job; j.cancelled && ref.task().state == taskQueued {
+		j.counts.Cancelled--
+		c.waitMore(j, 1)
+	}
+}
+
+// Hold keeps a queued task from being started until Unhold.
+func (c *Cell) Hold(id TaskID) error { return c.holdOrNot(id, true) }
+
+// Unhold allows a held task to be started again.
+func (c *Cell) Unhold(id TaskID) error { return c.holdOrNot(id, false) }
+
+func (c *Cell) holdOrNot(id TaskID, held bool) error {
+	ref, err := c.lookup(id)
+	if err != nil {
+		return err
+	}
+	if ref.task().state == taskQueued {
+		c.setHeld(ref, held)
+	}
+	return nil
+}
+
+func (c *Cell) setHeld(ref taskRef, held bool) {
+	j, t := ref.job, ref.task()
+	if (t.flags&flagHeld != 0) == held {
+		return
+	}
+	t.flags ^= flagHeld
+	if held {
+		j.held++
+		return
+	}
+	j.held--
+	j.hint = min(j.hint, ref.slot)
+}
+
+// Ended records the end of an attempt. Ends of other attempts than the current one change nothing.
+func (c *Cell) Ended(id TaskID, attempt int32, outcome Outcome, now Time) error {
+	ref, err := c.lookup(id)
+	if err != nil {
+		return err
+	}
+	c.advance(now)
+	t := ref.task()
+	if t.state != taskRunning || attempt != t.attempt {
+		return nil
+	}
+	c.learnEnd(ref, outcome)
+	c.unplace(ref)
+	c.settle(ref, outcome)
+	return nil
+}
+
+// Resolve records the outcome of a task that is not running here, as replayed from the log.
+func (c *Cell) Resolve(id TaskID, outcome Outcome) error {
+	ref, err := c.lookup(id)
+	if err != nil {
+		return err
+	}
+	if ref.task().state == taskDone {
+		return nil
+	}
+	c.revive(ref)
+	if ref.task().state == taskRunning {
+		c.unplace(ref)
+	}
+	c.settle(ref, outcome)
+	return nil
+}
+
+// StartFailed returns a task that was not started to the queue. The next start prefers another worker.
+func (c *Cell) StartFailed(id TaskID, attempt int32, now Time) error {
+	ref, err := c.lookup(id)
+	if err != nil {
+		return err
+	}
+	c.advance(now)
+	t := ref.task()
+	if t.state != taskRunning || attempt != t.attempt {
+		return nil
+	}
+	t.avoid = t.worker
+	c.unplace(ref)
+	c.requeue(ref)
+	return nil
+}
+
+// settle decides what becomes of a waiting task after an attempt.
+func (c *Cell) settle(ref taskRef, outcome Outcome) {
+	j, t := ref.job, ref.task()
+	if outcome == Failed {
+		t.failures++
+	}
+	switch {
+	case outcome == Succeeded:
+		c.finish(ref, &j.counts.Succeeded)
+	case outcome == Unknown:
+		c.finish(ref, &j.counts.Unknown)
+	case j.cancelled || outcome == Cancelled:
+		c.finish(ref, &j.counts.Cancelled)
+	case outcome == Failed && (j.AtMostOnce || int32(t.failures) >= j.MaxAttempts):
+		c.finish(ref, &j.counts.Failed)
+	case j.AtMostOnce:
+		// A task that was stopped or lost may have run in part, and must not run again.
+		c.finish(ref, &j.counts.Unknown)
+	default:
+		c.requeue(ref)
+	}
+}
+
+func (c *Cell) finish(ref taskRef, count *int) {
+	c.setHeld(ref, false)
+	ref.task().state = taskDone
+	c.waitMore(ref.job, -1)
+	*count++
+}
+
+// requeue makes a task that no longer runs wait again, or drops it if another shard holds it or its job is cancelled.
+func (c *Cell) requeue(ref taskRef) {
+	j, t := ref.job, ref.task()
+	switch {
+	case j.cancelled:
+		c.finish(ref, &j.counts.Cancelled)
+	case t.flags&flagLeaving != 0:
+		t.flags &^= flagLeaving
+		t.state = taskRemoved
+		c.waitMore(j, -1)
+	default:
+		c.enqueue(j)
+	}
+}
+
+// nextQueued returns the first task of a job that may be started.
+func (j *job) nextQueued() (int32, bool) {
+	for ; int(j.hint) < len(j.tasks); j.hint++ {
+		t := &j.tasks[j.hint]
+		if t.state == taskQueued && t.flags&flagHeld == 0 {
+			return j.hint, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/scheduler/team.go
@@ -0,0 +1,104 @@
+package scheduler
+
+import (
+	"sort"
+
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler/policy/order"
+)
+
+// team is a team with its usage and its queue.
+type team struct {
+	Team
+	known     bool
+	running   resource.Vector
+	elsewhere resource.Vector
+	waiting   resource.Vector // declared room of queued tasks that are not parked
+	stopping  resource.Vector // part of running that is being stopped
+	reclaimed resource.Vector // room being freed for this team
+	share     float64         // weighted
+	owed      float64
+	lanes     [lanes]lane
+	candidate *job
+	lane      int
+	exhausted bool // no candidate is left in this pass
+}
+
+// SetTeam adds or changes a team.
+func (c *Cell) SetTeam(t Team) {
+	state := c.team(t.Name)
+	if state.known && state.Team == t {
+		return
+	}
+	state.Team = t
+	state.known = true
+	c.topology++
+	c.capacity++
+}
+
+// SetElsewhere records what a team has running in other shards.
+func (c *Cell) SetElsewhere(name string, used resource.Vector) {
+	c.team(name).elsewhere = used
+}
+
+// SetFleetRoom records the room of the whole fleet, over which shares are computed.
+func (c *Cell) SetFleetRoom(room resource.Vector) { c.fleet = room }
+
+// TeamRunning returns what a team has running or starting in this cell.
+func (c *Cell) TeamRunning(name string) resource.Vector {
+	if state, ok := c.teams[name]; ok {
+		return state.running
+	}
+	return resource.Vector{}
+}
+
+// Owed returns the part of the fleet that a team is owed, as of the last pass, and the part that it has.
+func (c *Cell) Owed(name string) (owed, has float64) {
+	state, ok := c.teams[name]
+	if !ok {
+		return 0, 0
+	}
+	return state.owed, state.running.Add(state.elsewhere).DominantShare(c.fleetRoom())
+}
+
+func (c *Cell) team(name string) *team {
+	if state, ok := c.teams[name]; ok {
+		return state
+	}
+	state := &team{Team: Team{Name: name, Share: 1}}
+	c.teams[name] = state
+	at := sort.Search(len(c.teamList), func(i int) bool { return c.teamList[i].Name > name })
+	c.teamList = append(c.teamList, nil)
+	copy(c.teamList[at+1:], c.teamList[at:])
+	c.teamList[at] = state
+	return state
+}
+
+// refreshShare recomputes the weighted share of a team.
+func (c *Cell) refreshShare(t *team) {
+	t.share = c.options.Policies.Order.Share(t.running.Add(t.elsewhere), c.fleetRoom(), t.Share)
+}
+
+// refreshOwed splits the fleet over the teams that have or want something.
+func (c *Cell) refreshOwed() {
+	fleet := c.fleetRoom()
+	demands := make([]order.Demand, len(c.teamList))
+	owed := make([]float64, len(c.teamList))
+	for i, t := range c.teamList {
+		wanted := t.running.Add(t.waiting)
+		if t.known {
+			wanted = wanted.Min(t.Limit.Max(t.running))
+		}
+		demands[i] = order.Demand{Weight: t.Share, Wanted: wanted.Add(t.elsewhere).DominantShare(fleet)}
+	}
+	c.options.Policies.Order.Owed(demands, owed)
+	for i, t := range c.teamList {
+		t.owed = owed[i]
+		c.refreshShare(t)
+	}
+}
+
+// dominantWith returns the part of the fleet that a team has when extra is added.
+func (c *Cell) dominantWith(t *team, extra resource.Vector) float64 {
+	return t.running.Add(t.elsewhere).Add(extra).DominantShare(c.fleetRoom())
+}
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -56,6 +56,8 @@
 	SameRack      bool
 	MaxAttempts   int32
 	UpdateVersion int64
+	// FirstAttempt is the highest attempt that earlier holders of the tasks have used.
+	FirstAttempt int32
 }
 
 // Worker is a VM that runs tasks.
@@ -143,6 +145,8 @@
 	WaitOverCeiling WaitReason = "larger_than_ceiling"
 	WaitHeld        WaitReason = "previous_run_not_ended"
 	WaitUnknownTeam WaitReason = "unknown_team"
+	WaitStarting    WaitReason = "next_pass"
+	WaitReturning   WaitReason = "zone_returning"
 )
 
 // Waiting explains why a job's tasks wait and what would have to change.
--- /dev/null
+++ b/scheduler/worker.go
@@ -0,0 +1,177 @@
+package scheduler
+
+import "siskinstack.example/siskinstack/resource"
+
+// worker is a VM that runs tasks. A removed worker stays until its last task has ended.
+type worker struct {
+	Worker
+	id      int32
+	rack    int32
+	present bool
+	used    resource.Vector
+	tasks   []taskRef
+	// reserved is the gang job that the worker is kept for.
+	reserved *job
+	health   health
+}
+
+// taskRef names a task by its place in its job.
+type taskRef struct {
+	job  *job
+	slot int32
+}
+
+func (r taskRef) task() *task { return &r.job.tasks[r.slot] }
+
+// room returns the room that a running task takes.
+func (r taskRef) room() resource.Vector { return r.job.rooms[r.task().room] }
+
+// SetWorker adds or changes a worker.
+func (c *Cell) SetWorker(w Worker) {
+	id, ok := c.workerIDs[w.Name]
+	if !ok {
+		id = c.newWorker(w)
+	}
+	state := c.workers[id]
+	if state.present && state.Worker == w {
+		return
+	}
+	if state.present {
+		c.withdrawRoom(state)
+	}
+	c.setRack(state, w.Rack)
+	if w.Leaving {
+		c.dropReservation(state.reserved)
+	}
+	state.Worker = w
+	state.present = true
+	c.total = c.total.Add(w.Room)
+	c.used = c.used.Add(state.used)
+	if !w.Leaving {
+		c.roomKinds[w.Room]++
+	}
+	c.topology++
+	c.capacity++
+	c.rescale(w.Room)
+	c.reindex(state)
+}
+
+func (c *Cell) newWorker(w Worker) int32 {
+	id := int32(len(c.workers))
+	if n := len(c.freeIDs); n > 0 {
+		id = c.freeIDs[n-1]
+		c.freeIDs = c.freeIDs[:n-1]
+	} else {
+		c.workers = append(c.workers, nil)
+		c.index.grow(len(c.workers))
+	}
+	c.workers[id] = &worker{Worker: Worker{Name: w.Name, Rack: w.Rack}, id: id, rack: -1}
+	c.workerIDs[w.Name] = id
+	return id
+}
+
+func (c *Cell) setRack(w *worker, name string) {
+	id, ok := c.rackIDs[name]
+	if !ok {
+		id = int32(len(c.racks))
+		c.rackIDs[name] = id
+		c.racks = append(c.racks, nil)
+	}
+	if w.rack == id {
+		return
+	}
+	c.leaveRack(w)
+	w.rack = id
+	c.racks[id] = append(c.racks[id], w.id)
+}
+
+func (c *Cell) leaveRack(w *worker) {
+	if w.rack < 0 {
+		return
+	}
+	members := c.racks[w.rack]
+	for i, id := range members {
+		if id == w.id {
+			c.racks[w.rack] = append(members[:i], members[i+1:]...)
+			break
+		}
+	}
+	w.rack = -1
+}
+
+// withdrawRoom takes the room of a worker out of the totals.
+func (c *Cell) withdrawRoom(w *worker) {
+	c.total = c.total.Sub(w.Room)
+	c.used = c.used.Sub(w.used)
+	if w.Leaving {
+		return
+	}
+	c.roomKinds[w.Room]--
+	if c.roomKinds[w.Room] == 0 {
+		delete(c.roomKinds, w.Room)
+	}
+}
+
+// rescale adapts the index to a larger worker than any before.
+func (c *Cell) rescale(room resource.Vector) {
+	scale := c.index.scale.Max(room)
+	if scale == c.index.scale {
+		return
+	}
+	for _, w := range c.workers {
+		if w != nil {
+			c.index.remove(w.id)
+		}
+	}
+	c.index.setScale(scale)
+	for _, w := range c.workers {
+		if w != nil {
+			c.reindex(w)
+		}
+	}
+}
+
+// RemoveWorker forgets a worker. Its running tasks stay until the caller reports them as ended.
+func (c *Cell) RemoveWorker(name string) {
+	id, ok := c.workerIDs[name]
+	if !ok || !c.workers[id].present {
+		return
+	}
+	w := c.workers[id]
+	c.dropReservation(w.reserved)
+	c.withdrawRoom(w)
+	w.present = false
+	c.topology++
+	c.reindex(w)
+	c.releaseID(w)
+}
+
+// releaseID makes the identifier of a removed worker free once no task refers to it.
+func (c *Cell) releaseID(w *worker) {
+	if w.present || len(w.tasks) > 0 {
+		return
+	}
+	c.index.remove(w.id)
+	c.leaveRack(w)
+	c.dropHealth(w)
+	delete(c.workerIDs, w.Name)
+	c.workers[w.id] = nil
+	c.freeIDs = append(c.freeIDs, w.id)
+}
+
+// takesWork reports whether any task may be placed on w, apart from room.
+func (w *worker) takesWork() bool {
+	return w.present && !w.Leaving && !w.health.suspended && !w.health.probing && !w.health.full(len(w.tasks))
+}
+
+// reindex brings the index up to date with the state of a worker.
+func (c *Cell) reindex(w *worker) {
+	free := w.Room.Sub(w.used)
+	old := c.index.free[w.id]
+	wasIn := c.index.bucket[w.id] != notIndexed
+	usable := w.takesWork()
+	c.index.set(w.id, free, usable && w.reserved == nil)
+	if usable && (!wasIn || !free.Fits(old)) {
+		c.capacity++
+	}
+}
