Check the decision core against a naive one

Cause: the new core needs evidence that it keeps the promises.

Change: scheduler/naive, a state machine test that feeds both the same events and has the naive core check each start, and the two faults that it found: a held task lost its mark when it left the shard and came back, and a plan could stop a task that it started.

--- /dev/null
+++ b/scheduler/counterexamples_test.go
@@ -0,0 +1,65 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler"
+)
+
+// newCell returns a cell with one team that may run anything, and with workers of one room, two to a rack.
+func newCell(t *testing.T, workers int, room resource.Vector) *scheduler.Cell {
+	t.Helper()
+	c := scheduler.NewCell()
+	c.SetTeam(scheduler.Team{Name: "atlas", Share: 1, Limit: vector(1<<20, 1<<20, 1<<20)})
+	for i := range workers {
+		c.SetWorker(scheduler.Worker{Name: workerName(i), Rack: workerName(i / 2), Room: room})
+	}
+	return c
+}
+
+func workerName(i int) string { return string(rune('a' + i)) }
+
+func tasks(id string, kind scheduler.Kind, each resource.Vector, count int) scheduler.Job {
+	job := scheduler.Job{ID: id, Team: "atlas", Kind: kind, Urgency: scheduler.Normal, Each: each}
+	for i := range count {
+		job.Indexes = append(job.Indexes, int32(i))
+	}
+	return job
+}
+
+// TestHeldTaskThatLeavesAndReturnsStaysHeld guards against a second run of a task whose earlier run may not have
+// ended: SetIndexes cleared the mark when the index was taken away. Found by TestCoreKeepsPromises.
+func TestHeldTaskThatLeavesAndReturnsStaysHeld(t *testing.T) {
+	c := newCell(t, 1, vector(8, 8, 0))
+	assert.NilError(t, c.Submit(tasks("s", scheduler.Service, vector(1, 1, 0), 1)))
+	assert.NilError(t, c.Hold(scheduler.TaskID{Job: "s"}))
+	_, err := c.SetIndexes("s", nil)
+	assert.NilError(t, err)
+	_, err = c.SetIndexes("s", []int32{0})
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.Plan(time.Second, 10).Starts), 0)
+	assert.NilError(t, c.Unhold(scheduler.TaskID{Job: "s"}))
+	assert.Equal(t, len(c.Plan(time.Second, 10).Starts), 1)
+}
+
+// TestTaskIsNotStoppedInThePlanThatStartsIt guards against a plan that starts a task and stops it at once, before the
+// worker has it. Found by TestCoreKeepsPromises.
+func TestTaskIsNotStoppedInThePlanThatStartsIt(t *testing.T) {
+	c := newCell(t, 1, vector(16, 16, 0))
+	assert.NilError(t, c.Submit(tasks("old", scheduler.Batch, vector(8, 8, 0), 1)))
+	assert.Equal(t, len(c.Plan(time.Second, 100).Starts), 1)
+	urgent := tasks("urgent", scheduler.Batch, vector(12, 12, 0), 1)
+	urgent.Urgency = scheduler.Urgent
+	assert.NilError(t, c.Submit(urgent))
+	assert.NilError(t, c.Submit(tasks("new", scheduler.Batch, vector(8, 8, 0), 1)))
+	plan := c.Plan(time.Minute, 100)
+	assert.Equal(t, len(plan.Starts), 1)
+	for _, stop := range plan.Stops {
+		assert.Assert(t, stop.Task != plan.Starts[0].Task)
+	}
+	assert.Assert(t, len(c.Plan(2*time.Minute, 100).Stops) > 0)
+}
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -62,7 +62,7 @@
 		return WaitStarting
 	}
 	if j.Kind != Gang {
-		if id, _ := c.findBest(j.shape, -1); id >= 0 {
+		if id, _ := c.findBest(j.shape, j.team, -1); id >= 0 {
 			return WaitStarting
 		}
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -246,10 +246,12 @@
 			t.state = taskQueued
 			c.waitMore(j, 1)
 			j.hint = min(j.hint, ref.slot)
+			j.held += t.heldCount()
 		case keep && t.flags&flagLeaving != 0:
 			t.flags &^= flagLeaving
 		case !keep && t.state == taskQueued:
-			c.setHeld(ref, false)
+			// A held task stays held if it comes back: its earlier run may not have ended by then.
+			j.held -= t.heldCount()
 			t.state = taskRemoved
 			c.waitMore(j, -1)
 		case !keep && t.state == taskRunning:
--- /dev/null
+++ b/scheduler/naive/cell.go
@@ -0,0 +1,250 @@
+// Package naive is an obviously correct decision core: one lock, full scans, best fit. Tests compare the fast core
+// with it, and feed it the decisions of the fast core to have them checked by separate accounting.
+package naive
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler"
+)
+
+// ErrBroken is returned when a decision breaks a promise.
+var ErrBroken = eris.New("decision breaks a promise")
+
+// Cell is the state of one shard.
+type Cell struct {
+	mu       sync.Mutex // guards all fields below
+	workers  []*worker
+	teams    []*team
+	jobs     []*job
+	draining bool
+}
+
+type worker struct {
+	scheduler.Worker
+	used resource.Vector
+}
+
+type team struct {
+	scheduler.Team
+	running resource.Vector
+}
+
+type job struct {
+	scheduler.Job
+	tasks     []*task
+	cancelled bool
+	peak      resource.Vector
+}
+
+type task struct {
+	index   int32
+	attempt int32
+	worker  *worker
+	room    resource.Vector
+	held    bool
+	done    bool
+}
+
+// New returns an empty cell.
+func New() *Cell { return &Cell{} }
+
+// SetWorker adds or changes a worker.
+func (c *Cell) SetWorker(w scheduler.Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, known := range c.workers {
+		if known.Name == w.Name {
+			known.Worker = w
+			return
+		}
+	}
+	c.workers = append(c.workers, &worker{Worker: w})
+}
+
+// RemoveWorker takes a worker out of use. Tasks on it run until they are reported as ended.
+func (c *Cell) RemoveWorker(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		if w.Name == name {
+			w.Leaving = true
+		}
+	}
+}
+
+// SetTeam adds or changes a team.
+func (c *Cell) SetTeam(t scheduler.Team) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.team(t.Name); known != nil {
+		known.Team = t
+		return
+	}
+	c.teams = append(c.teams, &team{Team: t})
+}
+
+func (c *Cell) team(name string) *team {
+	for _, t := range c.teams {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// SetDraining starts or ends the drain of the zone.
+func (c *Cell) SetDraining(draining bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = draining
+}
+
+// Submit adds a job.
+func (c *Cell) Submit(spec scheduler.Job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := &job{Job: spec}
+	for _, index := range spec.Indexes {
+		j.tasks = append(j.tasks, &task{index: index})
+	}
+	for _, known := range c.jobs {
+		if known.Queue == j.Queue && known.Team == j.Team {
+			j.peak = known.peak
+		}
+	}
+	c.jobs = append(c.jobs, j)
+	sort.SliceStable(c.jobs, func(a, b int) bool { return before(c.jobs[a], c.jobs[b]) })
+}
+
+func before(a, b *job) bool {
+	if a.Urgency != b.Urgency {
+		return a.Urgency < b.Urgency
+	}
+	return a.Accepted < b.Accepted
+}
+
+func (c *Cell) job(id string) *job {
+	for _, j := range c.jobs {
+		if j.ID == id {
+			return j
+		}
+	}
+	return nil
+}
+
+// Cancel ends a job. Its running tasks run until they are reported as ended.
+func (c *Cell) Cancel(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if j := c.job(id); j != nil {
+		j.cancelled = true
+	}
+}
+
+// Hold keeps a task from being started, or lets it be started again.
+func (c *Cell) Hold(id scheduler.TaskID, held bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.find(id); t != nil {
+		t.held = held
+	}
+}
+
+func (c *Cell) find(id scheduler.TaskID) *task {
+	j := c.job(id.Job)
+	if j == nil {
+		return nil
+	}
+	for _, t := range j.tasks {
+		if t.index == id.Index {
+			return t
+		}
+	}
+	return nil
+}
+
+// Usage records the measured usage of a task.
+func (c *Cell) Usage(id scheduler.TaskID, used resource.Vector) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	of := c.job(id.Job)
+	if of == nil {
+		return
+	}
+	for _, j := range c.jobs {
+		if j.Queue == of.Queue && j.Team == of.Team {
+			j.peak = j.peak.Max(used)
+		}
+	}
+}
+
+// Ended takes a task off its worker; it waits again unless done is set.
+func (c *Cell) Ended(id scheduler.TaskID, attempt int32, done bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.find(id)
+	if t == nil || t.worker == nil || t.attempt != attempt {
+		return
+	}
+	t.worker.used = t.worker.used.Sub(t.room)
+	if owner := c.team(c.job(id.Job).Team); owner != nil {
+		owner.running = owner.running.Sub(t.room)
+	}
+	t.worker = nil
+	t.done = done
+}
+
+// Apply carries a start of another core out, or says which promise it breaks.
+func (c *Cell) Apply(start scheduler.Start) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j, t, owner := c.job(start.Task.Job), c.find(start.Task), c.team(start.Team)
+	var w *worker
+	for _, known := range c.workers {
+		if known.Name == start.Worker {
+			w = known
+		}
+	}
+	switch {
+	case t == nil || w == nil || owner == nil || owner.Name != j.Team:
+		return eris.Wrapf(ErrBroken, "%v: unknown task, worker or team", start)
+	case t.worker != nil:
+		return eris.Wrapf(ErrBroken, "%v: runs already", start)
+	case t.done || t.held || j.cancelled:
+		return eris.Wrapf(ErrBroken, "%v: done, held or cancelled", start)
+	case start.Attempt <= t.attempt:
+		return eris.Wrapf(ErrBroken, "%v: attempt was used before", start)
+	case c.draining || w.Leaving:
+		return eris.Wrapf(ErrBroken, "%v: zone or worker leaves", start)
+	case !j.Each.Fits(start.Room):
+		return eris.Wrapf(ErrBroken, "%v: less room than declared", start)
+	case !w.used.Add(start.Room).Fits(w.Room):
+		return eris.Wrapf(ErrBroken, "%v: worker over its room", start)
+	case !owner.running.Add(start.Room).Fits(owner.Limit):
+		return eris.Wrapf(ErrBroken, "%v: team over its limit", start)
+	}
+	t.attempt = start.Attempt
+	place(t, w, owner, start.Room)
+	return nil
+}
+
+func place(t *task, w *worker, owner *team, room resource.Vector) {
+	t.worker, t.room = w, room
+	w.used = w.used.Add(room)
+	owner.running = owner.running.Add(room)
+}
+
+// Running returns the room that a team has running.
+func (c *Cell) Running(name string) resource.Vector {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.team(name); t != nil {
+		return t.running
+	}
+	return resource.Vector{}
+}
--- /dev/null
+++ b/scheduler/naive/plan.go
@@ -0,0 +1,191 @@
+package naive
+
+import (
+	"sort"
+
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler"
+)
+
+// learnedMargin covers the rounding of learned sizes in the fast core: one eighth.
+const learnedMargin = 8
+
+// Plan starts tasks by full scans: the team with the lowest weighted dominant share first, its jobs in order, each task
+// on the worker that it fits best. Workers for which excluded returns true are left out; excluded may be nil.
+func (c *Cell) Plan(maxStarts int, excluded func(worker string) bool) []scheduler.Start {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var starts []scheduler.Start
+	if c.draining {
+		return nil
+	}
+	for len(starts) < maxStarts {
+		next := c.next(excluded)
+		if next == nil {
+			return starts
+		}
+		starts = append(starts, next...)
+	}
+	return starts
+}
+
+// next starts the next task, or all tasks of a gang job.
+func (c *Cell) next(excluded func(string) bool) []scheduler.Start {
+	for _, owner := range c.teamsInOrder() {
+		for _, j := range c.jobs {
+			if j.Team != owner.Name || j.cancelled {
+				continue
+			}
+			if starts := c.startJob(j, owner, excluded); starts != nil {
+				return starts
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cell) teamsInOrder() []*team {
+	var total resource.Vector
+	for _, w := range c.workers {
+		total = total.Add(w.Room)
+	}
+	ordered := append([]*team(nil), c.teams...)
+	sort.SliceStable(ordered, func(a, b int) bool {
+		return ordered[a].running.DominantShare(total)/float64(ordered[a].Share) <
+			ordered[b].running.DominantShare(total)/float64(ordered[b].Share)
+	})
+	return ordered
+}
+
+func (c *Cell) startJob(j *job, owner *team, excluded func(string) bool) []scheduler.Start {
+	waiting := j.waiting()
+	if j.Kind != scheduler.Gang {
+		if waiting == nil {
+			return nil
+		}
+		if start, ok := c.startTask(j, waiting[0], owner, excluded, ""); ok {
+			return []scheduler.Start{start}
+		}
+		return nil
+	}
+	for _, t := range j.tasks {
+		if t.held && !t.done && t.worker == nil {
+			return nil
+		}
+	}
+	if !j.SameRack {
+		return c.startGang(j, waiting, owner, excluded, "")
+	}
+	for _, rack := range c.racks() {
+		if starts := c.startGang(j, waiting, owner, excluded, rack); starts != nil {
+			return starts
+		}
+	}
+	return nil
+}
+
+func (j *job) waiting() []*task {
+	var waiting []*task
+	for _, t := range j.tasks {
+		if !t.done && !t.held && t.worker == nil {
+			waiting = append(waiting, t)
+		}
+	}
+	return waiting
+}
+
+func (c *Cell) racks() []string {
+	seen := map[string]bool{}
+	var names []string
+	for _, w := range c.workers {
+		if !seen[w.Rack] {
+			seen[w.Rack] = true
+			names = append(names, w.Rack)
+		}
+	}
+	return names
+}
+
+// startGang starts all tasks or none.
+func (c *Cell) startGang(j *job, waiting []*task, owner *team, excluded func(string) bool, rack string) []scheduler.Start {
+	var starts []scheduler.Start
+	for _, t := range waiting {
+		if t.worker == nil && rack != "" && j.runsOutside(rack) {
+			return nil
+		}
+		start, ok := c.startTask(j, t, owner, excluded, rack)
+		if !ok {
+			c.undo(waiting[:len(starts)], owner)
+			return nil
+		}
+		starts = append(starts, start)
+	}
+	return starts
+}
+
+func (j *job) runsOutside(rack string) bool {
+	for _, t := range j.tasks {
+		if t.worker != nil && t.worker.Rack != rack {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Cell) undo(tasks []*task, owner *team) {
+	for _, t := range tasks {
+		t.attempt--
+		t.worker.used = t.worker.used.Sub(t.room)
+		owner.running = owner.running.Sub(t.room)
+		t.worker = nil
+	}
+}
+
+// startTask starts a task on the worker that it fits best.
+func (c *Cell) startTask(j *job, t *task, owner *team, excluded func(string) bool, rack string) (scheduler.Start, bool) {
+	var best *worker
+	var bestRoom resource.Vector
+	bestLeft := 0.0
+	for _, w := range c.workers {
+		if w.Leaving || (rack != "" && w.Rack != rack) || (excluded != nil && excluded(w.Name)) {
+			continue
+		}
+		room := j.Each.Max(j.learned().Min(w.Room))
+		free := w.Room.Sub(w.used)
+		if !room.Fits(free) || !owner.running.Add(room).Fits(owner.Limit) {
+			continue
+		}
+		left := leftOver(free.Sub(room), w.Room)
+		if best == nil || left < bestLeft {
+			best, bestRoom, bestLeft = w, room, left
+		}
+	}
+	if best == nil {
+		return scheduler.Start{}, false
+	}
+	t.attempt++
+	place(t, best, owner, bestRoom)
+	return scheduler.Start{
+		Task: scheduler.TaskID{Job: j.ID, Index: t.index}, Attempt: t.attempt, Worker: best.Name, Room: bestRoom, Team: j.Team,
+	}, true
+}
+
+func leftOver(free, room resource.Vector) float64 {
+	sum := 0.0
+	for _, pair := range [...][2]int64{
+		{free.MilliCPU, room.MilliCPU}, {free.MemoryBytes, room.MemoryBytes}, {free.Accelerators, room.Accelerators},
+	} {
+		if pair[1] > 0 {
+			sum += float64(pair[0]) / float64(pair[1])
+		}
+	}
+	return sum
+}
+
+func (j *job) learned() resource.Vector {
+	return resource.Vector{
+		MilliCPU:     j.peak.MilliCPU + j.peak.MilliCPU/learnedMargin,
+		MemoryBytes:  j.peak.MemoryBytes + j.peak.MemoryBytes/learnedMargin,
+		Accelerators: j.peak.Accelerators,
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -28,9 +28,9 @@
 		return w, c.needOn(j, w)
 	}
 	avoid := j.tasks[slot].avoid - 1
-	id, need := c.findBest(s, avoid)
+	id, need := c.findBest(s, j.team, avoid)
 	if id < 0 && avoid >= 0 {
-		id, need = c.findBest(s, -1)
+		id, need = c.findBest(s, j.team, -1)
 	}
 	if id < 0 {
 		return c.pickBackfill(j)
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "siskinstack.example/siskinstack/resource"
+
 // Plan decides what to start and stop now, at most maxStarts starts; a gang job that would exceed maxStarts is started
 // as a whole. The room of the starts is reserved: the caller checks each with Recheck before it carries it out, and
 // reports StartFailed for those that it did not carry out.
@@ -67,6 +69,24 @@
 	return best
 }
 
+// permits reports whether a team may run need more.
+func (c *Cell) permits(t *team, need resource.Vector) bool {
+	return c.options.Policies.Permit.Permit(t.running, need, t.Limit)
+}
+
+// startSmaller starts a task on a worker so small that its accounted room stays within the team's limit.
+func (c *Cell) startSmaller(j *job, slot int32, plan *Plan) bool {
+	if j.shape.need == j.shape.declared || !c.permits(j.team, j.shape.declared) {
+		return false
+	}
+	id, need := c.findSmaller(j.shape, j.team, -1)
+	if id < 0 {
+		return false
+	}
+	plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, c.workers[id], need))
+	return true
+}
+
 // tryCandidate starts one task of a team's candidate, or the whole of it if it is a gang job.
 func (c *Cell) tryCandidate(t *team, plan *Plan) bool {
 	j := t.candidate
@@ -75,9 +95,12 @@
 		return c.tryGang(j, plan)
 	}
 	slot, ok := j.nextQueued()
-	if !ok || !c.options.Policies.Permit.Permit(t.running, j.shape.need, t.Limit) {
+	if !ok {
 		return false
 	}
+	if !c.permits(t, j.shape.need) {
+		return c.startSmaller(j, slot, plan)
+	}
 	w, need := c.pick(j, slot)
 	if w == nil {
 		j.shape.blockedAt = c.capacity
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "siskinstack.example/siskinstack/resource"
+import (
+	"time"
+
+	"siskinstack.example/siskinstack/resource"
+)
 
 const (
 	// reclaimsPerPass bounds the stops for other work in one pass.
@@ -9,6 +13,9 @@
 	reclaimWindow = 1024
 	// claimantsPerTeam is the number of waiting jobs per team for which room is sought in one pass.
 	claimantsPerTeam = 4
+	// minVictimRun is how long a task runs before it may give way. A task of the same plan would be stopped before it
+	// has started.
+	minVictimRun = 500 * time.Millisecond
 )
 
 // claimant is a waiting job that may take room from running work.
@@ -228,7 +235,8 @@
 
 // canYield reports whether a running task may be stopped for other work at all.
 func (c *Cell) canYield(ref taskRef) bool {
-	return ref.job.Kind != Service && !ref.job.AtMostOnce && ref.task().flags&flagStopping == 0
+	t := ref.task()
+	return ref.job.Kind != Service && !ref.job.AtMostOnce && t.flags&flagStopping == 0 && c.now-t.started >= minVictimRun
 }
 
 // mayTake reports whether a running task may give way to the claimant.
--- a/scheduler/search.go
+++ b/scheduler/search.go
@@ -85,7 +85,7 @@
 }
 
 // findBest returns the worker with the best score for a shape and the room that the task takes there, or -1.
-func (c *Cell) findBest(s *shape, avoid int32) (int32, resource.Vector) {
+func (c *Cell) findBest(s *shape, t *team, avoid int32) (int32, resource.Vector) {
 	if !c.failed.cover(c.capacity, s.need) {
 		if id := c.index.find(c.options.Policies.Score, s.need, avoid); id >= 0 {
 			return id, s.need
@@ -94,11 +94,11 @@
 			c.failed.add(s.need)
 		}
 	}
-	return c.findSmaller(s, avoid)
+	return c.findSmaller(s, t, avoid)
 }
 
 // findSmaller looks at workers with less room than the learned size, on which the task is accounted at less.
-func (c *Cell) findSmaller(s *shape, avoid int32) (int32, resource.Vector) {
+func (c *Cell) findSmaller(s *shape, t *team, avoid int32) (int32, resource.Vector) {
 	if s.need == s.declared || c.failed.cover(c.capacity, s.declared) {
 		return -1, resource.Vector{}
 	}
@@ -108,7 +108,7 @@
 			continue
 		}
 		need := c.options.Policies.Filter.Need(s.declared, s.learned, w.Room)
-		if need == s.need || !need.Fits(c.index.free[w.id]) {
+		if need == s.need || !need.Fits(c.index.free[w.id]) || !c.permits(t, need) {
 			continue
 		}
 		score := c.options.Policies.Score.Score(c.index.free[w.id], need, c.index.scale)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -41,6 +41,14 @@
 	flags    uint8
 }
 
+// heldCount returns 1 for a held task.
+func (t *task) heldCount() int {
+	if t.flags&flagHeld != 0 {
+		return 1
+	}
+	return 0
+}
+
 // place records that a task runs on a worker, in the given room.
 func (c *Cell) place(ref taskRef, w *worker, room resource.Vector) {
 	j, t := ref.job, ref.task()
