--- a/owner/owner.go
+++ b/owner/owner.go
@@ -150,6 +150,7 @@
 		heldBack: map[scheduler.TaskID]time.Time{},
 		origin:   options.Clock.Now(),
 	}
+	o.cell = scheduler.NewCell(scheduler.WithMaxQueued(o.maxQueued()))
 	log, err := shardlog.Open(ctx, shardlog.Options{
 		Store: options.Store, Clock: options.Clock, Shard: o.shard, Writer: options.Writer,
 		Owner: options.VM, Epoch: options.Right.Epoch, Apply: o.apply,
@@ -271,10 +272,9 @@
 
 func (o *Owner) refreshTeams() {
 	o.cell.SetFleetRoom(o.options.Fleet.Room())
-	queued := o.cell.QueuedByTeam()
 	for _, team := range o.options.Config.Teams() {
 		name := team.GetName()
-		o.options.Limits.SetDemand(o.shard, name, o.cell.TeamRunning(name), queued[name])
+		o.options.Limits.SetDemand(o.shard, name, o.cell.TeamRunning(name), o.cell.TeamWaiting(name))
 		o.cell.SetTeam(scheduler.Team{Name: name, Share: team.GetShare(), Limit: o.options.Limits.Limit(o.shard, name)})
 		o.cell.SetElsewhere(name, o.options.Fleet.UsedElsewhere(o.shard, name))
 	}
@@ -290,11 +290,10 @@
 		QueuedTasks: int64(o.cell.Queued()), RunningTasks: int64(len(o.placed)),
 		Draining: o.options.Config.Draining(o.options.Zone),
 	}
-	queued := o.cell.QueuedByTeam()
 	var usage []*siskinv1.TeamUsage
 	for _, team := range o.options.Config.Teams() {
 		running := o.cell.TeamRunning(team.GetName())
-		waiting := queued[team.GetName()]
+		waiting := o.cell.TeamWaiting(team.GetName())
 		if running.IsZero() && waiting.IsZero() {
 			continue
 		}
--- a/owner/parts.go
+++ b/owner/parts.go
@@ -262,8 +262,9 @@
 	waiting, _ := o.cell.Explain(id)
 	report := &siskinv1.ReportPartRequest{
 		Job: id, Holder: o.shard, Running: int32(counts.Running), Queued: int32(counts.Queued),
-		WaitingReason: string(waiting.Reason), WaitingRemedy: waiting.Remedy, ReadyByAtRisk: o.cell.AtRisk(id, o.now()),
+		WaitingReason: string(waiting.Reason), WaitingRemedy: waiting.Remedy,
 	}
+	report.ReadyByAtRisk, _ = o.cell.AtRisk(id)
 	for index, state := range j.ended {
 		if r.reported[index] {
 			continue
--- a/owner/recovery.go
+++ b/owner/recovery.go
@@ -47,7 +47,7 @@
 func (o *Owner) adopt(worker string, task platform.TaskReport) bool {
 	id := taskID(task.Task)
 	j := o.state.jobs[id.Job]
-	if o.recovery == nil || j == nil || j.cancelled || !j.held.contains(id.Index) || o.placed[id] != nil {
+	if o.recovery == nil || j == nil || !j.held.contains(id.Index) || o.placed[id] != nil {
 		return false
 	}
 	if _, ended := j.ended[id.Index]; ended {
--- a/owner/report.go
+++ b/owner/report.go
@@ -71,7 +71,7 @@
 	if p.settled.IsZero() {
 		p.settled = o.options.Clock.Now()
 	}
-	o.cell.Usage(taskID(task.Task), task.Used)
+	o.cell.Usage(taskID(task.Task), task.Task.Attempt, task.Used)
 }
 
 // attemptEnded takes the end of the current attempt into the decision core. The caller holds mu.
--- a/owner/state.go
+++ b/owner/state.go
@@ -251,7 +251,8 @@
 // submitToCore hands a job with its open tasks to the decision core. The caller holds mu.
 func (o *Owner) submitToCore(id string) {
 	j := o.state.jobs[id]
-	if err := o.cell.Submit(o.coreJob(j)); err != nil {
+	// The job is durable, so the bound of the queue was checked before.
+	if err := o.cell.Restore(o.coreJob(j)); err != nil {
 		return
 	}
 	if j.cancelled {
--- a/owner/work.go
+++ b/owner/work.go
@@ -108,18 +108,21 @@
 	return nil
 }
 
+func (o *Owner) maxQueued() int {
+	if o.options.MaxQueuedTasks > 0 {
+		return int(o.options.MaxQueuedTasks)
+	}
+	return defaultMaxQueuedTasks
+}
+
 // checkRoomToQueue refuses work over the bound of the queue. The caller holds mu.
 func (o *Owner) checkRoomToQueue(spec *siskinv1.WorkSpec) error {
-	limit := o.options.MaxQueuedTasks
-	if limit <= 0 {
-		limit = defaultMaxQueuedTasks
-	}
-	if int64(o.cell.Queued())+int64(spec.GetCount()) <= limit {
-		return nil
+	if err := o.cell.Admit(int(spec.GetCount())); err != nil {
+		refused := refusal.New(refusal.QueueFull, "shard %q: %v", o.shard, err)
+		refused.RetryAfter = retryWhenFull
+		return refused
 	}
-	refused := refusal.New(refusal.QueueFull, "shard %q holds %d queued tasks of at most %d", o.shard, o.cell.Queued(), limit)
-	refused.RetryAfter = retryWhenFull
-	return refused
+	return nil
 }
 
 // refuseAppend turns an error of the log into a refusal that claims "not run" only if nothing is durable.
@@ -159,8 +162,8 @@
 		Queued: int32(counts.Queued), Running: int32(counts.Running),
 		WaitingReason: string(waiting.Reason), WaitingRemedy: waiting.Remedy,
 		CancelRequested: j.cancelled, AcceptedUnixMs: j.accepted.GetAcceptedUnixMs(),
-		ReadyByAtRisk: o.cell.AtRisk(id, o.now()),
 	}
+	status.ReadyByAtRisk, _ = o.cell.AtRisk(id)
 	o.addRemote(status, j)
 	addEnded(status, j, counts)
 	return status, nil
