--- /dev/null
+++ b/configstore/keys.go
@@ -0,0 +1,38 @@
+// Package configstore holds the keys of the operator configuration in the store, and the compare-and-swap write that all
+// changes of it use.
+package configstore
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Prefix starts all keys of the operator configuration.
+const Prefix = "config/"
+
+// BundleCurrent is the key of the signed proposal whose bundle is in force.
+const BundleCurrent = Prefix + "bundle/current"
+
+const (
+	proposalPrefix = Prefix + "bundle/proposal/"
+	teamKeyPrefix  = Prefix + "team-key/"
+	zonePrefix     = Prefix + "zone/"
+)
+
+// Proposal returns the key of the proposal of a version.
+func Proposal(version int64) string { return fmt.Sprintf("%s%d", proposalPrefix, version) }
+
+// TeamKey returns the key of a team key.
+func TeamKey(id string) string { return teamKeyPrefix + id }
+
+// TeamKeys returns the prefix of all team keys.
+func TeamKeys() string { return teamKeyPrefix }
+
+// Zone returns the key of the state of an availability zone.
+func Zone(zone string) string { return zonePrefix + zone }
+
+// TeamKeyID returns the id inside the key of a team key.
+func TeamKeyID(key string) (string, bool) { return strings.CutPrefix(key, teamKeyPrefix) }
+
+// ZoneName returns the zone inside the key of the state of an availability zone.
+func ZoneName(key string) (string, bool) { return strings.CutPrefix(key, zonePrefix) }
