--- /dev/null
+++ b/teamkey/register.go
@@ -0,0 +1,76 @@
+package teamkey
+
+import (
+	"bytes"
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/configstore"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+// Register keeps the keys of teams in the store. All errors are refusals.
+type Register struct {
+	store platform.Store
+	clock clock.Clock
+}
+
+// NewRegister returns a register that keeps its keys in store.
+func NewRegister(store platform.Store, c clock.Clock) *Register {
+	return &Register{store: store, clock: c}
+}
+
+// Issue creates a key. If the outcome of the write is unknown, the key is not returned, so nobody can use it.
+func (r *Register) Issue(ctx context.Context, team, operator string) (Key, *siskinv1.TeamKey, error) {
+	key := newKey()
+	stored := &siskinv1.TeamKey{
+		Id: key.ID, Team: team, SecretSha256: key.hash(), IssuedBy: operator, IssuedUnixMs: r.clock.Now().UnixMilli(),
+	}
+	err := r.write(ctx, stored, 0, func(found *siskinv1.TeamKey) bool {
+		return bytes.Equal(found.GetSecretSha256(), stored.GetSecretSha256())
+	})
+	if err != nil {
+		return Key{}, nil, err
+	}
+	return key, stored, nil
+}
+
+// Withdraw ends a key. Its entry stays as a tombstone, so that the id is never issued again. Withdrawing a key again has
+// no effect and is no error.
+func (r *Register) Withdraw(ctx context.Context, id string) (*siskinv1.TeamKey, error) {
+	if !isHex(id, idBytes) {
+		return nil, refusal.New(refusal.NotFound, "no key has this id")
+	}
+	stored := &siskinv1.TeamKey{}
+	revision, err := configstore.Read(ctx, r.store, configstore.TeamKey(id), stored)
+	switch {
+	case err != nil:
+		return nil, err
+	case revision == 0:
+		return nil, refusal.New(refusal.NotFound, "no key has the id %s", id)
+	case stored.GetWithdrawn():
+		return stored, nil
+	}
+	stored.Withdrawn = true
+	stored.WithdrawnUnixMs = r.clock.Now().UnixMilli()
+	err = r.write(ctx, stored, revision, func(found *siskinv1.TeamKey) bool { return found.GetWithdrawn() })
+	return stored, err
+}
+
+func (r *Register) write(ctx context.Context, key *siskinv1.TeamKey, expected platform.Revision, isOurs func(*siskinv1.TeamKey) bool) error {
+	value, err := configstore.Encode(key)
+	if err != nil {
+		return refusal.New(refusal.InternalError, "%v", err)
+	}
+	return configstore.Apply(ctx, r.store, configstore.Write{
+		Key: configstore.TeamKey(key.GetId()), Value: value, Expected: expected,
+		IsOurs: func(value []byte) bool {
+			found := &siskinv1.TeamKey{}
+			return proto.Unmarshal(value, found) == nil && isOurs(found)
+		},
+	})
+}
