--- /dev/null
+++ b/peer/requests.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+// MaxMessageBytes bounds one message between VMs: a request or an answer of 8 MiB with its fields around it.
+const MaxMessageBytes = 9 << 20
+
+// Requests serves the part of the request path that other VMs use. Refusals are part of the answers.
+type Requests interface {
+	ServeForward(ctx context.Context, request *siskinv1.ForwardRequest) (*siskinv1.ForwardResponse, error)
+	ServeLendSlots(ctx context.Context, request *siskinv1.LendSlotsRequest) (*siskinv1.LendSlotsResponse, error)
+}
+
+// Claims decides on at-most-once requests. A returned refusal.Error comes from the owner of the shard; any other error
+// leaves open whether the call took effect.
+type Claims interface {
+	Claim(ctx context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error)
+	FinishClaim(ctx context.Context, request *siskinv1.FinishClaimRequest) (*siskinv1.FinishClaimResponse, error)
+}
+
+// Forward serves a request that another VM passed on.
+func (s *Server) Forward(ctx context.Context, request *siskinv1.ForwardRequest) (*siskinv1.ForwardResponse, error) {
+	if s.LocalRequests == nil {
+		return s.UnimplementedPeerServiceServer.Forward(ctx, request)
+	}
+	return s.LocalRequests.ServeForward(ctx, request)
+}
+
+// LendSlots lends endpoint slots to a VM of the same zone.
+func (s *Server) LendSlots(ctx context.Context, request *siskinv1.LendSlotsRequest) (*siskinv1.LendSlotsResponse, error) {
+	if s.LocalRequests == nil {
+		return s.UnimplementedPeerServiceServer.LendSlots(ctx, request)
+	}
+	return s.LocalRequests.ServeLendSlots(ctx, request)
+}
+
+// Claim decides on a claim of a shard of this VM.
+func (s *Server) Claim(ctx context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error) {
+	if s.LocalClaims == nil {
+		return s.UnimplementedPeerServiceServer.Claim(ctx, request)
+	}
+	answer, err := s.LocalClaims.Claim(ctx, request)
+	if err != nil {
+		return &siskinv1.ClaimResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
+
+// FinishClaim records the end of a claimed request of a shard of this VM.
+func (s *Server) FinishClaim(ctx context.Context, request *siskinv1.FinishClaimRequest) (*siskinv1.FinishClaimResponse, error) {
+	if s.LocalClaims == nil {
+		return s.UnimplementedPeerServiceServer.FinishClaim(ctx, request)
+	}
+	answer, err := s.LocalClaims.FinishClaim(ctx, request)
+	if err != nil {
+		return &siskinv1.FinishClaimResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
+
+// RequestCalls calls the request path of other VMs.
+type RequestCalls struct {
+	Clients *Clients
+}
+
+// Forward passes a request to another VM.
+func (c *RequestCalls) Forward(ctx context.Context, vm string, request *siskinv1.ForwardRequest) (*siskinv1.ForwardResponse, error) {
+	client, err := c.Clients.Client(vm)
+	if err != nil {
+		return nil, err
+	}
+	return client.Forward(ctx, request, grpc.MaxCallRecvMsgSize(MaxMessageBytes))
+}
+
+// LendSlots asks another VM for slots.
+func (c *RequestCalls) LendSlots(ctx context.Context, vm string, request *siskinv1.LendSlotsRequest) (*siskinv1.LendSlotsResponse, error) {
+	client, err := c.Clients.Client(vm)
+	if err != nil {
+		return nil, err
+	}
+	return client.LendSlots(ctx, request)
+}
+
+// ClaimRouter sends claims to the owner of the shard: to Local on this VM, or to the owner's VM.
+type ClaimRouter struct {
+	VM        string
+	Local     Claims
+	Directory Directory
+	Clients   *Clients
+}
+
+// Claim implements Claims.
+func (r *ClaimRouter) Claim(ctx context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error) {
+	client, local, err := r.owner(request.GetShard())
+	if err != nil {
+		return nil, err
+	}
+	if local {
+		return r.Local.Claim(ctx, request)
+	}
+	answer, err := client.Claim(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return answer, refusedError(answer.GetRefused())
+}
+
+// FinishClaim implements Claims.
+func (r *ClaimRouter) FinishClaim(ctx context.Context, request *siskinv1.FinishClaimRequest) (*siskinv1.FinishClaimResponse, error) {
+	client, local, err := r.owner(request.GetShard())
+	if err != nil {
+		return nil, err
+	}
+	if local {
+		return r.Local.FinishClaim(ctx, request)
+	}
+	answer, err := client.FinishClaim(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return answer, refusedError(answer.GetRefused())
+}
+
+func (r *ClaimRouter) owner(shard string) (siskinv1.PeerServiceClient, bool, error) {
+	works := Router{VM: r.VM, Directory: r.Directory, Clients: r.Clients}
+	return works.owner(shard)
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -21,6 +21,9 @@
 	siskinv1.UnimplementedPeerServiceServer
 	// LocalWork serves the shards of this VM only, so that a call is passed on at most once.
 	LocalWork Work
+	// LocalRequests and LocalClaims serve the request path; nil leaves their calls unimplemented.
+	LocalRequests Requests
+	LocalClaims   Claims
 }
 
 // SubmitWork accepts a job for a shard of this VM.
--- /dev/null
+++ b/router/endpoint.go
@@ -0,0 +1,119 @@
+package router
+
+import (
+	"time"
+
+	"siskinstack.example/siskinstack/platform"
+)
+
+// endpoint is one row of the endpoint table. The lock of its pool guards it.
+type endpoint struct {
+	name    string
+	address string
+	// listLeaving comes from the lagging list, saidLeaving from the endpoint itself.
+	listLeaving bool
+	saidLeaving bool
+	connections int
+	slots       slots
+	health      health
+	// calls holds the start of each call in flight.
+	calls    map[uint64]time.Time
+	nextCall uint64
+	// othersInFlight is the last reported load of the other VMs.
+	othersInFlight int
+}
+
+func (e *endpoint) leaving() bool { return e.listLeaving || e.saidLeaving }
+
+func (e *endpoint) usable(now time.Time) bool { return !e.leaving() && !e.health.ejected(now) }
+
+// room returns how many calls may start now. One connection is left for load questions.
+func (e *endpoint) room(now time.Time) int {
+	if e.leaving() {
+		return 0
+	}
+	free := min(e.slots.free(now), e.connections-1-e.slots.inFlight-e.slots.lingering)
+	return e.health.room(free, e.slots.inFlight, now)
+}
+
+// load is what two choices compare: own calls as of now, those of others as last reported.
+func (e *endpoint) load() int { return e.slots.inFlight + e.slots.lingering + e.othersInFlight }
+
+func (e *endpoint) begin(now time.Time) uint64 {
+	e.nextCall++
+	e.calls[e.nextCall] = now
+	e.slots.inFlight++
+	return e.nextCall
+}
+
+// outcome is what the end of a call says about the endpoint.
+type outcome int
+
+const (
+	outcomeAnswered outcome = iota
+	// outcomeNotRun is a proof that the call did not run, for another reason than the next three.
+	outcomeNotRun
+	outcomeBusy
+	outcomeLeaving
+	outcomeNotSent
+	// outcomeUnknown leaves open whether the call ran or still runs.
+	outcomeUnknown
+	// outcomeCut is an unknown outcome that this side caused, so the endpoint is not to blame.
+	outcomeCut
+)
+
+func (o outcome) mayHaveRun() bool { return o == outcomeUnknown || o == outcomeCut }
+
+func (e *endpoint) end(call uint64, result outcome, now time.Time) {
+	delete(e.calls, call)
+	e.slots.inFlight--
+	if result.mayHaveRun() {
+		e.slots.lingering++
+		e.slots.lingeredAt = now
+	}
+	switch result {
+	case outcomeAnswered:
+		e.health.succeeded(e.slots.allowance)
+	case outcomeBusy:
+		e.health.busy(now)
+	case outcomeLeaving:
+		e.saidLeaving = true
+	case outcomeNotSent, outcomeUnknown:
+		e.health.failed(now)
+	case outcomeNotRun, outcomeCut:
+	}
+}
+
+// settled counts the calls that a load asked for at asked certainly contains.
+func (e *endpoint) settled(asked time.Time) int {
+	n := 0
+	for _, started := range e.calls {
+		if !started.Add(settleTime).After(asked) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *endpoint) observe(o observation) {
+	o.settled = e.settled(o.asked)
+	e.slots.observe(o)
+	e.saidLeaving = o.load.Leaving
+	e.othersInFlight = 0
+	for from, n := range o.load.InFlight {
+		if from != o.from {
+			e.othersInFlight += n
+		}
+	}
+}
+
+// update takes over what the list says. Another address is another endpoint under the same name.
+func (e *endpoint) update(vm platform.VM) {
+	if e.address != vm.Address {
+		e.address = vm.Address
+		e.saidLeaving = false
+		e.health = health{}
+		e.slots.known = false
+	}
+	e.listLeaving = vm.Leaving
+}
--- /dev/null
+++ b/router/lending.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+)
+
+const (
+	// loanPause bounds the questions for slots of one service.
+	loanPause   = 200 * time.Millisecond
+	loanTimeout = 500 * time.Millisecond
+)
+
+// ServeLendSlots answers a VM of the same zone that has requests waiting.
+func (r *Router) ServeLendSlots(_ context.Context, request *siskinv1.LendSlotsRequest) (*siskinv1.LendSlotsResponse, error) {
+	answer := &siskinv1.LendSlotsResponse{}
+	if request.GetVm() == r.options.VM || !slices.Contains(r.zoneVMs, request.GetVm()) {
+		return answer, nil
+	}
+	duration := min(time.Duration(request.GetDurationMs())*time.Millisecond, maxLoan)
+	for _, p := range r.allPools() {
+		if n := p.lend(request.GetEndpoint(), request.GetVm(), int(request.GetSlots()), duration); n > 0 {
+			answer.Slots = int32(n)
+			answer.DurationMs = duration.Milliseconds()
+			r.metrics.lent.Add(float64(n))
+		}
+	}
+	return answer, nil
+}
+
+// lend gives slots away unless own requests wait for them.
+func (p *pool) lend(name, vm string, wanted int, duration time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.find(name)
+	if e == nil || len(p.waiting.items) > 0 || duration <= 2*loanMargin {
+		return 0
+	}
+	return e.slots.lend(vm, wanted, duration, p.clock.Now())
+}
+
+// question is one request for a loan.
+type question struct {
+	endpoint string
+	slots    int
+	asked    time.Time
+}
+
+// wantsLoan returns what to ask for if requests wait and the last question is long enough ago.
+func (p *pool) wantsLoan() (question, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if len(p.waiting.items) == 0 || now.Sub(p.askedLoan) < loanPause {
+		return question{}, false
+	}
+	var usable []string
+	for _, e := range p.endpoints {
+		// An endpoint that returns or is busy gains nothing from more slots.
+		if e.usable(now) && e.slots.mayBorrow() && e.health.limit == 0 && !now.Before(e.health.busyUntil) {
+			usable = append(usable, e.name)
+		}
+	}
+	if len(usable) == 0 {
+		return question{}, false
+	}
+	p.askedLoan = now
+	return question{endpoint: usable[p.random.IntN(len(usable))], slots: len(p.waiting.items), asked: now}, true
+}
+
+func (p *pool) borrow(q question, vm string, answer *siskinv1.LendSlotsResponse) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.find(q.endpoint)
+	if e == nil {
+		return
+	}
+	duration := min(maxLoan, time.Duration(answer.GetDurationMs())*time.Millisecond)
+	e.slots.borrow(vm, int(answer.GetSlots()), duration, q.asked)
+	p.dispatch()
+}
+
+// borrowSlots asks one sibling for slots.
+func (r *Router) borrowSlots(ctx context.Context, p *pool, q question) {
+	sibling := r.randomVM(r.siblings())
+	if sibling == "" || r.options.Peers == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+	defer cancel()
+	answer, err := r.options.Peers.LendSlots(ctx, sibling, &siskinv1.LendSlotsRequest{
+		Vm: r.options.VM, Endpoint: q.endpoint, Slots: int32(q.slots), DurationMs: maxLoan.Milliseconds(),
+	})
+	if err != nil || answer.GetSlots() <= 0 {
+		return
+	}
+	r.metrics.borrowed.Add(float64(answer.GetSlots()))
+	p.borrow(q, sibling, answer)
+}
+
+func (r *Router) siblings() []string {
+	var siblings []string
+	for _, vm := range r.zoneVMs {
+		if vm != r.options.VM && r.alive(vm) {
+			siblings = append(siblings, vm)
+		}
+	}
+	return siblings
+}
--- /dev/null
+++ b/router/pool.go
@@ -0,0 +1,261 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/retrybudget"
+)
+
+// Defaults of a service that sets no limit of its own.
+const (
+	defaultSlots       = 8
+	defaultConnections = 60
+	defaultMaxWaiting  = 256
+)
+
+// pool is the state of one service at this VM: its endpoints of the zone and the requests that wait for a slot.
+type pool struct {
+	service string
+	vm      string
+	// zoneVMs are the configured entry VMs of the zone.
+	zoneVMs []string
+	clock   clock.Clock
+	budget  *retrybudget.Budget
+
+	mu          sync.Mutex // guards all fields below
+	slots       int
+	connections int
+	endpoints   []*endpoint
+	waiting     waiting
+	random      *rand.Rand
+	askedLoan   time.Time
+}
+
+// configure takes over the limits of the service. A changed number of slots applies to endpoints listed afterwards.
+func (p *pool) configure(service *siskinv1.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slots = positiveOr(service.GetSlots(), defaultSlots)
+	p.connections = positiveOr(service.GetConnections(), defaultConnections)
+	p.waiting.limit = positiveOr(service.GetMaxWaiting(), defaultMaxWaiting)
+}
+
+func positiveOr(value int32, otherwise int) int {
+	if value > 0 {
+		return int(value)
+	}
+	return otherwise
+}
+
+// list takes over the endpoints of the zone as the platform lists them.
+func (p *pool) list(vms []platform.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := map[string]*endpoint{}
+	for _, e := range p.endpoints {
+		known[e.name] = e
+	}
+	p.endpoints = p.endpoints[:0]
+	for _, vm := range vms {
+		e, ok := known[vm.Name]
+		if !ok {
+			e = p.newEndpoint(vm)
+		}
+		delete(known, vm.Name)
+		e.update(vm)
+		p.endpoints = append(p.endpoints, e)
+	}
+	for _, e := range known {
+		// The list may miss an endpoint for a while; its calls in flight keep their slots.
+		e.listLeaving = true
+		if e.slots.inFlight+e.slots.lingering > 0 {
+			p.endpoints = append(p.endpoints, e)
+		}
+	}
+	p.dispatch()
+}
+
+func (p *pool) newEndpoint(vm platform.VM) *endpoint {
+	return &endpoint{
+		name:        vm.Name,
+		address:     vm.Address,
+		connections: Allowance(p.connections, vm.Name, p.zoneVMs, p.vm),
+		slots:       newSlots(Allowance(p.slots, vm.Name, p.zoneVMs, p.vm), p.clock.Now()),
+		calls:       map[uint64]time.Time{},
+	}
+}
+
+// hasUsable reports whether the zone has an endpoint that may get requests.
+func (p *pool) hasUsable() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	return slices.ContainsFunc(p.endpoints, func(e *endpoint) bool { return e.usable(now) })
+}
+
+// held is a slot taken for one call.
+type held struct {
+	endpoint *endpoint
+	name     string
+	address  string
+	call     uint64
+}
+
+// acquire takes a slot of an endpoint, if possible not the one named avoid, and waits for one if necessary.
+func (p *pool) acquire(ctx context.Context, request Request, avoid string) (held, error) {
+	p.mu.Lock()
+	if e := p.pick(avoid); e != nil {
+		defer p.mu.Unlock()
+		return p.hold(e), nil
+	}
+	w := &waiter{urgency: request.Urgency, deadline: request.Deadline, index: -1, ready: make(chan struct{})}
+	shed := p.waiting.push(w)
+	if shed != nil && shed != w {
+		shed.shed = true
+		close(shed.ready)
+	}
+	p.mu.Unlock()
+	if shed == w {
+		return held{}, p.overloaded()
+	}
+	return p.await(ctx, w)
+}
+
+func (p *pool) overloaded() error {
+	refused := refusal.New(refusal.Overloaded, "too many requests wait for service %q", p.service)
+	refused.RetryAfter = shedRetryAfter
+	return refused
+}
+
+func (p *pool) await(ctx context.Context, w *waiter) (held, error) {
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting.remove(w) {
+		return held{}, refusal.New(refusal.DeadlineTooShort, "no endpoint of service %q had a free slot in time", p.service)
+	}
+	if w.shed {
+		return held{}, p.overloaded()
+	}
+	e := w.granted
+	return held{endpoint: e, name: e.name, address: e.address, call: w.sequence}, nil
+}
+
+// hold starts a call. The lock is held.
+func (p *pool) hold(e *endpoint) held {
+	return held{endpoint: e, name: e.name, address: e.address, call: e.begin(p.clock.Now())}
+}
+
+// release ends a call and hands the slot on.
+func (p *pool) release(h held, result outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h.endpoint.end(h.call, result, p.clock.Now())
+	p.dispatch()
+}
+
+// dispatch grants free slots in the order of the queue. The lock is held.
+func (p *pool) dispatch() {
+	for len(p.waiting.items) > 0 {
+		e := p.pick("")
+		if e == nil {
+			return
+		}
+		w := p.waiting.pop()
+		w.granted = e
+		w.sequence = e.begin(p.clock.Now())
+		close(w.ready)
+	}
+}
+
+// pick returns the less loaded of two random endpoints with room, or nil. The lock is held.
+func (p *pool) pick(avoid string) *endpoint {
+	now := p.clock.Now()
+	var open []*endpoint
+	var avoided *endpoint
+	for _, e := range p.endpoints {
+		if e.room(now) <= 0 {
+			continue
+		}
+		if e.name == avoid {
+			avoided = e
+			continue
+		}
+		open = append(open, e)
+	}
+	switch len(open) {
+	case 0:
+		return avoided
+	case 1:
+		return open[0]
+	}
+	i := p.random.IntN(len(open))
+	j := p.random.IntN(len(open) - 1)
+	if j >= i {
+		j++
+	}
+	return lessLoaded(open[i], open[j])
+}
+
+func lessLoaded(a, b *endpoint) *endpoint {
+	if b.load() < a.load() {
+		return b
+	}
+	return a
+}
+
+// observe takes over an endpoint's own account of its load.
+func (p *pool) observe(name string, o observation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o.vm = p.vm
+	o.allowances = map[string]int{}
+	for _, vm := range p.zoneVMs {
+		o.allowances[vm] = Allowance(p.slots, name, p.zoneVMs, vm)
+	}
+	if e := p.find(name); e != nil {
+		e.observe(o)
+	}
+	p.dispatch()
+}
+
+// find returns the endpoint of a name. The lock is held.
+func (p *pool) find(name string) *endpoint {
+	for _, e := range p.endpoints {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+// target is what a load question needs to know of an endpoint.
+type target struct{ name, address string }
+
+func (p *pool) targets() []target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	targets := make([]target, 0, len(p.endpoints))
+	for _, e := range p.endpoints {
+		targets = append(targets, target{e.name, e.address})
+	}
+	return targets
+}
+
+// tick gives waiting requests the room that time alone has made: ends of ejections and of pauses.
+func (p *pool) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dispatch()
+}
--- /dev/null
+++ b/router/refresh.go
@@ -0,0 +1,140 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"siskinstack.example/siskinstack/platform"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	listInterval = 500 * time.Millisecond
+	listTimeout  = 2 * time.Second
+	// loadInterval bounds how long an endpoint that leaves is not noticed while it gets no requests.
+	loadInterval = time.Second
+	loadTimeout  = 500 * time.Millisecond
+	// maxQuestions bounds the load questions at once.
+	maxQuestions = 32
+)
+
+// Run keeps the endpoint table up to date until ctx ends.
+func (r *Router) Run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { r.every(ctx, listInterval, func() { r.RefreshList(ctx) }) })
+	tasks.Go(func() { r.every(ctx, loadInterval, func() { r.RefreshLoad(ctx) }) })
+	r.every(ctx, tickInterval, func() {
+		for _, p := range r.allPools() {
+			p.tick()
+			if q, ok := p.wantsLoan(); ok {
+				tasks.Go(func() { r.borrowSlots(ctx, p, q) })
+			}
+		}
+	})
+}
+
+func (r *Router) every(ctx context.Context, interval time.Duration, step func()) {
+	for ctx.Err() == nil {
+		step()
+		if r.options.Clock.Sleep(ctx, interval) != nil {
+			return
+		}
+	}
+}
+
+// RefreshList takes over the bundle's services and the platform's list, and asks new endpoints for their load. While the
+// list is down the table stays as it is.
+func (r *Router) RefreshList(ctx context.Context) {
+	r.configure()
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := r.options.VMs.List(ctx)
+	if err != nil {
+		r.metrics.listErrors.Inc()
+		return
+	}
+	local := map[string][]platform.VM{}
+	remote := map[string][]string{}
+	for _, vm := range list.VMs {
+		switch {
+		case vm.Role != platform.RoleEndpoint:
+		case vm.Zone == r.options.Zone:
+			local[vm.Service] = append(local[vm.Service], vm)
+		case !vm.Leaving && !slices.Contains(remote[vm.Service], vm.Zone):
+			remote[vm.Service] = append(remote[vm.Service], vm.Zone)
+		}
+	}
+	r.mu.Lock()
+	r.remote = remote
+	r.mu.Unlock()
+	for _, p := range r.allPools() {
+		p.list(local[p.service])
+	}
+	r.ask(ctx, (*pool).unknownTargets)
+}
+
+// RefreshLoad asks all endpoints of the zone for their load.
+func (r *Router) RefreshLoad(ctx context.Context) { r.ask(ctx, (*pool).targets) }
+
+// unknownTargets returns the endpoints that have not answered a load question yet. Nothing is sent to them before.
+func (p *pool) unknownTargets() []target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var targets []target
+	for _, e := range p.endpoints {
+		if !e.slots.known {
+			targets = append(targets, target{e.name, e.address})
+		}
+	}
+	return targets
+}
+
+func (r *Router) ask(ctx context.Context, choose func(*pool) []target) {
+	var questions sync.WaitGroup
+	permits := make(chan struct{}, maxQuestions)
+	for _, p := range r.allPools() {
+		for _, t := range choose(p) {
+			if !r.startQuestion(t.name) {
+				continue
+			}
+			permits <- struct{}{}
+			questions.Go(func() {
+				defer func() { <-permits }()
+				defer r.endQuestion(t.name)
+				r.askLoad(ctx, p, t)
+			})
+		}
+	}
+	questions.Wait()
+}
+
+func (r *Router) startQuestion(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.questions[name] {
+		return false
+	}
+	r.questions[name] = true
+	return true
+}
+
+func (r *Router) endQuestion(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.questions, name)
+}
+
+func (r *Router) askLoad(ctx context.Context, p *pool, t target) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	asked := r.options.Clock.Now()
+	load, err := r.options.Endpoints.Load(ctx, t.name, t.address)
+	if err != nil {
+		r.metrics.loadErrors.Inc()
+		return
+	}
+	p.observe(t.name, observation{load: load, asked: asked, from: r.from})
+}
--- /dev/null
+++ b/router/send.go
@@ -0,0 +1,218 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+const (
+	// maxAttempts bounds the calls of endpoints for one request.
+	maxAttempts = 3
+	// hopMargin is left of the deadline at each hop, so that the answer still gets back in time.
+	hopMargin      = 10 * time.Millisecond
+	shedRetryAfter = 500 * time.Millisecond
+)
+
+// Request is one request to a service.
+type Request struct {
+	ID      string
+	Service string
+	Team    string
+	// Idempotent requests may be sent again after an unknown outcome.
+	Idempotent  bool
+	Urgency     siskinv1.Urgency
+	Body        []byte
+	ContentType string
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Forwarded requests came from another entry VM and are not passed on again.
+	Forwarded bool
+}
+
+// Answer is the whole answer of an endpoint.
+type Answer struct {
+	Status      int
+	Body        []byte
+	ContentType string
+	Endpoint    string
+}
+
+// failure is an attempt without an answer.
+type failure struct {
+	refused *refusal.Error
+	// mayHaveRun is false only with a proof that the attempt did not run.
+	mayHaveRun bool
+	// final failures are not retried.
+	final    bool
+	endpoint string
+}
+
+// Send gets one answer. Its error is a refusal that says "not run" only if no attempt can have run.
+func (r *Router) Send(ctx context.Context, request Request) (Answer, error) {
+	ctx, span := r.tracer.Start(ctx, "router.send", trace.WithAttributes(
+		attribute.String("siskin.request_id", request.ID), attribute.String("siskin.service", request.Service)))
+	defer span.End()
+	answer, err := r.send(ctx, request)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return answer, err
+}
+
+func (r *Router) send(ctx context.Context, request Request) (Answer, error) {
+	p, ok := r.pool(request.Service)
+	if !ok {
+		return Answer{}, refusal.New(refusal.NotFound, "service %q does not exist", request.Service)
+	}
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-hopMargin))
+	defer cancel()
+	p.budget.Deposit()
+	mayHaveRun := false
+	avoid := ""
+	for n := 1; ; n++ {
+		answer, failed := r.attempt(ctx, p, request, attemptID(request.ID, n), avoid)
+		if failed == nil {
+			return answer, nil
+		}
+		mayHaveRun = mayHaveRun || failed.mayHaveRun
+		avoid = failed.endpoint
+		if !r.mayRetry(ctx, p, request, failed, n) {
+			return Answer{}, withoutFalseProof(failed.refused, mayHaveRun)
+		}
+		r.metrics.retries.Inc()
+	}
+}
+
+// attemptID gives each attempt an identifier of its own, so that the answer to an earlier one is not taken for it.
+func attemptID(id string, n int) string {
+	if n == 1 {
+		return id
+	}
+	return id + "-" + strconv.Itoa(n)
+}
+
+func (r *Router) mayRetry(ctx context.Context, p *pool, request Request, failed *failure, n int) bool {
+	if failed.final || n >= maxAttempts || ctx.Err() != nil {
+		return false
+	}
+	if failed.mayHaveRun && !request.Idempotent {
+		return false
+	}
+	if !p.budget.Withdraw() {
+		r.metrics.noBudget.Inc()
+		return false
+	}
+	return true
+}
+
+// withoutFalseProof replaces a refusal that says "not run" when an earlier attempt may have run.
+func withoutFalseProof(refused *refusal.Error, mayHaveRun bool) *refusal.Error {
+	if !mayHaveRun || !refused.NotRun() {
+		return refused
+	}
+	return refusal.New(refusal.EndpointFailed, "an earlier attempt may have run; the last one failed: %s", refused.Message)
+}
+
+// attempt calls one endpoint of the zone, or passes the request to another zone if this one has none.
+func (r *Router) attempt(ctx context.Context, p *pool, request Request, id, avoid string) (Answer, *failure) {
+	if ctx.Err() != nil {
+		return Answer{}, &failure{refused: tooLate(), final: true}
+	}
+	if !p.hasUsable() {
+		return r.elsewhere(ctx, request, refusal.New(refusal.NoEndpoint, "service %q has no endpoint in service", request.Service))
+	}
+	h, err := p.acquire(ctx, request, avoid)
+	if err != nil {
+		refused := refusal.From(err)
+		if refused.Reason == refusal.Overloaded {
+			return r.elsewhere(ctx, request, refused)
+		}
+		return Answer{}, &failure{refused: refused, final: true}
+	}
+	return r.call(ctx, p, h, request, id)
+}
+
+func tooLate() *refusal.Error {
+	return refusal.New(refusal.DeadlineTooShort, "the time allowed by the caller is over")
+}
+
+// call uses a held slot for one call of its endpoint.
+func (r *Router) call(ctx context.Context, p *pool, h held, request Request, id string) (Answer, *failure) {
+	result := outcomeUnknown
+	defer func() {
+		p.release(h, result)
+		r.metrics.attempts.WithLabelValues(result.String()).Inc()
+	}()
+	if ctx.Err() != nil {
+		result = outcomeNotRun
+		return Answer{}, &failure{refused: tooLate(), final: true}
+	}
+	ctx, span := r.tracer.Start(ctx, "endpoint.call", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("siskin.endpoint", h.name), attribute.String("siskin.attempt_id", id)))
+	defer span.End()
+	answer, err := r.options.Endpoints.Call(ctx, platform.EndpointRequest{
+		Endpoint: h.name, Address: h.address, RequestID: id, From: r.from,
+		Body: request.Body, ContentType: request.ContentType, Idempotent: request.Idempotent,
+	})
+	if err == nil && answer.RequestID != id {
+		err = platform.ErrAnswerMismatch
+	}
+	if err == nil {
+		result = outcomeAnswered
+		return Answer{Status: answer.Status, Body: answer.Body, ContentType: answer.ContentType, Endpoint: h.name}, nil
+	}
+	span.SetStatus(codes.Error, err.Error())
+	r.countDropped(err)
+	result = classify(ctx, err)
+	return Answer{}, callFailure(ctx, h.name, result, err)
+}
+
+func (r *Router) countDropped(err error) {
+	if errors.Is(err, platform.ErrAnswerMismatch) {
+		r.metrics.dropped.WithLabelValues(causeMismatch).Inc()
+	}
+	if errors.Is(err, platform.ErrAnswerIncomplete) {
+		r.metrics.dropped.WithLabelValues(causeIncomplete).Inc()
+	}
+}
+
+// classify says what an error of an endpoint proves. Only three errors prove that the request did not run.
+func classify(ctx context.Context, err error) outcome {
+	switch {
+	case errors.Is(err, platform.ErrEndpointBusy):
+		return outcomeBusy
+	case errors.Is(err, platform.ErrEndpointLeaving):
+		return outcomeLeaving
+	case errors.Is(err, platform.ErrNotSent) && ctx.Err() != nil:
+		return outcomeNotRun
+	case errors.Is(err, platform.ErrNotSent):
+		return outcomeNotSent
+	case ctx.Err() != nil:
+		return outcomeCut
+	default:
+		return outcomeUnknown
+	}
+}
+
+func callFailure(ctx context.Context, endpoint string, result outcome, err error) *failure {
+	f := &failure{mayHaveRun: result.mayHaveRun(), endpoint: endpoint}
+	switch {
+	case result == outcomeCut:
+		f.refused = refusal.New(refusal.DeadlineExceeded, "endpoint %q did not answer in time: %v", endpoint, context.Cause(ctx))
+	case f.mayHaveRun:
+		f.refused = refusal.New(refusal.EndpointFailed, "endpoint %q: %v", endpoint, err)
+	default:
+		f.refused = refusal.New(refusal.NoEndpoint, "endpoint %q: %v", endpoint, err)
+	}
+	return f
+}
--- a/standin/server/endpoint.go
+++ b/standin/server/endpoint.go
@@ -33,6 +33,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	// Refusals are matched by request like answers.
+	w.Header().Set(httpplatform.HeaderRequestID, r.Header.Get(httpplatform.HeaderRequestID))
 	answer, err := endpoints.Call(r.Context(), platform.EndpointRequest{
 		Endpoint:    name,
 		RequestID:   r.Header.Get(httpplatform.HeaderRequestID),
