Decide at-most-once requests in package claim

Cause: a non-idempotent request with a request key needs a durable claim before it is forwarded. A claim repeated by the same hand-in is granted again; a hand-in that gave its claim up cannot take it again by a late duplicate.

--- /dev/null
+++ b/claim/client_test.go
@@ -0,0 +1,189 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+var errLost = errors.New("answer lost")
+
+// shardOwner is one owner whose answers can be lost after they took effect.
+type shardOwner struct {
+	mu         sync.Mutex // guards all fields below
+	table      *Table
+	loseClaims int
+	loseEnds   int
+	shards     map[string]bool
+}
+
+func (o *shardOwner) Claim(_ context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.shards[request.GetShard()] = true
+	decision := o.table.Check(request.GetClaim())
+	if decision.Verdict == Grant {
+		o.table.Apply(decision.Record)
+	}
+	if o.loseClaims > 0 {
+		o.loseClaims--
+		return nil, errLost
+	}
+	return decision.Response(), nil
+}
+
+func (o *shardOwner) FinishClaim(_ context.Context, request *siskinv1.FinishClaimRequest) (*siskinv1.FinishClaimResponse, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if record := o.table.CheckFinish(request.GetFinished()); record != nil {
+		o.table.Apply(record)
+	}
+	if o.loseEnds > 0 {
+		o.loseEnds--
+		return nil, errLost
+	}
+	return &siskinv1.FinishClaimResponse{}, nil
+}
+
+func newPair() (*shardOwner, *Client) {
+	owner := &shardOwner{table: NewTable(Limits{}), shards: map[string]bool{}}
+	return owner, clientOf(owner, "entry-0/1")
+}
+
+func clientOf(owner *shardOwner, vm string) *Client {
+	return NewClient(ClientOptions{
+		Shards: owner, Names: func() []string { return []string{"z1-0", "z2-0", "z3-0"} }, EntryVM: vm, Clock: clock.Real{},
+	})
+}
+
+func handIn(id, body string) HandIn {
+	return HandIn{Team: "t", Service: "s", RequestKey: "k", RequestID: id, BodyHash: BodyHash("", []byte(body))}
+}
+
+func reasonOf(t *testing.T, err error) refusal.Reason {
+	t.Helper()
+	var refused *refusal.Error
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	return refused.Reason
+}
+
+// TestLostClaimAnswerIsGrantedAgain guards against a hand-in that loses its own claim with the answer.
+func TestLostClaimAnswerIsGrantedAgain(t *testing.T) {
+	owner, client := newPair()
+	owner.loseClaims = claimTries - 1
+	held, _, err := client.Begin(t.Context(), handIn("r1", "a"))
+	assert.NilError(t, err)
+	assert.Assert(t, held != nil)
+	_, _, err = clientOf(owner, "entry-1/1").Begin(t.Context(), handIn("r2", "a"))
+	assert.Equal(t, reasonOf(t, err), refusal.InProgress)
+	assert.Equal(t, len(owner.shards), 1)
+}
+
+// TestAllClaimAnswersLostFreesKey guards against a key that stays taken by a hand-in that was refused as not run, and
+// against a late duplicate of its call that takes the key again.
+func TestAllClaimAnswersLostFreesKey(t *testing.T) {
+	owner, client := newPair()
+	owner.loseClaims = claimTries
+	_, _, err := client.Begin(t.Context(), handIn("r1", "a"))
+	assert.Equal(t, reasonOf(t, err), refusal.ShardUnavailable)
+	assert.Assert(t, refusal.From(err).NotRun())
+	client.Wait()
+	late := owner.table.Check(&siskinv1.RequestClaimed{Team: "t", Service: "s", RequestKey: "k", RequestId: "r1", BodySha256: BodyHash("", []byte("a"))})
+	assert.Equal(t, late.Verdict, Released)
+	_, _, err = client.Begin(t.Context(), handIn("r2", "a"))
+	assert.NilError(t, err)
+}
+
+// TestRepeatedHandInGetsKeptAnswer guards against a second run, or another answer, after the first one's end.
+func TestRepeatedHandInGetsKeptAnswer(t *testing.T) {
+	owner, client := newPair()
+	held, _, err := client.Begin(t.Context(), handIn("r1", "a"))
+	assert.NilError(t, err)
+	owner.loseEnds = 2
+	held.Finish(t.Context(), Outcome{Kind: Answered, Status: 201, Body: []byte("booked"), ContentType: "text/plain"})
+	client.Wait()
+	_, earlier, err := clientOf(owner, "entry-1/1").Begin(t.Context(), handIn("r2", "a"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(earlier.GetAnswer()), "booked")
+	assert.Equal(t, earlier.GetHttpStatus(), int32(201))
+	_, _, err = client.Begin(t.Context(), handIn("r3", "other body"))
+	assert.Equal(t, reasonOf(t, err), refusal.RequestKeyReused)
+}
+
+// TestLargeAnswerIsNotKept guards against a log that holds answers of any size, and against losing the outcome itself.
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	for _, size := range []int{MaxKeptAnswer, MaxKeptAnswer + 1} {
+		owner, client := newPair()
+		held, _, err := client.Begin(t.Context(), handIn("r1", "a"))
+		assert.NilError(t, err)
+		held.Finish(t.Context(), Outcome{Kind: Answered, Status: 200, Body: []byte(strings.Repeat("x", size))})
+		_, earlier, err := clientOf(owner, "entry-1/1").Begin(t.Context(), handIn("r2", "a"))
+		assert.NilError(t, err)
+		assert.Equal(t, earlier.GetAnswerKept(), size <= MaxKeptAnswer)
+	}
+}
+
+// TestDeadEntryVMLeavesUnknown guards against a second run after an entry VM died between claim and end.
+func TestDeadEntryVMLeavesUnknown(t *testing.T) {
+	owner, client := newPair()
+	_, _, err := client.Begin(t.Context(), handIn("r1", "a"))
+	assert.NilError(t, err)
+	for _, record := range owner.table.Sweep(time.Now(), func(vm string) bool { return vm != "entry-0/1" }) {
+		owner.table.Apply(record)
+	}
+	_, _, err = clientOf(owner, "entry-0/2").Begin(t.Context(), handIn("r2", "a"))
+	assert.Equal(t, reasonOf(t, err), refusal.OutcomeUnknown)
+	assert.Assert(t, !refusal.From(err).NotRun())
+}
+
+// TestSecondClaimWaitsForWrite guards against two grants of one key while the first record is being written.
+func TestSecondClaimWaitsForWrite(t *testing.T) {
+	table := NewTable(Limits{})
+	first := &siskinv1.RequestClaimed{RequestKey: "k", RequestId: "r1"}
+	second := &siskinv1.RequestClaimed{RequestKey: "k", RequestId: "r2"}
+	assert.Equal(t, table.Check(first).Verdict, Grant)
+	assert.Equal(t, table.Check(first).Verdict, Pending)
+	assert.Equal(t, table.Check(second).Verdict, InProgress)
+	table.Abandon(first)
+	assert.Equal(t, table.Check(second).Verdict, Grant)
+}
+
+// TestTableIsBounded guards against claims without limit, and against forgetting one before its retention is over.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable(Limits{MaxClaims: 1})
+	first := &siskinv1.RequestClaimed{RequestKey: "k1", RequestId: "r1"}
+	table.Apply(table.Check(first).Record)
+	table.Apply(finishedRecord(&siskinv1.RequestFinished{RequestKey: "k1", RequestId: "r1", Outcome: outDone, FinishedUnixMs: 1}))
+	second := &siskinv1.RequestClaimed{RequestKey: "k2", RequestId: "r2"}
+	assert.Equal(t, table.Check(second).Verdict, Full)
+	alive := func(string) bool { return true }
+	table.Sweep(time.UnixMilli(1).Add(Retention), alive)
+	assert.Equal(t, table.Check(first).Verdict, Done)
+	table.Sweep(time.UnixMilli(2).Add(Retention), alive)
+	assert.Equal(t, table.Check(second).Verdict, Grant)
+}
+
+// TestEndsThatDoNotFitAreIgnored guards against an end that changes the claim of another hand-in, and against a release
+// that frees a key although its answer is recorded.
+func TestEndsThatDoNotFitAreIgnored(t *testing.T) {
+	table := NewTable(Limits{})
+	claimed := &siskinv1.RequestClaimed{RequestKey: "k", RequestId: "r1"}
+	table.Apply(table.Check(claimed).Record)
+	end := func(id string, outcome siskinv1.RequestOutcome) {
+		table.Apply(finishedRecord(&siskinv1.RequestFinished{RequestKey: "k", RequestId: id, Outcome: outcome}))
+	}
+	end("r0", outDone)
+	assert.Equal(t, table.Check(claimed).Verdict, GrantAgain)
+	end("r1", outDone)
+	end("r1", outNotRun)
+	assert.Equal(t, table.Check(claimed).Verdict, Done)
+}
