--- a/peer/server.go
+++ b/peer/server.go
@@ -24,6 +24,9 @@
 	LocalWork Work
 	// LocalParts serves the parts of jobs that shards of this VM hold.
 	LocalParts Parts
+	// LocalRequests and LocalClaims serve the request path; nil leaves their calls unimplemented.
+	LocalRequests Requests
+	LocalClaims   Claims
 }
 
 // SubmitWork accepts a job for a shard of this VM.
