Add the Go client of the API and the commands of siskinctl

Cause: members and operators had no client and no command line. Change: package apiclient (servers tried in turn only if a call did not run or may be repeated; an unknown outcome is never hidden by a later refusal), package ctl with all commands, table and JSON output, exit codes 0 to 4, waits with progress, and a stand-alone stand-in platform that writes settings, first bundle and operator keys.

--- /dev/null
+++ b/apiclient/client_test.go
@@ -0,0 +1,116 @@
+package apiclient
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+type counted struct {
+	*httptest.Server
+	calls int
+}
+
+// serve answers every call with a refusal, or with 200 if reason is empty; "cut" ends the connection.
+func serve(t *testing.T, reason refusal.Reason) *counted {
+	t.Helper()
+	c := &counted{}
+	c.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c.calls++
+		switch reason {
+		case "":
+			_, _ = fmt.Fprint(w, `{"id":"x"}`)
+		case "cut":
+			panic(http.ErrAbortHandler)
+		default:
+			w.WriteHeader(reason.Status())
+			_, _ = fmt.Fprintf(w, `{"request_id":"r","reason":%q,"not_run":%t}`, reason, reason.NotRun())
+		}
+	}))
+	t.Cleanup(c.Close)
+	return c
+}
+
+// TestServersInTurn guards against a second run of calls that may have run, and against giving up on safe ones.
+func TestServersInTurn(t *testing.T) {
+	for _, test := range []struct {
+		first refusal.Reason
+		key   string
+		next  bool
+	}{
+		{refusal.Leaving, "", true},
+		{refusal.StoreUnavailable, "k", true},
+		{refusal.KeyUnknown, "k", false},
+		{refusal.AcceptanceUnknown, "", false},
+		{"cut", "", false},
+		{"cut", "k", true},
+	} {
+		first, second := serve(t, test.first), serve(t, "")
+		c, err := New(Options{Servers: []string{first.URL, second.URL}})
+		assert.NilError(t, err)
+		_, err = c.Submit(context.Background(), &siskinv1.WorkSpec{}, test.key)
+		assert.Equal(t, err == nil, test.next, "%+v: %v", test, err)
+		assert.Equal(t, second.calls, map[bool]int{true: 1}[test.next], "%+v", test)
+		c.Close()
+	}
+}
+
+// TestUnknownOutcomeIsKept guards against a later "not run" that hides an earlier try which may have run.
+func TestUnknownOutcomeIsKept(t *testing.T) {
+	first, second := serve(t, "cut"), serve(t, refusal.Leaving)
+	c, err := New(Options{Servers: []string{first.URL, second.URL, "127.0.0.1:1"}})
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = c.Submit(context.Background(), &siskinv1.WorkSpec{}, "k")
+	var transport *TransportError
+	assert.Assert(t, errors.As(err, &transport) && transport.Sent, "%v", err)
+	assert.Equal(t, second.calls, 1)
+}
+
+// TestServerNames guards against addresses that fail only at the first call.
+func TestServerNames(t *testing.T) {
+	for _, bad := range [][]string{nil, {""}, {"ftp://x"}, {"http://"}} {
+		_, err := New(Options{Servers: bad})
+		assert.Assert(t, err != nil, "%q", bad)
+	}
+}
+
+// TestSign guards against signatures that do not verify with the key in the settings.
+func TestSign(t *testing.T) {
+	key, err := NewOperatorKey("carol")
+	assert.NilError(t, err)
+	name, err := OperatorName(key.Bearer())
+	assert.NilError(t, err)
+	assert.Equal(t, name, "carol")
+	text, err := EncodePrivateKey(key.SignOff)
+	assert.NilError(t, err)
+	private, err := DecodePrivateKey(text)
+	assert.NilError(t, err)
+	bundle := &siskinv1.Bundle{Version: 3}
+	hash, err := ContentSHA256(bundle)
+	assert.NilError(t, err)
+	proposal := &siskinv1.BundleProposal{Bundle: bundle, Author: "alice", Reviewer: "bob", ContentSha256: hash}
+	signature, err := Sign(proposal, "carol", private)
+	assert.NilError(t, err)
+	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(&siskinv1.SignedContent{
+		Version: 3, ContentSha256: hash, Author: "alice", Reviewer: "bob", Signer: "carol",
+	})
+	assert.NilError(t, err)
+	public, err := hex.DecodeString(key.Settings().GetSignOffKey())
+	assert.NilError(t, err)
+	assert.Assert(t, ed25519.Verify(public, content, signature))
+	bundle.Comment = "changed"
+	_, err = Sign(proposal, "carol", private)
+	assert.ErrorContains(t, err, "hash")
+}
--- a/cmd/siskinctl/main.go
+++ b/cmd/siskinctl/main.go
@@ -3,32 +3,18 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
+	"syscall"
 
-	"github.com/urfave/cli/v3"
-
-	"siskinstack.example/siskinstack/demo"
+	"siskinstack.example/siskinstack/ctl"
 )
 
 func main() { os.Exit(execute()) }
 
 func execute() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	command := &cli.Command{
-		Name:  "siskinctl",
-		Usage: "hand in work and operate siskinstack",
-		Commands: []*cli.Command{{
-			Name:   "demo",
-			Usage:  "run a whole site in one process on loopback",
-			Action: func(ctx context.Context, _ *cli.Command) error { return demo.Run(ctx, os.Stdout) },
-		}},
-	}
-	if err := command.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "siskinctl:", err)
-		return 1
-	}
-	return 0
+	app := &ctl.App{Out: os.Stdout, Err: os.Stderr}
+	return app.Execute(ctx, os.Args)
 }
--- /dev/null
+++ b/ctl/ctl.go
@@ -0,0 +1,233 @@
+// Package ctl holds the commands of siskinctl, the tool of members and operators.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"siskinstack.example/siskinstack/apiclient"
+)
+
+// Exit codes of siskinctl.
+const (
+	ExitOK = 0
+	// ExitFailure is a failure whose outcome is unknown, or a failed call.
+	ExitFailure = 1
+	// ExitUsage is a bad command line, or findings in a file.
+	ExitUsage = 2
+	// ExitNotRun is a refusal that says that nothing has run.
+	ExitNotRun = 3
+	// ExitRefused is any other refusal.
+	ExitRefused = 4
+)
+
+const exitCodesHelp = `Exit codes:
+   0  done
+   1  failed: a call failed or its outcome is unknown
+   2  bad command line, or findings in a file
+   3  refused, and nothing has run
+   4  refused, and something may have run`
+
+const defaultTimeout = 10 * time.Second
+
+// errUsage marks a bad command line or findings in a file.
+var errUsage = eris.New("bad usage")
+
+// usageError is a bad command line or the findings in a file.
+type usageError struct{ text string }
+
+// Error returns the findings.
+func (e *usageError) Error() string { return e.text }
+
+// Unwrap marks the error as bad usage.
+func (e *usageError) Unwrap() error { return errUsage }
+
+func usagef(format string, args ...any) error { return &usageError{fmt.Sprintf(format, args...)} }
+
+// actionError is an error of a command that has started; all other errors are of the command line.
+type actionError struct{ cause error }
+
+// Error returns the text of the cause.
+func (e *actionError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *actionError) Unwrap() error { return e.cause }
+
+// App is the command line with its outputs.
+type App struct {
+	Out io.Writer
+	Err io.Writer
+	// parseOnly ends every command after its command line has been checked.
+	parseOnly bool
+}
+
+// Execute runs the command line and returns the exit code.
+func (a *App) Execute(ctx context.Context, args []string) int {
+	err := a.command().Run(ctx, args)
+	if err != nil {
+		_, _ = fmt.Fprintln(a.Err, "siskinctl:", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var started *actionError
+	if !errors.As(err, &started) || errors.Is(err, errUsage) {
+		return ExitUsage
+	}
+	var refused *apiclient.Refusal
+	if !errors.As(err, &refused) {
+		return ExitFailure
+	}
+	if refused.NotRun {
+		return ExitNotRun
+	}
+	return ExitRefused
+}
+
+func (a *App) command() *cli.Command {
+	root := a.group("siskinctl", "hand in work, send requests and operate siskinstack",
+		a.workCommands(), a.requestCommands(), a.teamCommands(), a.keyCommands(), a.bundleCommands(),
+		a.operatorCommands(), a.zoneCommands(), a.vmCommands(), a.demoCommand(), a.platformCommand())
+	root.Description = exitCodesHelp
+	root.Flags = globalFlags()
+	root.Writer = a.Out
+	root.ErrWriter = a.Err
+	root.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	return root
+}
+
+const (
+	flagServer  = "server"
+	flagKey     = "key"
+	flagOutput  = "output"
+	flagTimeout = "timeout"
+
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+func globalFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{
+			Name: flagServer, Sources: cli.EnvVars("SISKIN_SERVER"),
+			Usage: "`IP:PORT` of an entry VM; several are tried in turn when a call did not run or may be repeated",
+		},
+		&cli.StringFlag{
+			Name: flagKey, Sources: cli.EnvVars("SISKIN_KEY"), HideDefault: true,
+			Usage: "team or operator `KEY`; prefer the environment, which other users cannot see",
+		},
+		&cli.StringFlag{
+			Name: flagOutput, Value: outputTable, Usage: "`FORMAT` of the output: table or json",
+			Validator: func(value string) error {
+				if value != outputTable && value != outputJSON {
+					return eris.Errorf("output %q is neither table nor json", value)
+				}
+				return nil
+			},
+		},
+		&cli.DurationFlag{
+			Name: flagTimeout, Value: defaultTimeout, Usage: "longest `TIME` of one call",
+			Validator: func(value time.Duration) error {
+				if value <= 0 {
+					return eris.New("timeout is not above zero")
+				}
+				return nil
+			},
+		},
+	}
+}
+
+// group returns a command that only holds others.
+func (a *App) group(name, usage string, commands ...*cli.Command) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, Commands: commands, OnUsageError: keepError,
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return usagef("unknown command %q of %s; see --help", cmd.Args().First(), cmd.FullName())
+			}
+			_ = cli.ShowSubcommandHelp(cmd)
+			return usagef("no command of %s is named", cmd.FullName())
+		},
+	}
+}
+
+// keepError keeps the library from printing the whole help for a bad flag.
+func keepError(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
+
+// leaf is a command that does something.
+type leaf struct {
+	name, usage, example string
+	// args names the positional arguments; all are required.
+	args  []string
+	flags []cli.Flag
+	run   func(ctx context.Context, cmd *cli.Command) error
+}
+
+func (a *App) leaf(l leaf) *cli.Command {
+	usage := ""
+	for _, arg := range l.args {
+		usage += arg + " "
+	}
+	return &cli.Command{
+		Name: l.name, Usage: l.usage, ArgsUsage: usage, Flags: l.flags, OnUsageError: keepError,
+		Description: "Example:\n   " + l.example + "\n\n" + exitCodesHelp,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() != len(l.args) {
+				return usagef("%s needs %d arguments (%s), not %d", cmd.FullName(), len(l.args), usage, cmd.Args().Len())
+			}
+			if a.parseOnly {
+				return nil
+			}
+			if err := l.run(ctx, cmd); err != nil {
+				return &actionError{err}
+			}
+			return nil
+		},
+	}
+}
+
+// client returns a client for the servers of the command line.
+func client(cmd *cli.Command) (*apiclient.Client, error) {
+	servers := cmd.StringSlice(flagServer)
+	if len(servers) == 0 {
+		return nil, usagef("name an entry VM with --server or SISKIN_SERVER")
+	}
+	c, err := apiclient.New(apiclient.Options{Servers: servers, Key: cmd.String(flagKey)})
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	return c, nil
+}
+
+// callOnce makes one call within the timeout and prints its result.
+func callOnce[T any](
+	a *App, ctx context.Context, cmd *cli.Command,
+	call func(context.Context, *apiclient.Client) (T, error), show func(T) (result, error),
+) error {
+	c, err := client(cmd)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
+	defer cancel()
+	value, err := call(ctx, c)
+	if err != nil {
+		return err
+	}
+	shown, err := show(value)
+	if err != nil {
+		return err
+	}
+	return a.print(cmd, shown)
+}
--- /dev/null
+++ b/ctl/wait.go
@@ -0,0 +1,64 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"siskinstack.example/siskinstack/apiclient"
+)
+
+const (
+	flagWait      = "wait"
+	flagWaitLimit = "wait-limit"
+
+	defaultWaitLimit = 30 * time.Minute
+	// waitInterval keeps a waiting command below five reads a second.
+	waitInterval = 250 * time.Millisecond
+)
+
+func waitFlags(usage string) []cli.Flag {
+	return []cli.Flag{
+		&cli.BoolFlag{Name: flagWait, Usage: usage},
+		&cli.DurationFlag{Name: flagWaitLimit, Value: defaultWaitLimit, Usage: "longest `TIME` of --wait"},
+	}
+}
+
+// poll calls check until it reports done, with progress on the error output. Calls that fail on the way are shown and
+// made again, because they change nothing; refusals that will not pass end the wait.
+func (a *App) poll(ctx context.Context, cmd *cli.Command, check func(context.Context, *progress) (bool, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagWaitLimit))
+	defer cancel()
+	shown := &progress{app: a}
+	for {
+		call, end := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
+		done, err := check(call, shown)
+		end()
+		switch {
+		case err == nil && done:
+			return nil
+		case err != nil && !passing(err):
+			return err
+		case err != nil:
+			shown.show("still waiting: %v", err)
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "wait ended early")
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+// passing reports whether the same read may succeed later.
+func passing(err error) bool {
+	var refused *apiclient.Refusal
+	if errors.As(err, &refused) {
+		return refused.Temporary()
+	}
+	var transport *apiclient.TransportError
+	return errors.As(err, &transport)
+}
