--- a/ctl/platform.go
+++ b/ctl/platform.go
@@ -16,7 +16,6 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/apiclient"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/standin"
 	"siskinstack.example/siskinstack/standin/server"
 	"siskinstack.example/siskinstack/standin/site"
@@ -31,8 +30,6 @@
 	settingsDirMode = 0o700
 	// standaloneWork is how long a request takes on the stand-in platform.
 	standaloneWork = 20 * time.Millisecond
-	// standaloneTask is the run time of a task without a declared one in its command.
-	standaloneTask = 10 * time.Second
 )
 
 func siteFlag() cli.Flag {
@@ -66,7 +63,7 @@
 	}
 	running, err := server.Start(server.Options{
 		Site: chosen, Clock: clock.Real{}, Listen: cmd.String(flagListen),
-		Plan: func(request platform.StartRequest) standin.TaskPlan { return commandPlan(request.Command) },
+		Plan: standin.CommandPlan,
 		Work: func(string, []byte) time.Duration { return standaloneWork },
 	})
 	if err != nil {
@@ -83,24 +80,6 @@
 	return nil
 }
 
-// commandPlan reads the behaviour of a task from its command: "sleep 5s", "fail 5s" or "serve".
-func commandPlan(command []string) standin.TaskPlan {
-	plan := standin.TaskPlan{RunFor: standaloneTask}
-	if len(command) == 0 {
-		return plan
-	}
-	plan.Fails = command[0] == "fail"
-	if command[0] == "serve" {
-		plan.RunFor = 0
-	}
-	if len(command) > 1 {
-		if runFor, err := time.ParseDuration(command[1]); err == nil {
-			plan.RunFor = runFor
-		}
-	}
-	return plan
-}
-
 // writeSettings writes what the entry VMs and their operators need.
 func (a *App) writeSettings(dir string, chosen site.Site, firstPort int, urlFor func(string) string) error {
 	if err := os.MkdirAll(dir, settingsDirMode); err != nil {
--- a/standin/task.go
+++ b/standin/task.go
@@ -30,11 +30,34 @@
 	used resource.Vector
 }
 
+// defaultRunFor is the run time of a task whose command names none.
+const defaultRunFor = 10 * time.Second
+
+// CommandPlan reads the behaviour of a task from its command: "sleep 5s", "fail 5s", or "serve" until it is stopped.
+// Further words have no effect. The task uses what it declared.
+func CommandPlan(request platform.StartRequest) TaskPlan {
+	plan := TaskPlan{RunFor: defaultRunFor, Used: request.Room}
+	if len(request.Command) == 0 {
+		return plan
+	}
+	plan.Fails = request.Command[0] == "fail"
+	if request.Command[0] == "serve" {
+		plan.RunFor = 0
+		return plan
+	}
+	if len(request.Command) > 1 {
+		if runFor, err := time.ParseDuration(request.Command[1]); err == nil {
+			plan.RunFor = runFor
+		}
+	}
+	return plan
+}
+
 func newTask(now time.Time, request platform.StartRequest, plan TaskPlan, resumed time.Duration) *task {
 	run := &TaskRun{
 		Task: request.Task, Team: request.Team, Worker: request.Worker,
 		Shard: request.Shard, Epoch: request.Epoch, Room: request.Room, AtMostOnce: request.AtMostOnce,
-		Started: now, Phase: platform.PhaseRunning, Resumed: resumed, Progress: resumed,
+		Command: request.Command, Started: now, Phase: platform.PhaseRunning, Resumed: resumed, Progress: resumed,
 	}
 	return &task{
 		request: request, plan: plan, run: run, settled: now, speed: 1, leaseLeft: request.Lease,
--- a/standin/workers.go
+++ b/standin/workers.go
@@ -33,6 +33,7 @@
 	Epoch      int64
 	Room       resource.Vector
 	AtMostOnce bool
+	Command    []string
 	Started    time.Time
 	// Ended is zero while the task runs.
 	Ended time.Time
