Run the whole site in the demo and check every promise

Cause: the demo ran one batch and checked nothing else. Change: six entry VMs, the platform and 50 endpoints are worked for under 30 s in nine steps (one file each), with requests, work, withdrawn keys, a drain, a leaving endpoint, a kill and a planned stop; verdicts as table or JSON. A step whose route is missing is reported as not available and fails the demo.

--- a/ctl/demo.go
+++ b/ctl/demo.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/urfave/cli/v3"
 
 	"siskinstack.example/siskinstack/demo"
+	"siskinstack.example/siskinstack/standin/site"
 )
 
 func (a *App) demoCommand() *cli.Command {
@@ -16,5 +18,42 @@
 }
 
 func (a *App) runDemo(ctx context.Context, cmd *cli.Command) error {
-	return demo.Run(ctx, a.Out)
+	chosen, err := site.ByName(cmd.String(flagSite))
+	if err != nil {
+		return usagef("%v", err)
+	}
+	report, err := demo.Run(ctx, chosen, func(step demo.Step) {
+		_, _ = fmt.Fprintf(a.Err, "%-24s %-14s %6d ms  %s\n", step.Name, step.State, step.TookMs, step.Detail)
+	})
+	if err != nil {
+		return err
+	}
+	if err := a.print(cmd, showReport(report)); err != nil {
+		return err
+	}
+	return report.Err()
+}
+
+func showReport(report demo.Report) result {
+	shown := result{json: report, header: []string{"PROMISE", "HELD", "OBSERVATIONS", "DETAIL"}}
+	for _, verdict := range report.Promises {
+		shown.rows = append(shown.rows, []string{
+			string(verdict.ID), heldText(verdict.Held, verdict.Observations), cell(verdict.Observations), verdict.Detail,
+		})
+		for _, violation := range verdict.Violations {
+			shown.rows = append(shown.rows, []string{"", "", "", violation})
+		}
+	}
+	return shown
+}
+
+func heldText(held bool, observations int) string {
+	switch {
+	case !held:
+		return "BROKEN"
+	case observations == 0:
+		return "not seen"
+	default:
+		return "yes"
+	}
 }
--- /dev/null
+++ b/demo/cluster.go
@@ -0,0 +1,189 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/daemon"
+	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/server"
+	"siskinstack.example/siskinstack/standin/site"
+)
+
+// stopTimeout bounds the wait for an entry VM to end.
+const stopTimeout = 5 * time.Second
+
+// entryVM is one entry VM of the site.
+type entryVM struct {
+	settings *siskinv1.Settings
+	daemon   *daemon.Daemon
+	cancel   context.CancelFunc
+	ended    chan struct{}
+}
+
+func (vm *entryVM) name() string { return vm.settings.GetVm() }
+
+// cluster is the stand-in platform with its entry VMs.
+type cluster struct {
+	site     site.Site
+	platform *server.Platform
+	vms      []*entryVM
+
+	mu   sync.Mutex // guards gone
+	gone map[string]bool
+}
+
+// startCluster starts the platform and all entry VMs.
+func startCluster(ctx context.Context, chosen site.Site, operators []*siskinv1.Operator) (*cluster, error) {
+	running, err := server.Start(server.Options{
+		Site: chosen, Clock: clock.Real{}, Plan: standin.CommandPlan, Work: requestWork,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{site: chosen, platform: running, gone: map[string]bool{}}
+	listens, err := chosen.Addresses(0)
+	if err != nil {
+		running.Close()
+		return nil, err
+	}
+	for _, settings := range chosen.Settings(listens, operators, running.URLFor) {
+		c.vms = append(c.vms, startVM(ctx, settings))
+	}
+	return c, nil
+}
+
+func startVM(ctx context.Context, settings *siskinv1.Settings) *entryVM {
+	ctx, cancel := context.WithCancel(ctx)
+	vm := &entryVM{
+		settings: settings, daemon: daemon.New(settings, logr.Discard()), cancel: cancel, ended: make(chan struct{}),
+	}
+	go func() {
+		defer close(vm.ended)
+		_ = vm.daemon.Run(ctx)
+	}()
+	return vm
+}
+
+// close ends everything.
+func (c *cluster) close() {
+	for _, vm := range c.vms {
+		vm.cancel()
+	}
+	for _, vm := range c.vms {
+		_ = waitEnded(context.Background(), vm)
+	}
+	c.platform.Close()
+}
+
+func waitEnded(ctx context.Context, vm *entryVM) error {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	select {
+	case <-vm.ended:
+		return nil
+	case <-ctx.Done():
+		return eris.Errorf("%s has not ended after %s", vm.name(), stopTimeout)
+	}
+}
+
+// live returns the entry VMs that were neither killed nor stopped.
+func (c *cluster) live() []*entryVM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var live []*entryVM
+	for _, vm := range c.vms {
+		if !c.gone[vm.name()] {
+			live = append(live, vm)
+		}
+	}
+	return live
+}
+
+func (c *cluster) leave(vm *entryVM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone[vm.name()] = true
+}
+
+// killer is a daemon that can end without notice: listeners and connections close, nothing is handed over.
+type killer interface{ Kill() }
+
+// kill ends an entry VM without notice. The store refuses its calls from then on, so that it can hand nothing over. A
+// daemon without Kill ends when its context does.
+func (c *cluster) kill(vm *entryVM) {
+	c.platform.Store.SetFaultsFor(vm.name(), standin.StoreFaults{Down: true})
+	if abrupt, ok := any(vm.daemon).(killer); ok {
+		abrupt.Kill()
+	}
+	vm.cancel()
+	c.leave(vm)
+}
+
+// stopper is a daemon with a planned stop of its own. The planned stop of others is the end of their context.
+type stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// stop makes a planned stop of an entry VM and waits for its end.
+func (c *cluster) stop(ctx context.Context, vm *entryVM) error {
+	if planned, ok := any(vm.daemon).(stopper); ok {
+		if err := planned.Stop(ctx); err != nil {
+			return err
+		}
+	}
+	vm.cancel()
+	defer c.leave(vm)
+	return waitEnded(ctx, vm)
+}
+
+// owner returns the live entry VM that owns a zone's first shard; nil if none does.
+func (c *cluster) owner(ctx context.Context, zone string) *entryVM {
+	kv, err := c.platform.Store.Get(ctx, "shards/"+zone+"-0")
+	if err != nil {
+		return nil
+	}
+	for _, vm := range c.live() {
+		if bytes.Contains(kv.Value, []byte(vm.name())) {
+			return vm
+		}
+	}
+	return nil
+}
+
+// ownerLimit is twice the target of 5 s for a takeover, so that a late one is still measured.
+const ownerLimit = 10 * time.Second
+
+// waitOwner waits until a zone's first shard has a live owner.
+func (c *cluster) waitOwner(ctx context.Context, zone string) (*entryVM, error) {
+	var vm *entryVM
+	err := waitFor(ctx, ownerLimit, "an owner of "+zone, func() bool {
+		vm = c.owner(ctx, zone)
+		return vm != nil
+	})
+	return vm, err
+}
+
+// pollInterval is the pause between two looks at something that takes a while.
+const pollInterval = 50 * time.Millisecond
+
+func waitFor(ctx context.Context, limit time.Duration, what string, done func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !done() {
+		if !pause(ctx, pollInterval) {
+			return eris.Errorf("waited %s for %s", limit, what)
+		}
+	}
+	return nil
+}
+
+// pause waits, and returns false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool { return clock.Real{}.Sleep(ctx, d) == nil }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -1,173 +1,203 @@
 // Package demo runs a whole site in one process on loopback: the stand-in platform and six entry VMs in three
-// availability zones.
+// availability zones. It works the site for less than half a minute, with failures, and checks every promise.
 package demo
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/daemon"
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/resource"
-	"siskinstack.example/siskinstack/standin"
-	"siskinstack.example/siskinstack/standin/server"
+	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/demo/promises"
+	"siskinstack.example/siskinstack/standin/site"
 )
 
+// NotAvailable means that the entry VMs do not have the route that a step needs.
+type NotAvailable struct{ Route string }
+
+// Error names the route.
+func (e *NotAvailable) Error() string { return "not available: " + e.Route }
+
+// ErrNotShown means that a promise was broken or not put to the test, or that a step failed.
+var ErrNotShown = eris.New("the demo did not show that every promise is kept")
+
+// State is the result of a step.
+type State string
+
+// The results of a step.
 const (
-	zones          = 3
-	entryVMs       = 6
-	workers        = 50
-	workersPerRack = 8
-	workerMilliCPU = 64_000
-	workerMemory   = 128 << 30
-	vmListLag      = 2 * time.Second
+	Done        State = "done"
+	Unavailable State = "not available"
+	Failed      State = "failed"
 )
 
-// Run starts the site, hands in one batch and waits for its end.
-func Run(ctx context.Context, out io.Writer) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	fleet := fleet()
-	real := clock.Real{}
-	machines := standin.NewWorkers(real, fleet, func(platform.StartRequest) standin.TaskPlan {
-		return standin.TaskPlan{RunFor: 200 * time.Millisecond}
-	})
-	handler := server.New(standin.NewStore(real), standin.NewVMList(real, vmListLag, fleet), machines)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return eris.Wrap(err, "listen")
-	}
-	platformServer := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	defer func() { _ = platformServer.Close() }()
-	go func() { _ = platformServer.Serve(listener) }()
-	settings, err := settings("http://" + listener.Addr().String())
-	if err != nil {
-		return err
-	}
-	var daemons sync.WaitGroup
-	defer daemons.Wait()
-	defer cancel()
-	for _, s := range settings {
-		daemons.Go(func() { _ = daemon.New(s, logr.Discard()).Run(ctx) })
+// Step is the report of one step.
+type Step struct {
+	Name   string `json:"name"`
+	State  State  `json:"state"`
+	TookMs int64  `json:"took_ms"`
+	Detail string `json:"detail"`
+}
+
+// Report is the result of the demo.
+type Report struct {
+	Site     string             `json:"site"`
+	TookMs   int64              `json:"took_ms"`
+	Steps    []Step             `json:"steps"`
+	Promises []promises.Verdict `json:"promises"`
+	// Shown is true if every step was done and every promise held with something to see.
+	Shown bool `json:"shown"`
+}
+
+// Err returns ErrNotShown unless everything was shown.
+func (r Report) Err() error {
+	if r.Shown {
+		return nil
 	}
-	id, err := submit(ctx, settings[0].GetListen().GetCallers())
-	if err != nil {
-		return err
+	return ErrNotShown
+}
+
+// run is one run of the demo. Steps may use what earlier ones left here.
+type run struct {
+	cluster   *cluster
+	clients   *clients
+	recorder  *recorder
+	operators map[string]apiclient.OperatorKey
+	serial    atomic.Int64
+
+	mu   sync.Mutex // guards keys
+	keys map[string]apiclient.IssuedKey
+	// load is what goes on in the background; it ends before the records are taken.
+	load []*background
+}
+
+// step is one step; detail says what was seen.
+type step struct {
+	name string
+	run  func(*run, context.Context) (detail string, err error)
+}
+
+func steps() []step {
+	return []step{
+		{"ready", (*run).stepReady},
+		{"bundle", (*run).stepBundle},
+		{"keys", (*run).stepKeys},
+		{"requests", (*run).stepRequests},
+		{"work", (*run).stepWork},
+		{"withdraw, drain, leave", (*run).stepChanges},
+		{"kill", (*run).stepKill},
+		{"planned stop", (*run).stepStop},
+		{"finish", (*run).stepFinish},
 	}
-	return waitDone(ctx, out, settings[entryVMs-1].GetListen().GetCallers(), id)
 }
 
-func fleet() []platform.VM {
-	vms := make([]platform.VM, workers)
-	for i := range vms {
-		vms[i] = platform.VM{
-			Name: fmt.Sprintf("worker-%d", i), Role: platform.RoleWorker,
-			Zone: fmt.Sprintf("taichung-%d", 1+i%zones), Rack: fmt.Sprintf("rack-%d", i/workersPerRack),
-			Room: resource.Vector{MilliCPU: workerMilliCPU, MemoryBytes: workerMemory},
+// Run works the site and checks the promises. progress may be nil.
+func Run(ctx context.Context, chosen site.Site, progress func(Step)) (Report, error) {
+	began := time.Now()
+	r, err := newRun(ctx, chosen)
+	if err != nil {
+		return Report{}, err
+	}
+	defer r.close()
+	report := Report{Site: chosen.Name, Shown: true}
+	for _, s := range steps() {
+		done := r.do(ctx, s)
+		report.Steps = append(report.Steps, done)
+		report.Shown = report.Shown && done.State == Done
+		if progress != nil {
+			progress(done)
 		}
 	}
-	return vms
+	r.endLoad()
+	report.Promises = promises.Check(r.recorder.take(r.cluster))
+	for _, verdict := range report.Promises {
+		report.Shown = report.Shown && verdict.Shown()
+	}
+	report.TookMs = time.Since(began).Milliseconds()
+	return report, ctx.Err()
 }
 
-func settings(url string) ([]*siskinv1.Settings, error) {
-	var peers []*siskinv1.Peer
-	all := make([]*siskinv1.Settings, entryVMs)
-	for i := range all {
-		callers, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		internal, err := freeAddress()
+func newRun(ctx context.Context, chosen site.Site) (*run, error) {
+	r := &run{
+		clients: newClients(chosen.ClientDelay), recorder: &recorder{},
+		operators: map[string]apiclient.OperatorKey{}, keys: map[string]apiclient.IssuedKey{},
+	}
+	var operators []*siskinv1.Operator
+	for _, name := range []string{author, reviewer, signer} {
+		key, err := apiclient.NewOperatorKey(name)
 		if err != nil {
 			return nil, err
 		}
-		vm := fmt.Sprintf("entry-%d", i)
-		zone := fmt.Sprintf("taichung-%d", 1+i%zones)
-		peers = append(peers, &siskinv1.Peer{Vm: vm, Zone: zone, Address: internal})
-		all[i] = &siskinv1.Settings{
-			Vm: vm, Zone: zone, Listen: &siskinv1.Listen{Callers: callers, Peers: internal},
-			Platform: &siskinv1.Platform{Adapter: "http", Url: url},
-		}
+		r.operators[name] = key
+		operators = append(operators, key.Settings())
 	}
-	for _, s := range all {
-		s.Peers = peers
+	var err error
+	r.cluster, err = startCluster(ctx, chosen, operators)
+	return r, err
+}
+
+func (r *run) close() {
+	r.endLoad()
+	r.cluster.close()
+}
+
+func (r *run) endLoad() {
+	for _, load := range r.load {
+		load.stop()
 	}
-	return all, nil
+	r.load = nil
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func (r *run) do(ctx context.Context, s step) Step {
+	began := time.Now()
+	detail, err := s.run(r, ctx)
+	report := Step{Name: s.name, State: Done, Detail: detail, TookMs: time.Since(began).Milliseconds()}
+	var missing *NotAvailable
+	switch {
+	case errors.As(err, &missing):
+		report.State = Unavailable
+	case err != nil:
+		report.State = Failed
+	}
 	if err != nil {
-		return "", eris.Wrap(err, "find a free port")
+		report.Detail = err.Error()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return report
 }
 
-const pollInterval = 100 * time.Millisecond
-
-// submit hands a batch in, again while no shard has an owner.
-func submit(ctx context.Context, address string) (string, error) {
-	spec := `{"name":"stitch","kind":"WORK_KIND_BATCH","queue":"lab","count":40,"each":{"milli_cpu":4000,"memory_bytes":1073741824}}`
-	for ctx.Err() == nil {
-		var answer struct {
-			ID     string `json:"id"`
-			NotRun bool   `json:"not_run"`
-		}
-		status, err := call(ctx, http.MethodPost, "http://"+address+"/v1/work", []byte(spec), &answer)
-		if err == nil && status == http.StatusAccepted {
-			return answer.ID, nil
-		}
-		if err == nil && !answer.NotRun {
-			return "", eris.Errorf("hand-in answered %d", status)
-		}
-		time.Sleep(pollInterval)
+// available turns the answer of an entry VM that does not have a route into NotAvailable.
+func available(route string, err error) error {
+	var status *apiclient.StatusError
+	if errors.As(err, &status) && (status.Status == http.StatusNotFound || status.Status == http.StatusMethodNotAllowed) {
+		return &NotAvailable{Route: route}
 	}
-	return "", ctx.Err()
+	return err
 }
 
-func waitDone(ctx context.Context, out io.Writer, address, id string) error {
-	for ctx.Err() == nil {
-		var status struct {
-			Queued    int `json:"queued"`
-			Running   int `json:"running"`
-			Succeeded int `json:"succeeded"`
-		}
-		if _, err := call(ctx, http.MethodGet, "http://"+address+"/v1/work/"+id, nil, &status); err != nil {
-			return err
-		}
-		if _, err := fmt.Fprintf(out, "%s queued %d running %d succeeded %d\n", id, status.Queued, status.Running, status.Succeeded); err != nil {
-			return err
-		}
-		if status.Queued+status.Running == 0 && status.Succeeded > 0 {
-			return nil
-		}
-		time.Sleep(pollInterval)
+// next returns a name that no other request or work of the run has.
+func (r *run) next(kind string) string { return fmt.Sprintf("%s-%d", kind, r.serial.Add(1)) }
+
+// operator returns a client of an operator that tries every live VM.
+func (r *run) operator(name string) (*apiclient.Client, error) {
+	var servers []string
+	for _, vm := range r.cluster.live() {
+		servers = append(servers, vm.settings.GetListen().GetCallers())
 	}
-	return ctx.Err()
+	return apiclient.New(apiclient.Options{
+		Servers: servers, Key: r.operators[name].Bearer(), Transport: r.clients.transport,
+	})
 }
 
-func call(ctx context.Context, method, url string, body []byte, answer any) (int, error) {
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return 0, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	return response.StatusCode, json.NewDecoder(response.Body).Decode(answer)
+// key returns the key of a team; empty if none was issued.
+func (r *run) key(team string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.keys[team].Key
 }
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -2,16 +2,71 @@
 
 import (
 	"context"
-	"io"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/demo/promises"
+	"siskinstack.example/siskinstack/standin/site"
 )
 
 // TestDemoRunsBatch guards against a break of the whole path from hand-in to the end of a task.
 func TestDemoRunsBatch(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	assert.NilError(t, Run(ctx, io.Discard))
+	r, err := newRun(ctx, site.Jadeleaf())
+	assert.NilError(t, err)
+	defer r.close()
+	_, err = r.stepReady(ctx)
+	assert.NilError(t, err)
+	first, err := apiclient.New(apiclient.Options{Servers: []string{r.cluster.vms[0].settings.GetListen().GetCallers()}})
+	assert.NilError(t, err)
+	last, err := apiclient.New(apiclient.Options{Servers: []string{r.cluster.vms[5].settings.GetListen().GetCallers()}})
+	assert.NilError(t, err)
+	spec := &siskinv1.WorkSpec{
+		Name: "stitch", Kind: siskinv1.WorkKind_WORK_KIND_BATCH, Queue: "lab", Count: 40,
+		Command: []string{"sleep", "200ms"}, Each: &siskinv1.Resources{MilliCpu: 4000, MemoryBytes: 1 << 30},
+	}
+	var submitted apiclient.Submitted
+	// A VM may not have seen the owner of a shard yet; it then refuses as not run.
+	assert.NilError(t, waitFor(ctx, 5*time.Second, "acceptance", func() bool {
+		submitted, err = first.Submit(ctx, spec, "")
+		return outcomeOf(err) != promises.RefusedNotRun
+	}))
+	assert.NilError(t, err)
+	assert.NilError(t, waitFor(ctx, 20*time.Second, "the batch", func() bool {
+		status, err := last.Work(ctx, submitted.ID)
+		return err == nil && status.GetSucceeded() == 40
+	}))
+}
+
+// TestStepStates guards against steps without their route, or with an error, that count as done.
+func TestStepStates(t *testing.T) {
+	r := &run{}
+	for want, result := range map[State]error{
+		Done:        nil,
+		Failed:      ErrNotShown,
+		Unavailable: fmt.Errorf("step: %w", available("GET /x", &apiclient.StatusError{Status: http.StatusNotFound})),
+	} {
+		got := r.do(context.Background(), step{"s", func(*run, context.Context) (string, error) { return "", result }})
+		assert.Equal(t, got.State, want)
+	}
+	assert.ErrorIs(t, Report{}.Err(), ErrNotShown)
+	assert.NilError(t, Report{Shown: true}.Err())
+}
+
+// TestRepeats guards against callers that send a request again which may have run and must not be repeated.
+func TestRepeats(t *testing.T) {
+	unknown := promises.Attempt{Outcome: promises.Unknown}
+	assert.Assert(t, !mayRepeat(unknown, false) && mayRepeat(unknown, true))
+	assert.Assert(t, mayRepeat(promises.Attempt{Outcome: promises.NotSent}, false))
+	assert.Assert(t, mayRepeat(promises.Attempt{Outcome: promises.RefusedNotRun, Reason: "leaving"}, false))
+	assert.Assert(t, !mayRepeat(promises.Attempt{Outcome: promises.RefusedNotRun, Reason: "key_unknown"}, true))
+	assert.Assert(t, !mayRepeat(promises.Attempt{Outcome: promises.Refused, Reason: "outcome_unknown"}, true))
+	assert.Assert(t, !mayRepeat(promises.Attempt{Outcome: promises.Answered}, true))
 }
--- a/demo/promises/records.go
+++ b/demo/promises/records.go
@@ -52,6 +52,7 @@
 // Work is one submission with all its attempts. Tag is unique to it and part of the command of its tasks.
 type Work struct {
 	Tag        string
+	Team       string
 	Kind       siskinv1.WorkKind
 	Count      int32
 	AtMostOnce bool
--- /dev/null
+++ b/demo/recorder.go
@@ -0,0 +1,92 @@
+package demo
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"siskinstack.example/siskinstack/demo/promises"
+	"siskinstack.example/siskinstack/resource"
+)
+
+// recorder collects what callers and operators saw.
+type recorder struct {
+	mu      sync.Mutex // guards records and work
+	records promises.Records
+	work    []*promises.Work
+}
+
+func (r *recorder) request(request promises.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.Requests = append(r.records.Requests, request)
+}
+
+func (r *recorder) submission(work *promises.Work) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.work = append(r.work, work)
+}
+
+func (r *recorder) update(change func(*promises.Records)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.records)
+}
+
+// accepted returns the work that was accepted, and its identifier.
+func (r *recorder) accepted() map[string]*promises.Work {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := map[string]*promises.Work{}
+	for _, work := range r.work {
+		for _, attempt := range work.Attempts {
+			if attempt.Outcome == promises.Answered {
+				found[attempt.Answer] = work
+			}
+		}
+	}
+	return found
+}
+
+// take returns everything, with what the stand-ins recorded.
+func (r *recorder) take(c *cluster) promises.Records {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	records := r.records
+	records.Fleet = c.platform.Fleet
+	records.Ceilings = map[string]resource.Vector{}
+	for _, team := range c.site.Bundle(1).GetTeams() {
+		records.Ceilings[team.GetName()] = resource.FromProto(team.GetCeiling())
+	}
+	records.TaskRuns = c.platform.Workers.Runs()
+	records.RequestRuns = c.platform.Endpoints.Runs()
+	records.RequestRefusals = c.platform.Endpoints.Refusals()
+	records.Ended = time.Now()
+	for _, work := range r.work {
+		records.Work = append(records.Work, *work)
+	}
+	return records
+}
+
+// background is a set of goroutines that end together.
+type background struct {
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+func startBackground(ctx context.Context, tasks ...func(context.Context)) *background {
+	ctx, cancel := context.WithCancel(ctx)
+	b := &background{cancel: cancel}
+	for _, task := range slices.Clone(tasks) {
+		b.tasks.Go(func() { task(ctx) })
+	}
+	return b
+}
+
+// stop ends the goroutines and waits for them.
+func (b *background) stop() {
+	b.cancel()
+	b.tasks.Wait()
+}
--- /dev/null
+++ b/demo/step_ready.go
@@ -0,0 +1,20 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// stepReady waits until every zone has an owner and every entry VM answers.
+func (r *run) stepReady(ctx context.Context) (string, error) {
+	began := time.Now()
+	for _, zone := range r.cluster.site.Zones {
+		if _, err := r.cluster.waitOwner(ctx, zone); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d zones owned after %s", len(r.cluster.site.Zones), since(began)), nil
+}
+
+func since(began time.Time) time.Duration { return time.Since(began).Round(time.Millisecond) }
