Cut links between VMs and the platform over HTTP

Cause: only the store could be separated from a VM; workers and endpoints of another zone stayed in reach. Change: the platform server holds calls back while Platform.Network is cut between the calling VM and the worker, endpoint or store; a cut on the way back loses the answer of a call that took effect. Conclusion: a zone partition can be ordered for unchanged daemons, but for their gRPC connections, which need Network.Dialer.

--- a/standin/network.go
+++ b/standin/network.go
@@ -124,10 +124,17 @@
 func (n *Network) handshake(ctx context.Context, from, to string) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	if err := n.Pass(ctx, from, to); err != nil {
+		return err
+	}
+	return n.Pass(ctx, to, from)
+}
+
+// Pass waits until data passes from one VM to another.
+func (n *Network) Pass(ctx context.Context, from, to string) error {
 	for {
-		there, changed := n.state(from, to)
-		back, _ := n.state(to, from)
-		if there && back {
+		open, changed := n.state(from, to)
+		if open {
 			return nil
 		}
 		select {
--- /dev/null
+++ b/standin/server/links.go
@@ -0,0 +1,174 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/standin"
+)
+
+// StoreName is the name of the store and the VM list in Platform.Network. Every zone can be cut off from it.
+const StoreName = "store"
+
+// links adds the delay between zones to calls, and holds them back while the network is cut. Calls of VMs that do not
+// name themselves are neither delayed nor cut.
+type links struct {
+	clock   clock.Clock
+	zone    time.Duration
+	zones   map[string]string
+	network *standin.Network
+}
+
+func newLinks(c clock.Clock, zone time.Duration, fleet []platform.VM, network *standin.Network) *links {
+	l := &links{clock: c, zone: zone, zones: map[string]string{}, network: network}
+	for _, vm := range fleet {
+		l.zones[vm.Name] = vm.Zone
+		network.Place(vm.Name, vm.Zone)
+	}
+	network.Place(StoreName, "")
+	return l
+}
+
+// over makes a call from one VM to another. A cut on the way back loses the answer of a call that took effect.
+func over[A any](ctx context.Context, l *links, from, to string, call func() (A, error)) (A, error) {
+	var none A
+	if from == "" {
+		return call()
+	}
+	if l.zones[from] != l.zones[to] {
+		if err := l.clock.Sleep(ctx, l.zone); err != nil {
+			return none, err
+		}
+	}
+	if err := l.network.Pass(ctx, from, to); err != nil {
+		return none, err
+	}
+	answer, err := call()
+	if lost := l.network.Pass(ctx, to, from); lost != nil {
+		return none, lost
+	}
+	return answer, err
+}
+
+// overNoAnswer is like over for calls that return only an error.
+func overNoAnswer(ctx context.Context, l *links, to string, call func() error) error {
+	_, err := over(ctx, l, standin.Caller(ctx), to, func() (struct{}, error) { return struct{}{}, call() })
+	return err
+}
+
+// linkedStore is as far from every VM as another zone.
+type linkedStore struct {
+	store platform.Store
+	links *links
+}
+
+// Get implements platform.Store.
+func (s linkedStore) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.KeyValue, error) {
+		return s.store.Get(ctx, key)
+	})
+}
+
+// List implements platform.Store.
+func (s linkedStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.Listing, error) {
+		return s.store.List(ctx, prefix)
+	})
+}
+
+// Put implements platform.Store.
+func (s linkedStore) Put(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.Revision, error) {
+		return s.store.Put(ctx, request)
+	})
+}
+
+// Delete implements platform.Store.
+func (s linkedStore) Delete(ctx context.Context, key string, expected platform.Revision) error {
+	return overNoAnswer(ctx, s.links, StoreName, func() error { return s.store.Delete(ctx, key, expected) })
+}
+
+// GrantLease implements platform.Store.
+func (s linkedStore) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.LeaseID, error) {
+		return s.store.GrantLease(ctx, ttl)
+	})
+}
+
+// RenewLease implements platform.Store.
+func (s linkedStore) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+	return overNoAnswer(ctx, s.links, StoreName, func() error { return s.store.RenewLease(ctx, lease) })
+}
+
+// RevokeLease implements platform.Store.
+func (s linkedStore) RevokeLease(ctx context.Context, lease platform.LeaseID) error {
+	return overNoAnswer(ctx, s.links, StoreName, func() error { return s.store.RevokeLease(ctx, lease) })
+}
+
+// Watch implements platform.Store.
+func (s linkedStore) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.WatchResult, error) {
+		return s.store.Watch(ctx, request)
+	})
+}
+
+type linkedVMs struct {
+	vms   platform.VMList
+	links *links
+}
+
+// List implements platform.VMList.
+func (v linkedVMs) List(ctx context.Context) (platform.VMs, error) {
+	return over(ctx, v.links, standin.Caller(ctx), StoreName, func() (platform.VMs, error) { return v.vms.List(ctx) })
+}
+
+type linkedWorkers struct {
+	workers platform.Workers
+	links   *links
+}
+
+// Start implements platform.Workers.
+func (w linkedWorkers) Start(ctx context.Context, request platform.StartRequest) error {
+	return overNoAnswer(ctx, w.links, request.Worker, func() error { return w.workers.Start(ctx, request) })
+}
+
+// Renew implements platform.Workers.
+func (w linkedWorkers) Renew(ctx context.Context, request platform.RenewRequest) (platform.WorkerReport, error) {
+	return over(ctx, w.links, standin.Caller(ctx), request.Worker, func() (platform.WorkerReport, error) {
+		return w.workers.Renew(ctx, request)
+	})
+}
+
+// Stop implements platform.Workers.
+func (w linkedWorkers) Stop(ctx context.Context, request platform.StopRequest) error {
+	return overNoAnswer(ctx, w.links, request.Worker, func() error { return w.workers.Stop(ctx, request) })
+}
+
+// Checkpoint implements platform.Workers.
+func (w linkedWorkers) Checkpoint(ctx context.Context, request platform.StopRequest) error {
+	return overNoAnswer(ctx, w.links, request.Worker, func() error { return w.workers.Checkpoint(ctx, request) })
+}
+
+// Throttle implements platform.Workers.
+func (w linkedWorkers) Throttle(ctx context.Context, request platform.ThrottleRequest) error {
+	return overNoAnswer(ctx, w.links, request.Worker, func() error { return w.workers.Throttle(ctx, request) })
+}
+
+type linkedEndpoints struct {
+	endpoints platform.Endpoints
+	links     *links
+}
+
+// Call implements platform.Endpoints.
+func (e linkedEndpoints) Call(ctx context.Context, request platform.EndpointRequest) (platform.EndpointAnswer, error) {
+	return over(ctx, e.links, request.From, request.Endpoint, func() (platform.EndpointAnswer, error) {
+		return e.endpoints.Call(ctx, request)
+	})
+}
+
+// Load implements platform.Endpoints.
+func (e linkedEndpoints) Load(ctx context.Context, endpoint, address string) (platform.EndpointLoad, error) {
+	return e.endpoints.Load(ctx, endpoint, address)
+}
--- a/standin/server/platform.go
+++ b/standin/server/platform.go
@@ -35,6 +35,9 @@
 	Workers   *standin.Workers
 	Endpoints *standin.Endpoints
 	Fleet     []platform.VM
+	// Network holds the cuts between the VMs of the fleet, and between them and StoreName. Calls that name their VM are
+	// held back by them; connections between entry VMs are too if they are made with Network.Dialer.
+	Network *standin.Network
 	// URL is the address of the platform; URLFor gives the one that names the calling VM.
 	URL string
 
@@ -48,7 +51,7 @@
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
-	p := &Platform{Fleet: options.Site.Fleet()}
+	p := &Platform{Fleet: options.Site.Fleet(), Network: standin.NewNetwork()}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for platform calls")
@@ -65,13 +68,13 @@
 		Slots: int(options.Site.Slots), Connections: int(options.Site.Connections), Work: options.Work,
 	})
 	p.URL = "http://" + listener.Addr().String()
-	delays := newDelays(options.Clock, options.Site.ZoneDelay, p.Fleet)
+	l := newLinks(options.Clock, options.Site.ZoneDelay, p.Fleet, p.Network)
 	p.serve(listener, withCaller(New(
-		delayedStore{p.Store, delays}, p.VMs, delayedWorkers{p.Workers, delays},
+		linkedStore{p.Store, l}, linkedVMs{p.VMs, l}, linkedWorkers{p.Workers, l},
 	)))
 	for name, endpointListener := range endpointListeners {
 		limited := &limitedListener{Listener: endpointListener, name: name, endpoints: p.Endpoints}
-		p.serve(limited, NewEndpoint(name, delayedEndpoints{p.Endpoints, delays}))
+		p.serve(limited, NewEndpoint(name, linkedEndpoints{p.Endpoints, l}))
 	}
 	return p, nil
 }
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -45,6 +45,33 @@
 	assert.Equal(t, len(list.VMs), 106)
 }
 
+// TestCuts guards against cuts over HTTP that reach other VMs, fail at once, or undo a call whose answer they lose.
+func TestCuts(t *testing.T) {
+	p := startTest(t)
+	inside, outside := httpplatform.New(p.URLFor("entry-0")), httpplatform.New(p.URLFor("entry-1"))
+	defer inside.Close()
+	defer outside.Close()
+	short := func() context.Context {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		t.Cleanup(cancel)
+		return ctx
+	}
+	p.Network.CutZone("taichung-1")
+	_, err := inside.Put(short(), platform.PutRequest{Key: "k"})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	start := platform.StartRequest{Worker: "worker-0", Lease: time.Second}
+	assert.NilError(t, inside.Start(context.Background(), start), "workers of the own zone are not cut off")
+	assert.ErrorIs(t, outside.Start(short(), start), context.DeadlineExceeded)
+	_, err = outside.Get(context.Background(), "k")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	p.Network.HealZone("taichung-1")
+	p.Network.Cut(StoreName, "entry-0")
+	_, err = inside.Put(short(), platform.PutRequest{Key: "k"})
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	_, err = outside.Get(context.Background(), "k")
+	assert.NilError(t, err, "the write took effect, only its answer was lost")
+}
+
 // TestEndpointOverHTTP guards against answers, refusals and lost answers that change on their way over HTTP.
 func TestEndpointOverHTTP(t *testing.T) {
 	ctx := context.Background()
