Finish ownership: promises, watch, handover, preferred owners

Cause: ownership polled the store five times a second per VM, ended all rights three seconds into a store outage, took an acquisition for a renewal, could not resolve a lost answer of the ownership write, and had no planned handover. Change: one watch keeps the directory; the lease is renewed every second and rights are bounded by the last answered renewal; peers promise not to acquire while the store does not answer; acquisitions are resolved by read-back of a nonce, and block promises until then; Release and TakeOver hand over; Decline leaves a shard alone for 30 s to 10 min; rendezvous hashing orders candidates. A right that has expired is never extended.

--- a/faultstore/store.go
+++ b/faultstore/store.go
@@ -20,6 +20,8 @@
 	Drop bool
 	// LoseAnswer lets the call take effect; the caller gets ErrUnknown.
 	LoseAnswer bool
+	// Late keeps the call back until Deliver; the caller gets ErrUnknown.
+	Late bool
 	// Duplicate sends the call twice; the caller gets the first answer.
 	Duplicate bool
 	// Before and After are delays ahead of and behind the effect.
@@ -37,6 +39,7 @@
 	cut    bool
 	calls  int
 	before func(call int)
+	late   []func() error
 }
 
 // New returns a store that passes calls to inner. sleep performs the delays.
@@ -51,6 +54,23 @@
 	s.next = append(s.next, faults...)
 }
 
+// Deliver lets the calls that were kept back take effect, in order.
+func (s *Store) Deliver() {
+	s.mu.Lock()
+	late := s.late
+	s.late = nil
+	s.mu.Unlock()
+	for _, send := range late {
+		_ = send()
+	}
+}
+
+func (s *Store) keepBack(send func() error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = append(s.late, send)
+}
+
 // SetCut drops every call while cut is true.
 func (s *Store) SetCut(cut bool) {
 	s.mu.Lock()
@@ -96,6 +116,10 @@
 	if fault.Drop {
 		return ErrUnknown
 	}
+	if fault.Late {
+		s.keepBack(send)
+		return ErrUnknown
+	}
 	err := send()
 	if fault.Duplicate {
 		_ = send()
--- /dev/null
+++ b/ownership/acquire.go
@@ -0,0 +1,251 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+)
+
+// attempt is an acquisition whose write may take effect. While it exists, this VM promises the shard to nobody.
+type attempt struct {
+	shard string
+	nonce string
+	lease platform.LeaseID
+	value []byte
+	// sent is true once a write was sent whose outcome is not known.
+	sent bool
+}
+
+// acquireStep drops what has expired, deletes own keys without a right, and acquires shards without an owner.
+func (m *Manager) acquireStep(ctx context.Context) {
+	m.dropExpired()
+	m.deleteKeys(ctx)
+	for _, unresolved := range m.unresolved() {
+		m.resolve(ctx, unresolved)
+	}
+	for _, shard := range m.options.Shards() {
+		if m.due(shard) {
+			m.acquire(ctx, shard.Name)
+		}
+	}
+}
+
+// due reports whether it is this VM's turn to acquire a shard.
+func (m *Manager) due(shard Shard) bool {
+	wait := m.turn(shard)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, owned := m.directory.owners[shard.Name]; owned || !m.directory.synced {
+		delete(m.directory.absent, shard.Name)
+		return false
+	}
+	now := m.options.Clock.Now()
+	since, known := m.directory.absent[shard.Name]
+	if !known {
+		since = now
+		m.directory.absent[shard.Name] = now
+	}
+	if d := m.declined[shard.Name]; d != nil && now.Before(d.until) {
+		return false
+	}
+	return now.Sub(since) >= wait
+}
+
+// acquire writes the ownership key. It reports whether this VM owns the shard now.
+func (m *Manager) acquire(ctx context.Context, shard string) bool {
+	a := m.begin(shard)
+	if a == nil {
+		return false
+	}
+	return m.put(ctx, a)
+}
+
+// begin notes the attempt in the same critical section in which it checks the promises, so that a promise is never given
+// between the check and the write.
+func (m *Manager) begin(shard string) *attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	_, held := m.held[shard]
+	_, acquiring := m.attempts[shard]
+	_, deleting := m.deletions[shard]
+	if held || acquiring || deleting || m.leaving || m.lease == 0 || now.Sub(m.started) < m.rules.startWait {
+		return nil
+	}
+	if m.rules.honourPromises && now.Before(m.promises[shard]) {
+		return nil
+	}
+	if !now.Before(m.leaseEnd(m.leaseSent)) {
+		return nil
+	}
+	nonce := m.nonce()
+	value, err := proto.Marshal(&siskinv1.ShardOwner{
+		Vm: m.options.VM, Incarnation: m.options.Incarnation, Nonce: nonce,
+	})
+	if err != nil {
+		return nil
+	}
+	a := &attempt{shard: shard, nonce: nonce, lease: m.lease, value: value}
+	m.attempts[shard] = a
+	return a
+}
+
+func (m *Manager) put(ctx context.Context, a *attempt) bool {
+	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, callTimeout)
+	defer cancel()
+	request := platform.PutRequest{Key: keyPrefix + a.shard, Value: a.value, Lease: a.lease}
+	revision, err := m.options.Store.Put(ctx, request)
+	switch {
+	case err == nil:
+		return m.finish(a, revision)
+	case errors.Is(err, platform.ErrConflict):
+		return m.readBack(ctx, a)
+	case errors.Is(err, platform.ErrLeaseExpired):
+		// The lease never returns, so no earlier write of this attempt can take effect any more.
+		m.abandon(a)
+	case errors.Is(err, platform.ErrNotSent):
+		if !a.sent {
+			m.abandon(a)
+		}
+	default:
+		a.sent = true
+		m.options.Metrics.unknown.Inc()
+	}
+	return false
+}
+
+// readBack finds out whose key exists.
+func (m *Manager) readBack(ctx context.Context, a *attempt) bool {
+	kv, err := m.options.Store.Get(ctx, keyPrefix+a.shard)
+	if err != nil {
+		a.sent = true
+		return false
+	}
+	entry := decodeOwner(kv)
+	if entry.vm == m.options.VM && entry.incarnation == m.options.Incarnation && entry.nonce == a.nonce {
+		return m.finish(a, kv.Revision)
+	}
+	m.mu.Lock()
+	m.directory.set(a.shard, entry)
+	m.mu.Unlock()
+	if !a.sent {
+		m.abandon(a)
+		return false
+	}
+	// An earlier write may still be on its way and take effect once the other owner's key is gone. The next step sends
+	// the attempt again; it ends when the write succeeds or its lease has expired.
+	return false
+}
+
+// unresolved returns the attempts that were sent and not answered.
+func (m *Manager) unresolved() []*attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []*attempt
+	for _, a := range m.attempts {
+		if a.sent {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// resolve reads the key before it writes again. After a change of the lease the write can only fail.
+func (m *Manager) resolve(ctx context.Context, a *attempt) {
+	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, callTimeout)
+	defer cancel()
+	_, err := m.options.Store.Get(ctx, keyPrefix+a.shard)
+	if errors.Is(err, platform.ErrNotFound) {
+		m.put(ctx, a)
+		return
+	}
+	if err == nil {
+		m.readBack(ctx, a)
+	}
+	m.mu.Lock()
+	current := m.lease == a.lease
+	m.mu.Unlock()
+	if !current {
+		m.put(ctx, a)
+	}
+}
+
+func (m *Manager) abandon(a *attempt) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.attempts[a.shard] == a {
+		delete(m.attempts, a.shard)
+	}
+}
+
+// finish turns an attempt into a right. The right is bounded by the last answered renewal of the lease that the key is
+// attached to; the write itself does not extend the lease.
+func (m *Manager) finish(a *attempt, revision platform.Revision) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.attempts[a.shard] != a {
+		return false
+	}
+	delete(m.attempts, a.shard)
+	entry := directoryEntry{
+		vm: m.options.VM, incarnation: m.options.Incarnation, nonce: a.nonce, revision: revision,
+	}
+	m.directory.set(a.shard, entry)
+	until := m.leaseEnd(m.leaseSent)
+	if m.lease != a.lease || m.leaving || !m.options.Clock.Now().Before(until) {
+		m.deletions[a.shard] = revision
+		return false
+	}
+	right := NewRight(m.options.Clock, a.shard, int64(revision), until)
+	m.held[a.shard] = right
+	m.options.Metrics.acquired.Inc()
+	m.options.Metrics.held.Set(float64(len(m.held)))
+	m.options.Acquired(right)
+	return true
+}
+
+// deleteKeys deletes own keys without a right.
+func (m *Manager) deleteKeys(ctx context.Context) {
+	m.mu.Lock()
+	deletions := map[string]platform.Revision{}
+	for shard, revision := range m.deletions {
+		deletions[shard] = revision
+	}
+	m.mu.Unlock()
+	for shard, revision := range deletions {
+		_ = m.deleteKey(ctx, shard, revision)
+	}
+}
+
+// deleteKey deletes an own key. Any answer of the store, success or not, proves that the key is gone.
+func (m *Manager) deleteKey(ctx context.Context, shard string, revision platform.Revision) error {
+	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, callTimeout)
+	defer cancel()
+	err := m.options.Store.Delete(ctx, keyPrefix+shard, revision)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.deletions[shard] == revision {
+		delete(m.deletions, shard)
+	}
+	m.directory.remove(shard, revision)
+	return nil
+}
+
+// turn returns how long this VM waits after a shard has lost its owner.
+func (m *Manager) turn(shard Shard) time.Duration {
+	rank := time.Duration(rank(m.options.VM, shard, m.options.Peers, m.options.Alive))
+	wait := min(rank*rankDelay, otherZoneDelay)
+	if shard.Zone != m.options.Zone {
+		wait += otherZoneDelay
+	}
+	return wait
+}
--- /dev/null
+++ b/ownership/handover.go
@@ -0,0 +1,158 @@
+package ownership
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/storeclient"
+)
+
+// ErrNotHeld means that this VM does not own the shard.
+var ErrNotHeld = eris.New("shard is not owned by this VM")
+
+const (
+	releaseRetryMin = 50 * time.Millisecond
+	releaseRetryMax = 500 * time.Millisecond
+)
+
+// Release gives a shard up for a planned handover and returns the VM to notify with TakeOver; it is empty if there is
+// none. The caller has stopped acting for the shard and flushed its log. If the key cannot be deleted before ctx ends,
+// Release returns an error, and the shard is free when the lease ends.
+func (m *Manager) Release(ctx context.Context, shard string) (string, error) {
+	m.mu.Lock()
+	right, ok := m.held[shard]
+	if !ok {
+		m.mu.Unlock()
+		return "", ErrNotHeld
+	}
+	revision := platform.Revision(right.Epoch)
+	m.drop(shard)
+	m.deletions[shard] = revision
+	m.decline(shard, releasePause)
+	m.mu.Unlock()
+	backoff := storeclient.NewBackoff(releaseRetryMin, releaseRetryMax, m.options.Random)
+	for {
+		err := m.deleteKey(ctx, shard, revision)
+		if err == nil {
+			return m.successor(shard), nil
+		}
+		if m.options.Clock.Sleep(ctx, backoff.Next()) != nil {
+			return "", eris.Wrap(err, "delete ownership key")
+		}
+	}
+}
+
+// releasePause keeps a VM from taking back at once what it has released.
+const releasePause = 5 * time.Second
+
+// TakeOver answers the hint of a leaving VM: it acquires the shard without waiting for its turn. Only the store decides
+// whether the shard is free.
+func (m *Manager) TakeOver(ctx context.Context, request *siskinv1.TakeOverRequest) *siskinv1.TakeOverResponse {
+	for _, shard := range m.options.Shards() {
+		if shard.Name == request.GetShard() {
+			return &siskinv1.TakeOverResponse{Acquired: m.acquire(ctx, shard.Name)}
+		}
+	}
+	return &siskinv1.TakeOverResponse{}
+}
+
+// Decline gives up a shard that this VM cannot serve, for example because its log is corrupt. The VM leaves the shard
+// alone for a time that doubles each time.
+func (m *Manager) Decline(shard string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	right, ok := m.held[shard]
+	if !ok {
+		return
+	}
+	m.drop(shard)
+	m.deletions[shard] = platform.Revision(right.Epoch)
+	m.decline(shard, declineMin)
+	m.options.Metrics.declined.Inc()
+}
+
+// Serving tells that a shard was opened, so that a later Decline starts with the shortest time again.
+func (m *Manager) Serving(shard string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.declined, shard)
+}
+
+// decline sets the time for which a shard is left alone. The caller holds mu.
+func (m *Manager) decline(shard string, least time.Duration) {
+	d := m.declined[shard]
+	if d == nil {
+		d = &declined{}
+		m.declined[shard] = d
+	}
+	d.wait = min(max(2*d.wait, least), declineMax)
+	d.until = m.options.Clock.Now().Add(d.wait)
+}
+
+// Preferred returns the VM that a shard prefers as its owner.
+func (m *Manager) Preferred(shard Shard) string {
+	ranked := ranking(shard, m.options.Peers, m.options.Alive)
+	if len(ranked) == 0 {
+		return m.options.VM
+	}
+	return ranked[0].VM
+}
+
+func (m *Manager) successor(name string) string {
+	others := func(vm string) bool { return vm != m.options.VM && m.options.Alive(vm) }
+	for _, shard := range m.options.Shards() {
+		if shard.Name != name {
+			continue
+		}
+		if ranked := ranking(shard, m.options.Peers, others); len(ranked) > 0 {
+			return ranked[0].VM
+		}
+	}
+	return ""
+}
+
+// ranking orders the peers that are alive: those of the shard's zone first, then by rendezvous hashing, so that the
+// shards of a zone spread over its VMs and few move when a VM leaves.
+func ranking(shard Shard, peers []Peer, alive func(string) bool) []Peer {
+	var ranked []Peer
+	for _, peer := range peers {
+		if alive(peer.VM) {
+			ranked = append(ranked, peer)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b Peer) int {
+		if aHome, bHome := a.Zone == shard.Zone, b.Zone == shard.Zone; aHome != bHome {
+			if aHome {
+				return -1
+			}
+			return 1
+		}
+		if c := cmp.Compare(weight(b.VM, shard.Name), weight(a.VM, shard.Name)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.VM, b.VM)
+	})
+	return ranked
+}
+
+func weight(vm, shard string) uint64 { return xxhash.Sum64String(vm + "\x00" + shard) }
+
+// rank returns how many peers of the same standing, in or outside the shard's zone, come before a VM.
+func rank(vm string, shard Shard, peers []Peer, alive func(string) bool) int {
+	before := map[bool]int{}
+	for _, peer := range ranking(shard, peers, func(other string) bool { return other == vm || alive(other) }) {
+		home := peer.Zone == shard.Zone
+		if peer.VM == vm {
+			return before[home]
+		}
+		before[home]++
+	}
+	return 0
+}
--- /dev/null
+++ b/ownership/lease.go
@@ -0,0 +1,144 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+)
+
+// renewStep extends the lease, or the rights by promises if the store does not answer.
+func (m *Manager) renewStep(ctx context.Context) {
+	if m.renew(ctx) {
+		return
+	}
+	m.options.Metrics.renewalsFailed.Inc()
+	m.askPromises(ctx)
+}
+
+// renew extends the store lease, or grants a new one, and with it every right held. It reports whether the store
+// answered.
+func (m *Manager) renew(ctx context.Context) bool {
+	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, renewTimeout)
+	defer cancel()
+	m.mu.Lock()
+	lease := m.lease
+	m.mu.Unlock()
+	sent := m.options.Clock.Now()
+	if lease == 0 {
+		return m.grant(ctx, sent)
+	}
+	err := m.options.Store.RenewLease(ctx, lease)
+	if errors.Is(err, platform.ErrLeaseExpired) {
+		m.dropAll()
+		return m.grant(ctx, m.options.Clock.Now())
+	}
+	if err != nil {
+		return false
+	}
+	m.renewed(lease, sent)
+	return true
+}
+
+func (m *Manager) grant(ctx context.Context, sent time.Time) bool {
+	lease, err := m.options.Store.GrantLease(ctx, LeaseTTL)
+	if err != nil {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lease, m.leaseSent = lease, sent
+	return true
+}
+
+func (m *Manager) renewed(lease platform.LeaseID, sent time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lease != lease {
+		return
+	}
+	m.leaseSent = sent
+	for _, right := range m.held {
+		right.extend(m.leaseEnd(sent))
+	}
+}
+
+// askPromises extends the rights to the shards that all other VMs promise not to acquire.
+func (m *Manager) askPromises(ctx context.Context) {
+	if m.options.Promiser == nil {
+		return
+	}
+	request := m.promiseRequest()
+	if len(request.GetShards()) == 0 {
+		return
+	}
+	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, promiseTimeout)
+	defer cancel()
+	sent := m.options.Clock.Now()
+	promised := m.options.Promiser.Ask(ctx, request)
+	m.extendPromised(request, promised, sent)
+}
+
+func (m *Manager) promiseRequest() *siskinv1.PromiseRequest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	request := &siskinv1.PromiseRequest{
+		Vm: m.options.VM, Incarnation: m.options.Incarnation, DurationMs: PromiseDuration.Milliseconds(),
+	}
+	for shard, right := range m.held {
+		request.Shards = append(request.Shards, &siskinv1.ShardEpoch{Shard: shard, Epoch: right.Epoch})
+	}
+	return request
+}
+
+// extendPromised extends the rights that were named in the request; a right acquired since has another epoch.
+func (m *Manager) extendPromised(request *siskinv1.PromiseRequest, promised []string, sent time.Time) {
+	epochs := map[string]int64{}
+	for _, shard := range request.GetShards() {
+		epochs[shard.GetShard()] = shard.GetEpoch()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, shard := range promised {
+		right, ok := m.held[shard]
+		if ok && right.Epoch == epochs[shard] && right.extend(m.promiseEnd(sent)) {
+			m.options.Metrics.extended.Inc()
+		}
+	}
+}
+
+// Promise answers a peer that cannot reach the store. A promise is refused if this VM owns the shard or may be about to
+// own it, or if a store response has shown that the peer is no longer the owner.
+func (m *Manager) Promise(request *siskinv1.PromiseRequest) *siskinv1.PromiseResponse {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	duration := min(time.Duration(request.GetDurationMs())*time.Millisecond, PromiseDuration)
+	until := m.options.Clock.Now().Add(duration)
+	response := &siskinv1.PromiseResponse{}
+	for _, shard := range request.GetShards() {
+		if !m.mayPromise(request.GetVm(), shard) {
+			m.options.Metrics.promisesRefused.Inc()
+			continue
+		}
+		if until.After(m.promises[shard.GetShard()]) {
+			m.promises[shard.GetShard()] = until
+		}
+		m.options.Metrics.promisesGiven.Inc()
+		response.Promised = append(response.Promised, shard.GetShard())
+	}
+	return response
+}
+
+// mayPromise reports whether a peer's ownership agrees with all that this VM knows. The caller holds mu.
+func (m *Manager) mayPromise(vm string, shard *siskinv1.ShardEpoch) bool {
+	if _, own := m.held[shard.GetShard()]; own {
+		return false
+	}
+	if _, acquiring := m.attempts[shard.GetShard()]; acquiring {
+		return false
+	}
+	return m.directory.agrees(shard.GetShard(), vm, platform.Revision(shard.GetEpoch()))
+}
--- /dev/null
+++ b/ownership/promiser.go
@@ -0,0 +1,48 @@
+package ownership
+
+import (
+	"context"
+	"sync"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+)
+
+// PeerPromiser asks all other configured VMs at the same time.
+type PeerPromiser struct {
+	// VMs are the other configured entry VMs.
+	VMs []string
+	// Send asks one of them.
+	Send func(ctx context.Context, vm string, request *siskinv1.PromiseRequest) (*siskinv1.PromiseResponse, error)
+}
+
+// Ask implements Promiser.
+func (p *PeerPromiser) Ask(ctx context.Context, request *siskinv1.PromiseRequest) []string {
+	responses := make([]*siskinv1.PromiseResponse, len(p.VMs))
+	var calls sync.WaitGroup
+	for i, vm := range p.VMs {
+		calls.Go(func() {
+			if response, err := p.Send(ctx, vm, request); err == nil {
+				responses[i] = response
+			}
+		})
+	}
+	calls.Wait()
+	return promisedByAll(request, responses)
+}
+
+// promisedByAll returns the shards that are in every response; a missing response has none.
+func promisedByAll(request *siskinv1.PromiseRequest, responses []*siskinv1.PromiseResponse) []string {
+	votes := map[string]int{}
+	for _, response := range responses {
+		for _, shard := range response.GetPromised() {
+			votes[shard]++
+		}
+	}
+	var promised []string
+	for _, shard := range request.GetShards() {
+		if votes[shard.GetShard()] == len(responses) {
+			promised = append(promised, shard.GetShard())
+		}
+	}
+	return promised
+}
--- a/ownership/right.go
+++ b/ownership/right.go
@@ -34,7 +34,7 @@
 func (r *Right) Check() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || !r.clock.Now().Before(r.until) {
+	if !r.valid() {
 		return ErrExpired
 	}
 	return nil
@@ -47,13 +47,21 @@
 	return r.until
 }
 
-// extend moves the end of the right; it never moves it back.
-func (r *Right) extend(until time.Time) {
+// valid reports whether the right is valid now. The caller holds mu.
+func (r *Right) valid() bool { return !r.ended && r.clock.Now().Before(r.until) }
+
+// extend moves the end of the right; it never moves it back. An expired right stays expired: another VM may have owned
+// the shard since, and may have given it up again.
+func (r *Right) extend(until time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.valid() {
+		return false
+	}
 	if until.After(r.until) {
 		r.until = until
 	}
+	return true
 }
 
 // end withdraws the right for good.
--- a/shardlog/model_test.go
+++ b/shardlog/model_test.go
@@ -151,12 +151,13 @@
 	return faultstore.Fault{
 		Drop:       rapid.IntRange(0, 5).Draw(t, "drop") == 0,
 		LoseAnswer: rapid.IntRange(0, 3).Draw(t, "lose") == 0,
+		Late:       rapid.IntRange(0, 5).Draw(t, "late") == 0,
 		Duplicate:  rapid.IntRange(0, 3).Draw(t, "duplicate") == 0,
 		Before:     time.Duration(rapid.IntRange(0, 40).Draw(t, "before")) * time.Second,
 	}
 }
 
-// Guards against accepted records lost and refused or doubled records kept when answers are lost, calls are delayed or
+// Guards against accepted records lost and refused or doubled records kept when answers are lost, calls are delayed, late or
 // doubled, the writer is paused between its check and its call, and owners change, in any combination.
 func TestLogAgainstModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -182,11 +183,13 @@
 			w.pauseNextCall(rt, actor, depth)
 		}
 		actor.busy = true
-		switch rapid.IntRange(0, 5).Draw(rt, "step") {
+		switch rapid.IntRange(0, 6).Draw(rt, "step") {
 		case 0:
 			w.takeOver(genFault(rt), genFault(rt))
 		case 1:
 			actor.writeSnapshot()
+		case 3:
+			w.writers[rapid.IntRange(0, len(w.writers)-1).Draw(rt, "late")].faults.Deliver()
 		case 2:
 			w.line.Advance(keyRetention)
 		default:
