Keep the claims of at-most-once requests in the shard log

Cause: a claim must be durable before its request is forwarded and must be found again by whichever entry VM gets the repeated submission. Conclusion: claims share the shard's group commits.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -150,5 +150,6 @@
 }
 func (fixedConfig) SetDemand(string, string, resource.Vector, resource.Vector) {}
 func (fixedConfig) UsedElsewhere(string, string) resource.Vector               { return resource.Vector{} }
+func (fixedConfig) EntryAlive(string) bool                                     { return true }
 func (fixedConfig) Room() resource.Vector                                      { return resource.Vector{} }
 func (fixedConfig) Loads() []*siskinv1.ShardLoad                               { return nil }
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -97,6 +97,7 @@
 func (s *site) Limit(string, string) resource.Vector                       { return s.limit }
 func (s *site) SetDemand(string, string, resource.Vector, resource.Vector) {}
 func (s *site) UsedElsewhere(shard, team string) resource.Vector           { return resource.Vector{} }
+func (s *site) EntryAlive(string) bool                                     { return true }
 func (s *site) Room() resource.Vector                                      { return resource.Vector{} }
 
 func (s *site) Loads() []*siskinv1.ShardLoad {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -72,6 +72,8 @@
 	UsedElsewhere(shard, team string) resource.Vector
 	// Room returns the room of all workers of the fleet.
 	Room() resource.Vector
+	// EntryAlive reports whether an entry VM, named with its incarnation, may still have requests in flight.
+	EntryAlive(entryVM string) bool
 	// Loads returns the last reported load of each shard.
 	Loads() []*siskinv1.ShardLoad
 }
@@ -181,6 +183,7 @@
 	o.tasks.Go(func() { o.every(ctx, renewTick, o.renewDue) })
 	o.tasks.Go(func() { o.every(ctx, partsInterval, o.reconcileParts) })
 	o.tasks.Go(func() { o.every(ctx, forgetInterval, o.forgetEnded) })
+	o.tasks.Go(func() { o.every(ctx, sweepInterval, o.sweepClaims) })
 	o.every(ctx, planInterval, o.pass)
 	cancel()
 	o.tasks.Wait()
--- a/owner/set.go
+++ b/owner/set.go
@@ -108,6 +108,24 @@
 	return &siskinv1.CancelWorkResponse{Status: status}, nil
 }
 
+// Claim implements claim.Shards for the shards of this VM.
+func (s *Set) Claim(ctx context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error) {
+	o, err := s.owner(request.GetShard())
+	if err != nil {
+		return nil, err
+	}
+	return o.Claim(ctx, request)
+}
+
+// FinishClaim implements claim.Shards for the shards of this VM.
+func (s *Set) FinishClaim(ctx context.Context, request *siskinv1.FinishClaimRequest) (*siskinv1.FinishClaimResponse, error) {
+	o, err := s.owner(request.GetShard())
+	if err != nil {
+		return nil, err
+	}
+	return o.FinishClaim(ctx, request)
+}
+
 // OfferPart implements PartClient for the shards of this VM.
 func (s *Set) OfferPart(ctx context.Context, shard string, request *siskinv1.OfferPartRequest) (*siskinv1.OfferPartResponse, error) {
 	o, err := s.owner(shard)
--- a/owner/state.go
+++ b/owner/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/claim"
 	"siskinstack.example/siskinstack/scheduler"
 )
 
@@ -14,6 +15,7 @@
 	shard   string
 	jobs    map[string]*job
 	workers map[string]bool // workers that may hold tasks of the shard
+	claims  *claim.Table    // requests that run at most once
 }
 
 // job is one job of which the shard is the home or holds a part.
@@ -43,7 +45,7 @@
 }
 
 func newState(shard string) *state {
-	return &state{shard: shard, jobs: map[string]*job{}, workers: map[string]bool{}}
+	return &state{shard: shard, jobs: map[string]*job{}, workers: map[string]bool{}, claims: claim.NewTable(claim.Limits{})}
 }
 
 // apply brings one durable record into the state.
@@ -65,6 +67,8 @@
 		s.applyPart(change.PartChanged)
 	case *siskinv1.Record_JobForgotten:
 		delete(s.jobs, change.JobForgotten.GetId())
+	case *siskinv1.Record_RequestClaimed, *siskinv1.Record_RequestFinished:
+		s.claims.Apply(record)
 	case *siskinv1.Record_WorkerUsed:
 		s.workers[change.WorkerUsed.GetWorker()] = true
 	case *siskinv1.Record_WorkerUnused:
@@ -138,7 +142,7 @@
 	for _, worker := range sortedKeys(s.workers) {
 		records = append(records, workerUsedRecord(worker))
 	}
-	return records
+	return append(records, s.claims.Records()...)
 }
 
 func (j *job) records(shard string) []*siskinv1.Record {
