Add the fleet view and the control calls between entry VMs

Cause: owners need the usage of other shards and the list of VMs; VMs must answer promises, heartbeats and configuration requests. Change: package fleet, one reader of the VM list per process, peer control RPC.

--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,149 @@
+// Package fleet combines what the entry VMs report of their shards with the platform's list of VMs into the view that
+// shard owners decide with. All of it lags; nothing that must always hold rests on it alone.
+package fleet
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/membership"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/resource"
+)
+
+const (
+	// listInterval is the time between two reads of the platform's list.
+	listInterval = time.Second
+	// listTimeout bounds one read.
+	listTimeout = 2 * time.Second
+)
+
+// View is the fleet as this VM sees it.
+type View struct {
+	vm          string
+	incarnation int64
+	clock       clock.Clock
+	source      platform.VMList
+	members     *membership.Manager
+	local       func() []*siskinv1.TeamUsage
+
+	mu   sync.RWMutex // guards list and room
+	list platform.VMs
+	room resource.Vector
+}
+
+// Options configures a view.
+type Options struct {
+	VM          string
+	Incarnation int64
+	Clock       clock.Clock
+	VMs         platform.VMList
+	Members     *membership.Manager
+	// Local returns the team usage of the shards that this VM owns.
+	Local func() []*siskinv1.TeamUsage
+}
+
+// New returns a view that is empty before Run.
+func New(options Options) *View {
+	return &View{
+		vm: options.VM, incarnation: options.Incarnation, clock: options.Clock,
+		source: options.VMs, members: options.Members, local: options.Local,
+	}
+}
+
+// Run follows the platform's list until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		v.refresh(ctx)
+		_ = v.clock.Sleep(ctx, listInterval)
+	}
+}
+
+// refresh reads the list; while it cannot be read, the last one stays.
+func (v *View) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := v.source.List(ctx)
+	if err != nil {
+		return
+	}
+	var room resource.Vector
+	for _, vm := range list.VMs {
+		if vm.Role == platform.RoleWorker {
+			room = room.Add(vm.Room)
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.list, v.room = list, room
+}
+
+// List implements platform.VMList with the list read last, so that the owners of a process share one reader.
+func (v *View) List(context.Context) (platform.VMs, error) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.list, nil
+}
+
+// Room returns the room of all workers of the fleet.
+func (v *View) Room() resource.Vector {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.room
+}
+
+// UsedElsewhere returns what a team has running in all shards but one that this VM owns.
+func (v *View) UsedElsewhere(shard, team string) resource.Vector {
+	used := v.members.TeamUsage()[team].Running
+	for _, report := range v.local() {
+		if report.GetShard() == shard && report.GetTeam() == team {
+			used = used.Sub(resource.FromProto(report.GetRunning()))
+		}
+	}
+	return used.Max(resource.Vector{})
+}
+
+// Loads returns the last reported load of each shard, in the order of their names.
+func (v *View) Loads() []*siskinv1.ShardLoad {
+	reports := v.members.Loads()
+	loads := make([]*siskinv1.ShardLoad, 0, len(reports))
+	for _, report := range reports {
+		loads = append(loads, report.ShardLoad)
+	}
+	sort.Slice(loads, func(i, j int) bool { return loads[i].GetShard() < loads[j].GetShard() })
+	return loads
+}
+
+// EntryName names an entry VM with its incarnation.
+func EntryName(vm string, incarnation int64) string {
+	return vm + "@" + strconv.FormatInt(incarnation, 10)
+}
+
+// EntryAlive reports whether an entry VM, named with its incarnation, may still have requests in flight. Only a dead
+// or replaced one certainly has none.
+func (v *View) EntryAlive(name string) bool {
+	vm, text, ok := strings.Cut(name, "@")
+	incarnation, err := strconv.ParseInt(text, 10, 64)
+	if !ok || err != nil {
+		return false
+	}
+	if vm == v.vm {
+		return incarnation == v.incarnation
+	}
+	for _, member := range v.members.Members() {
+		if member.VM != vm {
+			continue
+		}
+		if member.Status == membership.Dead || member.Incarnation > incarnation {
+			return false
+		}
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/peer/control.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"context"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+// Control is the part of a VM that agrees with the other VMs on membership, ownership, configuration and allowances.
+type Control interface {
+	Heartbeat(ctx context.Context, request *siskinv1.HeartbeatRequest) (*siskinv1.HeartbeatResponse, error)
+	Promise(ctx context.Context, request *siskinv1.PromiseRequest) (*siskinv1.PromiseResponse, error)
+	FetchConfig(ctx context.Context, request *siskinv1.FetchConfigRequest) (*siskinv1.FetchConfigResponse, error)
+	TakeOver(ctx context.Context, request *siskinv1.TakeOverRequest) (*siskinv1.TakeOverResponse, error)
+	GiveBackAllowance(ctx context.Context, request *siskinv1.GiveBackAllowanceRequest) (*siskinv1.GiveBackAllowanceResponse, error)
+}
+
+// Heartbeat exchanges liveness and load.
+func (s *Server) Heartbeat(ctx context.Context, request *siskinv1.HeartbeatRequest) (*siskinv1.HeartbeatResponse, error) {
+	return s.LocalControl.Heartbeat(ctx, request)
+}
+
+// Promise promises not to acquire shards for a while.
+func (s *Server) Promise(ctx context.Context, request *siskinv1.PromiseRequest) (*siskinv1.PromiseResponse, error) {
+	return s.LocalControl.Promise(ctx, request)
+}
+
+// FetchConfig returns this VM's view of the configuration.
+func (s *Server) FetchConfig(ctx context.Context, request *siskinv1.FetchConfigRequest) (*siskinv1.FetchConfigResponse, error) {
+	return s.LocalControl.FetchConfig(ctx, request)
+}
+
+// TakeOver acquires a shard that a leaving VM has given up.
+func (s *Server) TakeOver(ctx context.Context, request *siskinv1.TakeOverRequest) (*siskinv1.TakeOverResponse, error) {
+	return s.LocalControl.TakeOver(ctx, request)
+}
+
+// GiveBackAllowance gives unused allowance of a shard of this VM back.
+func (s *Server) GiveBackAllowance(ctx context.Context, request *siskinv1.GiveBackAllowanceRequest) (*siskinv1.GiveBackAllowanceResponse, error) {
+	answer, err := s.LocalControl.GiveBackAllowance(ctx, request)
+	if err != nil {
+		return &siskinv1.GiveBackAllowanceResponse{Refused: refusal.From(err).Proto()}, nil
+	}
+	return answer, nil
+}
+
+// ControlCalls sends control calls to one peer by VM name.
+type ControlCalls struct {
+	Clients *Clients
+}
+
+// Heartbeat implements membership.Sender.
+func (c *ControlCalls) Heartbeat(ctx context.Context, vm string, request *siskinv1.HeartbeatRequest) (*siskinv1.HeartbeatResponse, error) {
+	client, err := c.Clients.Client(vm)
+	if err != nil {
+		return nil, err
+	}
+	return client.Heartbeat(ctx, request)
+}
+
+// Promise asks a peer for a promise.
+func (c *ControlCalls) Promise(ctx context.Context, vm string, request *siskinv1.PromiseRequest) (*siskinv1.PromiseResponse, error) {
+	client, err := c.Clients.Client(vm)
+	if err != nil {
+		return nil, err
+	}
+	return client.Promise(ctx, request)
+}
+
+// FetchConfig asks a peer for its view of the configuration.
+func (c *ControlCalls) FetchConfig(ctx context.Context, vm string, request *siskinv1.FetchConfigRequest) (*siskinv1.FetchConfigResponse, error) {
+	client, err := c.Clients.Client(vm)
+	if err != nil {
+		return nil, err
+	}
+	return client.FetchConfig(ctx, request)
+}
+
+// TakeOver tells a peer that a shard is free.
+func (c *ControlCalls) TakeOver(ctx context.Context, vm string, request *siskinv1.TakeOverRequest) (*siskinv1.TakeOverResponse, error) {
+	client, err := c.Clients.Client(vm)
+	if err != nil {
+		return nil, err
+	}
+	return client.TakeOver(ctx, request)
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,6 +20,8 @@
 // Server serves the peer RPC.
 type Server struct {
 	siskinv1.UnimplementedPeerServiceServer
+	// LocalControl serves membership, ownership, configuration and allowances.
+	LocalControl Control
 	// LocalWork serves the shards of this VM only, so that a call is passed on at most once.
 	LocalWork Work
 	// LocalParts serves the parts of jobs that shards of this VM hold.
