Follow the configuration with confirmed freshness

Cause: no VM followed the configuration, and a view without a confirmation time accepts withdrawn keys. A VM's own writes enter its view at once, and a VM that has not reached the store since its start confirms nothing: the state machine test found withdrawn keys accepted without either. Conclusion: a fresh view contains every change that was answered as done more than 2 s ago.

--- a/configstore/keys.go
+++ b/configstore/keys.go
@@ -31,6 +31,9 @@
 // Zone returns the key of the state of an availability zone.
 func Zone(zone string) string { return zonePrefix + zone }
 
+// Zones returns the prefix of all zone states.
+func Zones() string { return zonePrefix }
+
 // TeamKeyID returns the id inside the key of a team key.
 func TeamKeyID(key string) (string, bool) { return strings.CutPrefix(key, teamKeyPrefix) }
 
--- /dev/null
+++ b/configview/follow.go
@@ -0,0 +1,178 @@
+package configview
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstack.example/siskinstack/configstore"
+	"siskinstack.example/siskinstack/platform"
+)
+
+const (
+	// watchWait is how long the store holds a watch open. A confirmation counts from the time a watch was sent, so its age
+	// reaches twice this time plus the latency. 600 ms leaves 800 ms of FreshFor for a slow store.
+	watchWait = 600 * time.Millisecond
+	// callTimeout bounds a store call beyond the wait of a watch.
+	callTimeout = time.Second
+	// pollPause limits the rate of watches while changes follow each other closely.
+	pollPause = 20 * time.Millisecond
+	// retryPause is the pause after a failed store call.
+	retryPause = 250 * time.Millisecond
+	// peerPause is the time between checks whether the peers have to confirm the view.
+	peerPause = 500 * time.Millisecond
+	// storeQuietAfter is the age of the last confirmation by the store from which on the peers are asked.
+	storeQuietAfter = 1400 * time.Millisecond
+)
+
+var errWentBack = eris.New("store went back to an earlier revision")
+
+// Run follows the configuration until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { v.followStore(ctx) })
+	loops.Go(func() { v.followPeers(ctx) })
+	loops.Wait()
+}
+
+func (v *View) followStore(ctx context.Context) {
+	for {
+		pause := pollPause
+		if err := v.pollStore(ctx, watchWait); err != nil {
+			v.counters.storeFailures.Inc()
+			pause = retryPause
+		}
+		if v.options.Clock.Sleep(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
+func (v *View) followPeers(ctx context.Context) {
+	for {
+		if v.isStoreQuiet() {
+			v.pollPeers(ctx)
+		}
+		if v.options.Clock.Sleep(ctx, peerPause) != nil {
+			return
+		}
+	}
+}
+
+func (v *View) isStoreQuiet() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.listed || v.options.Clock.Now().Sub(v.storeConfirmed) > storeQuietAfter
+}
+
+// pollStore lists the configuration if that is needed, or waits for changes otherwise.
+func (v *View) pollStore(ctx context.Context, wait time.Duration) error {
+	v.mu.Lock()
+	mustList, after := v.mustList, v.complete
+	v.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	if mustList {
+		return v.list(ctx, after)
+	}
+	return v.watch(ctx, wait, after)
+}
+
+// list replaces the entries by listings of the store. The listings are taken one after the other, so the view is complete
+// up to the first one's revision; the watch repeats what changed in between.
+func (v *View) list(ctx context.Context, earlier platform.Revision) error {
+	sent := v.options.Clock.Now()
+	listings := make([]platform.Listing, len(prefixes))
+	for i, prefix := range prefixes {
+		listing, err := v.options.Store.List(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		if listing.Revision < earlier {
+			return v.wentBack(listing.Revision, earlier)
+		}
+		listings[i] = listing
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i, listing := range listings {
+		v.replace(prefixes[i], listing.Entries, listing.Revision)
+	}
+	v.counters.listings.Inc()
+	v.listed = true
+	v.mustList = false
+	v.confirm(listings[0].Revision, sent)
+	return nil
+}
+
+func (v *View) wentBack(revision, earlier platform.Revision) error {
+	v.mu.Lock()
+	v.mustList = true
+	v.mu.Unlock()
+	return eris.Wrapf(errWentBack, "revision %d after %d", revision, earlier)
+}
+
+// replace makes the entries of a prefix equal to a listing. The caller holds mu.
+func (v *View) replace(prefix string, listed []platform.KeyValue, revision platform.Revision) {
+	present := make(map[string]bool, len(listed))
+	for _, kv := range listed {
+		present[kv.Key] = true
+		v.apply(kv.Key, kv.Value, kv.Revision)
+	}
+	for key := range v.entries {
+		if strings.HasPrefix(key, prefix) && !present[key] {
+			v.remove(key, revision)
+		}
+	}
+}
+
+// confirm records that the view is complete up to a revision, as a call sent at a time has shown. The caller holds mu.
+func (v *View) confirm(revision platform.Revision, sent time.Time) {
+	v.complete = max(v.complete, revision)
+	v.publish()
+	if sent.After(v.storeConfirmed) {
+		v.storeConfirmed = sent
+	}
+}
+
+func (v *View) watch(ctx context.Context, wait time.Duration, after platform.Revision) error {
+	sent := v.options.Clock.Now()
+	result, err := v.options.Store.Watch(ctx, platform.WatchRequest{Prefix: configstore.Prefix, After: after, Wait: wait})
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		v.mustList = true
+		return err
+	case err != nil:
+		return err
+	case hasGap(result, after):
+		v.mustList = true
+		return eris.Wrapf(errWentBack, "watch after %d", after)
+	}
+	for _, event := range result.Events {
+		if event.Deleted {
+			v.remove(event.Key, event.Revision)
+		} else {
+			v.apply(event.Key, event.Value, event.Revision)
+		}
+	}
+	v.confirm(result.Revision, sent)
+	return nil
+}
+
+// hasGap reports whether the answer of a watch contradicts the requested revision or itself.
+func hasGap(result platform.WatchResult, after platform.Revision) bool {
+	last := after
+	for _, event := range result.Events {
+		if event.Revision < last || event.Revision == after {
+			return true
+		}
+		last = event.Revision
+	}
+	return last > result.Revision
+}
--- /dev/null
+++ b/configview/peers.go
@@ -0,0 +1,135 @@
+package configview
+
+import (
+	"context"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/platform"
+)
+
+// fetchTimeout bounds the transfer of a view from a peer.
+const fetchTimeout = 500 * time.Millisecond
+
+// PeerState is what another entry VM said about its view.
+type PeerState struct {
+	VM        string
+	Reachable bool
+	// State is the peer's State as it answered; an age below zero means that the store has not confirmed the peer's view
+	// since the start of its process.
+	State State
+	// AsOf is when the question that the peer answered was sent, on this VM's monotonic clock.
+	AsOf time.Time
+}
+
+// Peers gives access to the views of the other entry VMs.
+type Peers interface {
+	// States returns the newest known state of all other configured entry VMs.
+	States() []PeerState
+	// FetchConfig asks a peer for what is newer than the revision of the request.
+	FetchConfig(ctx context.Context, vm string, request *siskinv1.FetchConfigRequest) (*siskinv1.FetchConfigResponse, error)
+}
+
+// pollPeers takes over what the other VMs know and counts as confirmation if all of them have answered. Each has to hold a
+// view that the store confirmed since the start of its process: a VM that has just started may have answered a change as
+// done before, and nobody may know of that change while the store is away.
+func (v *View) pollPeers(ctx context.Context) {
+	states := map[string]PeerState{}
+	for _, state := range v.options.Peers.States() {
+		states[state.VM] = state
+	}
+	confirmed := v.options.Clock.Now()
+	all := true
+	for _, vm := range v.options.Others {
+		state, ok := states[vm]
+		if !ok || !state.Reachable || !v.catchUp(ctx, state) {
+			all = false
+			continue
+		}
+		all = all && state.State.Age >= 0
+		if state.AsOf.Before(confirmed) {
+			confirmed = state.AsOf
+		}
+	}
+	if !all {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.listed && confirmed.After(v.peersConfirmed) {
+		v.peersConfirmed = confirmed
+		v.counters.peerConfirmations.Inc()
+	}
+}
+
+// catchUp fetches what a peer knows beyond this view, and reports whether this view now contains all of it.
+func (v *View) catchUp(ctx context.Context, peer PeerState) bool {
+	v.mu.Lock()
+	complete := v.complete
+	v.mu.Unlock()
+	if peer.State.Revision <= complete {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request := &siskinv1.FetchConfigRequest{Revision: int64(complete)}
+	response, err := v.options.Peers.FetchConfig(ctx, peer.VM, request)
+	if err != nil {
+		return false
+	}
+	v.Import(request, response)
+	// The peer may have restarted since it gave its state, and may have lost what it knew then.
+	return response.GetAgeMs() >= 0
+}
+
+// Export answers another VM. If this view is complete beyond the requested revision, the answer holds all entries and this
+// view's complete revision. Otherwise it holds the entries that are newer than the requested revision, and that revision.
+func (v *View) Export(request *siskinv1.FetchConfigRequest) *siskinv1.FetchConfigResponse {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	after := platform.Revision(request.GetRevision())
+	whole := v.complete > after
+	response := &siskinv1.FetchConfigResponse{
+		Revision: int64(max(v.complete, after)),
+		AgeMs:    v.age(v.options.Clock.Now()).Milliseconds(),
+	}
+	for key, e := range v.entries {
+		if whole || e.revision > after {
+			response.Entries = append(response.Entries, &siskinv1.ConfigEntry{
+				Key: key, Value: e.value, Revision: int64(e.revision),
+			})
+		}
+	}
+	return response
+}
+
+// add takes over entries that are newer than the complete revision. Older ones are known, or have been deleted since. The
+// caller holds mu.
+func (v *View) add(entries []platform.KeyValue) {
+	for _, kv := range entries {
+		if kv.Revision > v.complete {
+			v.apply(kv.Key, kv.Value, kv.Revision)
+		}
+	}
+}
+
+// Import takes over the answer of another VM to a request. It does not make the view fresh.
+func (v *View) Import(request *siskinv1.FetchConfigRequest, response *siskinv1.FetchConfigResponse) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	listed := make([]platform.KeyValue, 0, len(response.GetEntries()))
+	for _, e := range response.GetEntries() {
+		listed = append(listed, platform.KeyValue{Key: e.GetKey(), Value: e.GetValue(), Revision: platform.Revision(e.GetRevision())})
+	}
+	complete := platform.Revision(response.GetRevision())
+	if response.GetRevision() > request.GetRevision() && complete > v.complete {
+		v.replace("", listed, complete)
+		v.complete = complete
+		// The peer keeps the last good value of an entry whose newest value it rejected, so the store is listed again.
+		v.mustList = true
+	} else {
+		v.add(listed)
+	}
+	v.counters.imports.Inc()
+	v.publish()
+}
--- /dev/null
+++ b/configview/view_test.go
@@ -0,0 +1,272 @@
+package configview
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/configstore"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/standin"
+)
+
+// peerRound lets a VM ask all others.
+func (m *vm) peerRound() {
+	m.heartbeat()
+	m.view.pollPeers(context.Background())
+}
+
+func (m *vm) isFresh() bool { return m.view.Fresh(m.world.clock.Now()) }
+
+func (m *vm) poll() error { return m.view.pollStore(context.Background(), time.Microsecond) }
+
+// outage returns a world in which a has withdrawn a key right before the store failed, and the views are no longer fresh.
+func outage(t *testing.T) (*world, string) {
+	w := newWorld()
+	w.pollAll()
+	w.signOff(w.vms["a"])
+	w.issue(w.vms["a"])
+	w.pollAll()
+	w.withdraw(w.vms["a"], w.keys[0])
+	assert.Equal(t, len(w.withdrawn), 1)
+	w.setDown(true)
+	assert.Assert(t, w.vms["b"].isFresh())
+	w.clock.Advance(FreshFor)
+	assert.Assert(t, w.vms["b"].isFresh())
+	w.clock.Advance(time.Millisecond)
+	assert.Assert(t, !w.vms["b"].isFresh())
+	return w, w.keys[0]
+}
+
+// Guards against a store outage that stops keyed work although all VMs agree, and against agreement without the newest
+// change.
+func TestPeersKeepTheViewFresh(t *testing.T) {
+	w, key := outage(t)
+	b := w.vms["b"]
+	assert.Assert(t, !b.view.Snapshot().Key(key).GetWithdrawn())
+	b.peerRound()
+	assert.Assert(t, b.isFresh())
+	assert.Assert(t, b.view.Snapshot().Key(key).GetWithdrawn())
+	w.clock.Advance(FreshFor + time.Millisecond)
+	assert.Assert(t, !b.isFresh())
+	w.cut[link("b", "c")] = true
+	b.peerRound()
+	assert.Assert(t, !b.isFresh(), "fresh without an answer of c")
+	delete(b.states, "c")
+	b.view.pollPeers(t.Context())
+	assert.Assert(t, !b.isFresh(), "fresh without a state of c")
+}
+
+// Guards against a change that the only VM that knew it forgets in a restart while the store is away.
+func TestRestartedVMConfirmsNothingBeforeItReachesTheStore(t *testing.T) {
+	w, key := outage(t)
+	a, b := w.vms["a"], w.vms["b"]
+	a.restart()
+	a.peerRound()
+	assert.Equal(t, a.view.Snapshot().BundleVersion(), int64(1), "bundle was not adopted from peers")
+	assert.Assert(t, a.view.Snapshot().Key(key) != nil)
+	assert.Assert(t, !a.isFresh(), "fresh although it may have forgotten a change")
+	b.peerRound()
+	assert.Assert(t, !b.isFresh(), "fresh by a VM that may have forgotten a change")
+	w.setDown(false)
+	w.pollAll()
+	b.peerRound()
+	assert.Assert(t, a.isFresh() && b.isFresh())
+	assert.Assert(t, a.view.Snapshot().Key(key).GetWithdrawn() && b.view.Snapshot().Key(key).GetWithdrawn())
+}
+
+// Guards against a slow answer that confirms the view for the time it was on its way.
+func TestConfirmationCountsFromSending(t *testing.T) {
+	w := newWorld()
+	b := w.vms["b"]
+	b.store.slow = FreshFor
+	assert.NilError(t, b.poll())
+	assert.Assert(t, !b.isFresh(), "a listing counts from its answer")
+	b.store.slow = 0
+	assert.NilError(t, b.poll())
+	assert.Assert(t, b.isFresh())
+	w.clock.Advance(FreshFor)
+	b.store.slow = time.Millisecond + FreshFor
+	assert.NilError(t, b.poll())
+	assert.Assert(t, !b.isFresh(), "a watch counts from its answer")
+}
+
+// Guards against changes that are missed because the store has dropped them from its history.
+func TestCompactionCausesAListing(t *testing.T) {
+	w := newWorld()
+	w.pollAll()
+	a, b := w.vms["a"], w.vms["b"]
+	w.issue(a)
+	assert.NilError(t, b.poll())
+	w.withdraw(a, w.keys[0])
+	var revision platform.Revision
+	for range 5000 {
+		var err error
+		revision, err = w.store.Put(t.Context(), platform.PutRequest{Key: "other", Expected: revision})
+		assert.NilError(t, err)
+	}
+	assert.ErrorIs(t, b.poll(), platform.ErrCompacted)
+	assert.Assert(t, !b.view.Snapshot().Key(w.keys[0]).GetWithdrawn())
+	assert.NilError(t, b.poll())
+	assert.Assert(t, b.view.Snapshot().Key(w.keys[0]).GetWithdrawn())
+}
+
+// scriptedStore answers watches from a list.
+type scriptedStore struct {
+	platform.Store
+	results []platform.WatchResult
+}
+
+func (s *scriptedStore) Watch(context.Context, platform.WatchRequest) (platform.WatchResult, error) {
+	result := s.results[0]
+	s.results = s.results[1:]
+	return result, nil
+}
+
+// Guards against a watch that contradicts itself and still confirms the view.
+func TestGapInTheWatchCausesAListing(t *testing.T) {
+	event := func(revision platform.Revision) platform.Event {
+		return platform.Event{KeyValue: platform.KeyValue{Key: "config/x", Revision: revision}}
+	}
+	for _, result := range []platform.WatchResult{
+		{Revision: -1},
+		{Revision: 5, Events: []platform.Event{event(4), event(3)}},
+		{Revision: 5, Events: []platform.Event{event(6)}},
+		{Revision: 5, Events: []platform.Event{event(0)}},
+	} {
+		w := newWorld()
+		b := w.vms["b"]
+		b.view.options.Store = &scriptedStore{Store: w.store, results: []platform.WatchResult{result}}
+		assert.NilError(t, b.poll())
+		w.clock.Advance(FreshFor)
+		assert.ErrorIs(t, b.poll(), errWentBack)
+		assert.NilError(t, b.poll(), "no listing after the gap")
+		assert.Equal(t, b.view.storeConfirmed, w.clock.Now())
+	}
+}
+
+// Guards against a bad value that replaces a good one, floods the log, or hides a good value that arrives after it.
+func TestBadValuesAreRejected(t *testing.T) {
+	w := newWorld()
+	a, b := w.vms["a"], w.vms["b"]
+	var logged []string
+	b.view.options.Logger = funcr.New(func(_, line string) { logged = append(logged, line) }, funcr.Options{})
+	w.pollAll()
+	w.signOff(a)
+	w.issue(a)
+	w.pollAll()
+	key := configstore.TeamKey(w.keys[0])
+	live, err := w.store.Get(t.Context(), key)
+	assert.NilError(t, err)
+	w.withdraw(a, w.keys[0])
+	w.overwrite(key, []byte{0xff})
+	_, err = b.view.Observing(w.store).Get(t.Context(), key)
+	assert.NilError(t, err)
+	w.pollAll()
+	assert.Assert(t, b.view.Snapshot().Key(w.keys[0]).GetWithdrawn(), "a rejected value hid an earlier good one")
+	w.overwrite(key, live.Value)
+	w.pollAll()
+	assert.Assert(t, b.view.Snapshot().Key(w.keys[0]).GetWithdrawn(), "a withdrawn key came back")
+	tampered := signedBundle(7)
+	tampered.Bundle.Teams[0].Share++
+	value, err := proto.Marshal(tampered)
+	assert.NilError(t, err)
+	w.overwrite(configstore.BundleCurrent, value)
+	w.overwrite(key, []byte{0xff})
+	_, err = w.store.Put(t.Context(), platform.PutRequest{Key: configstore.Zone("z1"), Value: []byte("x")})
+	assert.NilError(t, err)
+	for range 3 {
+		w.pollAll()
+		b.view.mustList = true
+	}
+	assert.Equal(t, b.view.Snapshot().BundleVersion(), int64(1))
+	assert.Assert(t, b.view.Snapshot().Key(w.keys[0]).GetWithdrawn())
+	assert.Assert(t, !b.view.Snapshot().IsDraining("z1"))
+	// One line for the bundle in force, one for each of five bad values.
+	assert.Equal(t, len(logged), 6, "%s", strings.Join(logged, "\n"))
+}
+
+// Guards against deleted entries that stay in force, and against a deleted bundle that does not.
+func TestDeletedEntries(t *testing.T) {
+	w := newWorld()
+	a, b := w.vms["a"], w.vms["b"]
+	w.pollAll()
+	w.signOff(a)
+	w.issue(a)
+	w.pollAll()
+	for _, key := range []string{configstore.TeamKey(w.keys[0]), configstore.BundleCurrent} {
+		found, err := w.store.Get(t.Context(), key)
+		assert.NilError(t, err)
+		assert.NilError(t, w.store.Delete(t.Context(), key, found.Revision))
+	}
+	a.view.mustList = true
+	w.pollAll()
+	for _, m := range []*vm{a, b} {
+		assert.Assert(t, m.view.Snapshot().Key(w.keys[0]) == nil)
+		assert.Equal(t, m.view.Snapshot().BundleVersion(), int64(1))
+	}
+}
+
+// Guards against a bundle from a peer that is put in force without verification.
+func TestImportVerifiesBundles(t *testing.T) {
+	w := newWorld()
+	w.pollAll()
+	w.signOff(w.vms["a"])
+	w.pollAll()
+	request := &siskinv1.FetchConfigRequest{}
+	good := w.vms["a"].view.Export(request)
+	bad := proto.CloneOf(good)
+	for _, e := range bad.GetEntries() {
+		e.Value[len(e.Value)-1]++
+	}
+	b := w.vms["b"]
+	b.restart()
+	b.view.Import(request, bad)
+	assert.Equal(t, b.view.Snapshot().BundleVersion(), int64(0))
+	b.restart()
+	b.view.Import(request, good)
+	assert.Equal(t, b.view.Snapshot().BundleVersion(), int64(1))
+	assert.Assert(t, !b.isFresh())
+}
+
+// Guards against a follower that misses changes, does not notify, or does not end.
+func TestRunFollowsTheStore(t *testing.T) {
+	w := newWorld()
+	real := clock.Real{}
+	store := standin.NewStore(real)
+	a := w.vms["a"]
+	a.view = New(Options{Store: store, Clock: real, Logger: logr.Discard(), Signers: w.signers, Peers: a})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	changed, unsubscribe := a.view.Subscribe()
+	defer unsubscribe()
+	ended := make(chan struct{})
+	go func() { a.view.Run(ctx); close(ended) }()
+	for version := int64(1); version <= 3; version++ {
+		found, err := store.Get(ctx, configstore.BundleCurrent)
+		assert.Assert(t, err == nil || version == 1)
+		value, err := configstore.Encode(signedBundle(version))
+		assert.NilError(t, err)
+		_, err = store.Put(ctx, platform.PutRequest{Key: configstore.BundleCurrent, Value: value, Expected: found.Revision})
+		assert.NilError(t, err)
+		for a.view.Snapshot().BundleVersion() < version {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				t.Fatal("version is not in force after 20 s")
+			}
+		}
+	}
+	cancel()
+	<-ended
+	assert.Equal(t, len(a.view.History()), 3)
+	assert.Equal(t, a.view.Snapshot().InForceSince(), a.view.History()[2].Since)
+}
