Push ceilings' parts to the owner instead of asking for them

Cause: a new owner with a limit of zero would have stopped the tasks that it had just adopted. Change: limits are pushed; a team starts nothing and loses nothing before the first one.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -106,13 +106,14 @@
 	o, err := owner.Open(ctx, owner.Options{
 		Right: right, Store: d.platform, Workers: d.platform, VMs: d.platform.VMs(), Clock: d.clock,
 		Logger: d.logger, Tracer: noop.NewTracerProvider().Tracer(""), Metrics: d.metrics,
-		Config: fixedConfig{d}, Limits: fixedConfig{d}, Fleet: fixedConfig{d}, Parts: d.parts,
+		Config: fixedConfig{d}, Demand: fixedConfig{d}, Fleet: fixedConfig{d}, Parts: d.parts,
 		VM: d.settings.GetVm(), Zone: sharding.Zone(right.Shard), Writer: d.settings.GetVm() + right.Shard,
 	})
 	if err != nil {
 		d.logger.Error(err, "cannot open shard", "shard", right.Shard)
 		return
 	}
+	o.SetLimit("lab", resource.Vector{MilliCPU: 1 << 40, MemoryBytes: 1 << 60, Accelerators: 1 << 30})
 	d.owners.Add(o)
 	defer d.owners.Remove(o)
 	o.Run(ctx)
@@ -141,15 +142,12 @@
 // fixedConfig serves one team without limits until the configuration is followed.
 type fixedConfig struct{ *Daemon }
 
-func (fixedConfig) Fresh() bool                 { return true }
-func (fixedConfig) Draining(string) bool        { return false }
-func (c fixedConfig) Shards() []ownership.Shard { return c.shards() }
-func (fixedConfig) Teams() []*siskinv1.Team     { return []*siskinv1.Team{{Name: "lab", Share: 1}} }
-func (fixedConfig) Limit(string, string) resource.Vector {
-	return resource.Vector{MilliCPU: 1 << 40, MemoryBytes: 1 << 60, Accelerators: 1 << 30}
-}
-func (fixedConfig) SetDemand(string, string, resource.Vector, resource.Vector) {}
-func (fixedConfig) UsedElsewhere(string, string) resource.Vector               { return resource.Vector{} }
-func (fixedConfig) EntryAlive(string) bool                                     { return true }
-func (fixedConfig) Room() resource.Vector                                      { return resource.Vector{} }
-func (fixedConfig) Loads() []*siskinv1.ShardLoad                               { return nil }
+func (fixedConfig) Fresh() bool                                  { return true }
+func (fixedConfig) Draining(string) bool                         { return false }
+func (c fixedConfig) Shards() []ownership.Shard                  { return c.shards() }
+func (fixedConfig) Teams() []*siskinv1.Team                      { return []*siskinv1.Team{{Name: "lab", Share: 1}} }
+func (fixedConfig) SetDemand(string, string, resource.Vector)    {}
+func (fixedConfig) UsedElsewhere(string, string) resource.Vector { return resource.Vector{} }
+func (fixedConfig) EntryAlive(string) bool                       { return true }
+func (fixedConfig) Room() resource.Vector                        { return resource.Vector{} }
+func (fixedConfig) Loads() []*siskinv1.ShardLoad                 { return nil }
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -94,11 +94,10 @@
 	return shards
 }
 
-func (s *site) Limit(string, string) resource.Vector                       { return s.limit }
-func (s *site) SetDemand(string, string, resource.Vector, resource.Vector) {}
-func (s *site) UsedElsewhere(shard, team string) resource.Vector           { return resource.Vector{} }
-func (s *site) EntryAlive(string) bool                                     { return true }
-func (s *site) Room() resource.Vector                                      { return resource.Vector{} }
+func (s *site) SetDemand(string, string, resource.Vector)        {}
+func (s *site) UsedElsewhere(shard, team string) resource.Vector { return resource.Vector{} }
+func (s *site) EntryAlive(string) bool                           { return true }
+func (s *site) Room() resource.Vector                            { return resource.Vector{} }
 
 func (s *site) Loads() []*siskinv1.ShardLoad {
 	var loads []*siskinv1.ShardLoad
@@ -124,9 +123,10 @@
 	o, err := Open(context.Background(), Options{
 		Right: right, Store: s.store, Workers: s.workers, VMs: s.vms, Clock: clock.Real{}, Logger: logr.Discard(),
 		Tracer: noop.NewTracerProvider().Tracer(""), Metrics: NewMetrics(prometheus.NewRegistry()),
-		Config: s, Limits: s, Fleet: s, Parts: s.set, VM: "vm", Zone: zone, Writer: fmt.Sprintf("vm-%d", s.epoch),
+		Config: s, Demand: s, Fleet: s, Parts: s.set, VM: "vm", Zone: zone, Writer: fmt.Sprintf("vm-%d", s.epoch),
 	})
 	assert.NilError(s.t, err)
+	o.SetLimit(testTeam, s.limit)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Owner: o, stop: cancel, ended: make(chan struct{})}
 	s.set.Add(o)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -58,12 +58,9 @@
 	Shards() []ownership.Shard
 }
 
-// Limits manages the parts of the teams' ceilings that a shard may use.
-type Limits interface {
-	// Limit returns what a team may have running in a shard.
-	Limit(shard, team string) resource.Vector
-	// SetDemand reports what a team has running and queued in a shard.
-	SetDemand(shard, team string, running, queued resource.Vector)
+// Demand takes what teams run and want to run in a shard, so that parts of their ceilings can be moved there.
+type Demand interface {
+	SetDemand(shard, team string, demand resource.Vector)
 }
 
 // Fleet is what the other VMs report about their shards.
@@ -89,7 +86,7 @@
 	Tracer  trace.Tracer
 	Metrics *Metrics
 	Config  Config
-	Limits  Limits
+	Demand  Demand
 	Fleet   Fleet
 	// Parts reaches the owners of other shards.
 	Parts PartClient
@@ -110,10 +107,12 @@
 	calls   chan struct{} // one token for each call to a worker in flight
 	tasks   sync.WaitGroup
 
-	mu       sync.Mutex // guards all fields below
-	state    *state
-	cell     *scheduler.Cell
-	live     bool // false while the log is replayed
+	mu    sync.Mutex // guards all fields below
+	state *state
+	cell  *scheduler.Cell
+	live  bool // false while the log is replayed
+	// limits are the parts of the teams' ceilings that this shard may use; a team starts nothing before it has one.
+	limits   map[string]resource.Vector
 	workers  map[string]*workerState
 	placed   map[scheduler.TaskID]*placement
 	stops    []scheduler.Stop
@@ -145,6 +144,7 @@
 		calls:    make(chan struct{}, maxCalls),
 		state:    newState(options.Right.Shard),
 		cell:     scheduler.NewCell(),
+		limits:   map[string]resource.Vector{},
 		workers:  map[string]*workerState{},
 		placed:   map[scheduler.TaskID]*placement{},
 		pending:  map[string]chan struct{}{},
@@ -277,12 +277,36 @@
 	o.cell.SetFleetRoom(o.options.Fleet.Room())
 	for _, team := range o.options.Config.Teams() {
 		name := team.GetName()
-		o.options.Limits.SetDemand(o.shard, name, o.cell.TeamRunning(name), o.cell.TeamWaiting(name))
-		o.cell.SetTeam(scheduler.Team{Name: name, Share: team.GetShare(), Limit: o.options.Limits.Limit(o.shard, name)})
+		o.options.Demand.SetDemand(o.shard, name, o.cell.TeamRunning(name).Add(o.cell.TeamWaiting(name)))
+		if limit, ok := o.limits[name]; ok {
+			o.cell.SetTeam(scheduler.Team{Name: name, Share: team.GetShare(), Limit: limit})
+		}
 		o.cell.SetElsewhere(name, o.options.Fleet.UsedElsewhere(o.shard, name))
 	}
 }
 
+// SetLimit bounds what a team may run in the shard from now on, and returns what it runs with starts under way.
+// A new owner learns the limits after it has adopted running tasks; a zero limit before the first real one would stop
+// them.
+func (o *Owner) SetLimit(team string, limit resource.Vector) resource.Vector {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, known := o.limits[team]; known || !limit.IsZero() {
+		o.limits[team] = limit
+		o.applyLimit(team, limit)
+	}
+	return o.cell.TeamRunning(team)
+}
+
+// applyLimit takes a limit into the decision core at once. The caller holds mu.
+func (o *Owner) applyLimit(name string, limit resource.Vector) {
+	for _, team := range o.options.Config.Teams() {
+		if team.GetName() == name {
+			o.cell.SetTeam(scheduler.Team{Name: name, Share: team.GetShare(), Limit: limit})
+		}
+	}
+}
+
 // Load returns the load of the shard and the usage of each team, for the other VMs.
 func (o *Owner) Load() (*siskinv1.ShardLoad, []*siskinv1.TeamUsage) {
 	o.mu.Lock()
