Reload TLS files without a restart

Cause: certificates could only be replaced by a restart, and peers connected without TLS. Conclusion: certificate and authority can be replaced while serving.

--- /dev/null
+++ b/tlsfiles/config.go
@@ -0,0 +1,72 @@
+package tlsfiles
+
+import (
+	"crypto/tls"
+
+	"github.com/rotisserie/eris"
+)
+
+// Protocols that servers offer.
+const (
+	ProtocolHTTP2 = "h2"
+	ProtocolHTTP1 = "http/1.1"
+)
+
+// ErrNoAuthority means that mutual TLS was asked for without certificates to verify the other side with.
+var ErrNoAuthority = eris.New("mutual TLS needs an authority")
+
+// CallerServer returns the configuration of a server for callers, who authenticate with keys instead of certificates.
+func (s *Source) CallerServer() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{ProtocolHTTP2, ProtocolHTTP1},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &s.current.Load().certificate, nil
+		},
+	}
+}
+
+// PeerServer returns the configuration of a server that only serves clients with a certificate of the authority.
+func (s *Source) PeerServer() (*tls.Config, error) {
+	if s.current.Load().authority == nil {
+		return nil, ErrNoAuthority
+	}
+	config := &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{ProtocolHTTP2},
+		ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+	config.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		now := s.current.Load()
+		if now.authority == nil {
+			return nil, ErrNoAuthority
+		}
+		return &tls.Config{
+			MinVersion:   tls.VersionTLS13,
+			NextProtos:   []string{ProtocolHTTP2},
+			ClientAuth:   tls.RequireAndVerifyClientCert,
+			ClientCAs:    now.authority,
+			Certificates: []tls.Certificate{now.certificate},
+			// A resumed session would not be checked against an authority that has been replaced since.
+			SessionTicketsDisabled: true,
+		}, nil
+	}
+	return config, nil
+}
+
+// PeerClient returns the configuration for one connection to another entry VM. The server's certificate has to be signed by
+// the authority and to name the server, an IP address or a DNS name. The files in use at the time of the call apply, so a
+// configuration must not be kept for later connections.
+func (s *Source) PeerClient(server string) (*tls.Config, error) {
+	now := s.current.Load()
+	if now.authority == nil {
+		return nil, ErrNoAuthority
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{ProtocolHTTP2},
+		ServerName:   server,
+		RootCAs:      now.authority,
+		Certificates: []tls.Certificate{now.certificate},
+	}, nil
+}
