Show with a naive system that the demo can succeed

Cause: the demo could not be run to its end before all routes exist, so faults of its own steps would have stayed unseen; its planned stop often had no request in flight. Change: a test runs the whole demo against the smallest system that keeps the promises; the planned stop begins with six slow requests in flight through the VM that stops. Conclusion: a demo that fails now points at the system, not at its own steps.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -20,10 +20,22 @@
 // stopTimeout bounds the wait for an entry VM to end.
 const stopTimeout = 5 * time.Second
 
+// process is the daemon of one entry VM. Run serves until ctx ends.
+type process interface {
+	Run(ctx context.Context) error
+}
+
+// startFunc returns the daemon of one entry VM.
+type startFunc func(*cluster, *siskinv1.Settings) process
+
+func startDaemon(_ *cluster, settings *siskinv1.Settings) process {
+	return daemon.New(settings, logr.Discard())
+}
+
 // entryVM is one entry VM of the site.
 type entryVM struct {
 	settings *siskinv1.Settings
-	daemon   *daemon.Daemon
+	daemon   process
 	cancel   context.CancelFunc
 	ended    chan struct{}
 }
@@ -41,7 +53,9 @@
 }
 
 // startCluster starts the platform and all entry VMs.
-func startCluster(ctx context.Context, chosen site.Site, operators []*siskinv1.Operator) (*cluster, error) {
+func startCluster(
+	ctx context.Context, chosen site.Site, operators []*siskinv1.Operator, start startFunc,
+) (*cluster, error) {
 	running, err := server.Start(server.Options{
 		Site: chosen, Clock: clock.Real{}, Plan: standin.CommandPlan, Work: requestWork,
 	})
@@ -55,16 +69,14 @@
 		return nil, err
 	}
 	for _, settings := range chosen.Settings(listens, operators, running.URLFor) {
-		c.vms = append(c.vms, startVM(ctx, settings))
+		c.vms = append(c.vms, startVM(ctx, settings, start(c, settings)))
 	}
 	return c, nil
 }
 
-func startVM(ctx context.Context, settings *siskinv1.Settings) *entryVM {
+func startVM(ctx context.Context, settings *siskinv1.Settings, daemon process) *entryVM {
 	ctx, cancel := context.WithCancel(ctx)
-	vm := &entryVM{
-		settings: settings, daemon: daemon.New(settings, logr.Discard()), cancel: cancel, ended: make(chan struct{}),
-	}
+	vm := &entryVM{settings: settings, daemon: daemon, cancel: cancel, ended: make(chan struct{})}
 	go func() {
 		defer close(vm.ended)
 		_ = vm.daemon.Run(ctx)
@@ -120,7 +132,7 @@
 // daemon without Kill ends when its context does.
 func (c *cluster) kill(vm *entryVM) {
 	c.platform.Store.SetFaultsFor(vm.name(), standin.StoreFaults{Down: true})
-	if abrupt, ok := any(vm.daemon).(killer); ok {
+	if abrupt, ok := vm.daemon.(killer); ok {
 		abrupt.Kill()
 	}
 	vm.cancel()
@@ -134,7 +146,7 @@
 
 // stop makes a planned stop of an entry VM and waits for its end.
 func (c *cluster) stop(ctx context.Context, vm *entryVM) error {
-	if planned, ok := any(vm.daemon).(stopper); ok {
+	if planned, ok := vm.daemon.(stopper); ok {
 		if err := planned.Stop(ctx); err != nil {
 			return err
 		}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -100,8 +100,12 @@
 
 // Run works the site and checks the promises. progress may be nil.
 func Run(ctx context.Context, chosen site.Site, progress func(Step)) (Report, error) {
+	return runWith(ctx, chosen, progress, startDaemon)
+}
+
+func runWith(ctx context.Context, chosen site.Site, progress func(Step), start startFunc) (Report, error) {
 	began := time.Now()
-	r, err := newRun(ctx, chosen)
+	r, err := newRun(ctx, chosen, start)
 	if err != nil {
 		return Report{}, err
 	}
@@ -124,7 +128,7 @@
 	return report, ctx.Err()
 }
 
-func newRun(ctx context.Context, chosen site.Site) (*run, error) {
+func newRun(ctx context.Context, chosen site.Site, start startFunc) (*run, error) {
 	r := &run{
 		clients: newClients(chosen.ClientDelay), recorder: &recorder{},
 		operators: map[string]apiclient.OperatorKey{}, keys: map[string]apiclient.IssuedKey{},
@@ -139,7 +143,7 @@
 		operators = append(operators, key.Settings())
 	}
 	var err error
-	r.cluster, err = startCluster(ctx, chosen, operators)
+	r.cluster, err = startCluster(ctx, chosen, operators, start)
 	return r, err
 }
 
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -19,7 +19,7 @@
 func TestDemoRunsBatch(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	r, err := newRun(ctx, site.Jadeleaf())
+	r, err := newRun(ctx, site.Jadeleaf(), startDaemon)
 	assert.NilError(t, err)
 	defer r.close()
 	_, err = r.stepReady(ctx)
--- /dev/null
+++ b/demo/naive_test.go
@@ -0,0 +1,372 @@
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/site"
+)
+
+// naive is the smallest system that keeps the promises: six HTTP servers around one state in memory.
+type naive struct {
+	cluster *cluster
+
+	mu       sync.Mutex // guards all fields below
+	serial   int
+	version  int64
+	proposal *siskinv1.BundleProposal
+	keys     map[string]*apiclient.Key
+	secrets  map[string]string
+	drained  map[string]bool
+	leaving  map[string]bool
+	jobs     []*naiveJob
+	claims   map[string]*naiveClaim
+}
+
+type naiveJob struct {
+	status *siskinv1.WorkStatus
+	room   resource.Vector
+	next   int32
+}
+
+type naiveClaim struct {
+	done bool
+	text []byte
+}
+
+type naiveVM struct {
+	*naive
+	settings *siskinv1.Settings
+	server   *http.Server
+}
+
+func (v *naiveVM) Kill() { _ = v.server.Close() }
+
+func (v *naiveVM) Run(ctx context.Context) error {
+	shards := startBackground(ctx, v.ownShards)
+	defer shards.stop()
+	go func() {
+		<-ctx.Done()
+		_ = v.server.Shutdown(context.Background())
+	}()
+	return v.server.ListenAndServe()
+}
+
+// ownShards holds the shards of the VM's own zone, and those that no other VM holds.
+func (v *naiveVM) ownShards(ctx context.Context) {
+	store := v.cluster.platform.Store
+	lease, _ := store.GrantLease(ctx, 500*time.Millisecond)
+	for pause(ctx, 50*time.Millisecond) && store.RenewLease(standin.WithCaller(ctx, v.settings.GetVm()), lease) == nil {
+		for _, zone := range v.cluster.site.Zones {
+			_, _ = store.Put(standin.WithCaller(ctx, v.settings.GetVm()), platform.PutRequest{
+				Key: "shards/" + zone + "-0", Value: []byte(v.settings.GetVm()), Lease: lease,
+			})
+		}
+	}
+	_ = store.RevokeLease(standin.WithCaller(context.Background(), v.settings.GetVm()), lease)
+}
+
+func (n *naive) id(kind string) string {
+	n.serial++
+	return fmt.Sprintf("%s%d", kind, n.serial)
+}
+
+func reply(w http.ResponseWriter, value any) {
+	if message, ok := value.(proto.Message); ok {
+		text, _ := protojson.MarshalOptions{UseProtoNames: true}.Marshal(message)
+		_, _ = w.Write(text)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func refuse(w http.ResponseWriter, reason refusal.Reason) {
+	w.WriteHeader(reason.Status())
+	reply(w, map[string]any{"request_id": "refused", "reason": reason, "not_run": reason.NotRun()})
+}
+
+// team returns the team of a key that may be used.
+func (n *naive) team(r *http.Request) (string, refusal.Reason) {
+	bearer, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return "", refusal.KeyMissing
+	}
+	key := n.keys[n.secrets[bearer]]
+	switch {
+	case key == nil:
+		return "", refusal.KeyUnknown
+	case key.Withdrawn:
+		return "", refusal.KeyWithdrawn
+	}
+	return key.Team, ""
+}
+
+func (v *naiveVM) handler() http.Handler {
+	mux := http.NewServeMux()
+	handle := func(pattern string, serve func(http.ResponseWriter, *http.Request, []byte)) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			w.Header().Set("Siskin-Request-Id", "answered")
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			serve(w, r, body)
+		})
+	}
+	handle("POST /v1/bundles", v.propose)
+	handle("POST /v1/bundles/{version}/{act}", v.approve)
+	handle("GET /v1/bundles/status", func(w http.ResponseWriter, _ *http.Request, _ []byte) {
+		reply(w, apiclient.BundleStatus{VMs: []apiclient.BundleVMStatus{{VM: v.settings.GetVm(), Version: apiclient.Int(v.version)}}})
+	})
+	handle("POST /v1/keys", v.issue)
+	handle("POST /v1/keys/{id}/withdraw", func(w http.ResponseWriter, r *http.Request, _ []byte) {
+		v.keys[r.PathValue("id")].Withdrawn = true
+		reply(w, v.keys[r.PathValue("id")])
+	})
+	handle("POST /v1/zones/{zone}/{act}", func(w http.ResponseWriter, r *http.Request, _ []byte) {
+		v.drained[r.PathValue("zone")] = r.PathValue("act") == "drain"
+		reply(w, apiclient.ZoneStatus{})
+	})
+	handle("POST /v1/work", v.accept)
+	handle("GET /v1/work/{id}", func(w http.ResponseWriter, r *http.Request, _ []byte) {
+		for _, job := range v.jobs {
+			if job.status.GetId() == r.PathValue("id") {
+				reply(w, job.status)
+				return
+			}
+		}
+		refuse(w, refusal.NotFound)
+	})
+	mux.HandleFunc("POST /v1/services/{service}/requests", v.forward)
+	return mux
+}
+
+func (v *naiveVM) propose(w http.ResponseWriter, _ *http.Request, body []byte) {
+	v.proposal = &siskinv1.BundleProposal{Bundle: &siskinv1.Bundle{}, Author: author}
+	_ = protojson.Unmarshal(body, v.proposal.GetBundle())
+	v.proposal.ContentSha256, _ = apiclient.ContentSHA256(v.proposal.GetBundle())
+	reply(w, v.proposal)
+}
+
+func (v *naiveVM) approve(w http.ResponseWriter, r *http.Request, _ []byte) {
+	if r.PathValue("act") == "sign-off" {
+		v.version, _ = strconv.ParseInt(r.PathValue("version"), 10, 64)
+	}
+	v.proposal.Reviewer = reviewer
+	reply(w, v.proposal)
+}
+
+func (v *naiveVM) issue(w http.ResponseWriter, _ *http.Request, body []byte) {
+	key := apiclient.IssuedKey{ID: v.id("key")}
+	_ = json.Unmarshal(body, &key)
+	key.Key = "sk_" + key.ID + "_secret"
+	v.keys[key.ID], v.secrets[key.Key] = &apiclient.Key{ID: key.ID, Team: key.Team}, key.ID
+	reply(w, key)
+}
+
+func (v *naiveVM) accept(w http.ResponseWriter, r *http.Request, body []byte) {
+	spec := &siskinv1.WorkSpec{}
+	_ = protojson.Unmarshal(body, spec)
+	team, reason := v.team(r)
+	if reason == "" && team != spec.GetQueue() {
+		reason = refusal.KeyWrongTeam
+	}
+	if reason != "" {
+		refuse(w, reason)
+		return
+	}
+	for _, job := range v.jobs {
+		if job.status.GetSpec().GetName() == spec.GetName() {
+			reply(w, apiclient.Submitted{ID: job.status.GetId(), Repeated: true})
+			return
+		}
+	}
+	job := &naiveJob{room: resource.FromProto(spec.GetEach()), status: &siskinv1.WorkStatus{
+		Id: v.id("job"), Team: team, Spec: spec, Queued: spec.GetCount(),
+	}}
+	v.jobs = append(v.jobs, job)
+	reply(w, apiclient.Submitted{ID: job.status.GetId()})
+}
+
+// forward runs a request on any endpoint with a free slot; a claim keeps requests with a key from running twice.
+func (v *naiveVM) forward(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	sum := sha256.Sum256([]byte(strconv.FormatInt(time.Now().UnixNano(), 10) + string(body)))
+	id, key := hex.EncodeToString(sum[:]), r.Header.Get("Siskin-Request-Key")
+	v.mu.Lock()
+	_, reason := v.team(r)
+	claim, claimed := v.claims[key]
+	if key != "" && !claimed && reason == "" {
+		claim = &naiveClaim{}
+		v.claims[key] = claim
+	}
+	v.mu.Unlock()
+	switch {
+	case reason != "":
+		refuse(w, reason)
+		return
+	case claimed && !claim.done:
+		refuse(w, refusal.InProgress)
+		return
+	case claimed:
+		w.Header().Set("Siskin-Request-Id", id)
+		_, _ = w.Write(claim.text)
+		return
+	}
+	answer, err := v.callAny(r.Context(), id, body)
+	if err != nil {
+		refuse(w, refusal.OutcomeUnknown)
+		return
+	}
+	if claim != nil {
+		v.mu.Lock()
+		claim.done, claim.text = true, answer.Body
+		v.mu.Unlock()
+	}
+	w.Header().Set("Siskin-Request-Id", id)
+	_, _ = w.Write(answer.Body)
+}
+
+func (v *naiveVM) callAny(ctx context.Context, id string, body []byte) (platform.EndpointAnswer, error) {
+	for {
+		for _, vm := range v.cluster.platform.Fleet {
+			v.mu.Lock()
+			skip := vm.Role != platform.RoleEndpoint || v.leaving[vm.Name]
+			v.mu.Unlock()
+			if skip {
+				continue
+			}
+			answer, err := v.cluster.platform.Endpoints.Call(ctx, platform.EndpointRequest{
+				Endpoint: vm.Name, RequestID: id, From: v.settings.GetVm(), Body: body,
+			})
+			if errors.Is(err, platform.ErrEndpointLeaving) {
+				v.mu.Lock()
+				v.leaving[vm.Name] = true
+				v.mu.Unlock()
+			}
+			if err == nil || !errors.Is(err, platform.ErrEndpointLeaving) && !errors.Is(err, platform.ErrEndpointBusy) {
+				return answer, err
+			}
+		}
+		if !pause(ctx, time.Millisecond) {
+			return platform.EndpointAnswer{}, ctx.Err()
+		}
+	}
+}
+
+// schedule starts tasks on the first worker with room, and collects their ends.
+func (n *naive) schedule(ctx context.Context) {
+	running := map[string]resource.Vector{}
+	for pause(ctx, 20*time.Millisecond) {
+		n.mu.Lock()
+		for _, vm := range n.cluster.platform.Fleet {
+			if vm.Role == platform.RoleWorker {
+				n.collect(ctx, vm.Name, running)
+			}
+		}
+		for _, job := range n.jobs {
+			for job.status.GetQueued() > 0 && n.startNext(ctx, job, running) {
+			}
+		}
+		n.mu.Unlock()
+	}
+}
+
+func (n *naive) collect(ctx context.Context, worker string, running map[string]resource.Vector) {
+	report, _ := n.cluster.platform.Workers.Renew(ctx, platform.RenewRequest{Worker: worker, Lease: time.Hour})
+	var ended []platform.TaskRef
+	for _, task := range report.Tasks {
+		if task.Phase == platform.PhaseRunning {
+			continue
+		}
+		ended = append(ended, task.Task)
+		for _, job := range n.jobs {
+			if job.status.GetId() == task.Task.Job {
+				job.status.Running--
+				job.status.Succeeded++
+				running[task.Team] = running[task.Team].Sub(job.room)
+			}
+		}
+	}
+	_, _ = n.cluster.platform.Workers.Renew(ctx, platform.RenewRequest{Worker: worker, Lease: time.Hour, Acknowledged: ended})
+}
+
+func (n *naive) startNext(ctx context.Context, job *naiveJob, running map[string]resource.Vector) bool {
+	team := job.status.GetTeam()
+	var ceiling resource.Vector
+	for _, t := range n.cluster.site.Bundle(1).GetTeams() {
+		if t.GetName() == team {
+			ceiling = resource.FromProto(t.GetCeiling())
+		}
+	}
+	if !running[team].Add(job.room).Fits(ceiling) {
+		return false
+	}
+	for _, vm := range n.cluster.platform.Fleet {
+		if vm.Role != platform.RoleWorker || n.drained[vm.Zone] {
+			continue
+		}
+		spec := job.status.GetSpec()
+		err := n.cluster.platform.Workers.Start(ctx, platform.StartRequest{
+			Worker: vm.Name, Team: team, Room: job.room, Lease: time.Hour, Command: spec.GetCommand(),
+			Task:       platform.TaskRef{Job: job.status.GetId(), Index: job.next, Attempt: 1},
+			AtMostOnce: spec.GetAtMostOnce(),
+		})
+		if err == nil {
+			running[team] = running[team].Add(job.room)
+			job.next++
+			job.status.Queued--
+			job.status.Running++
+			return true
+		}
+	}
+	return false
+}
+
+// TestDemoCanSucceed guards against a demo whose steps or checks no system could satisfy, and against one that takes
+// more than its 30 s.
+func TestDemoCanSucceed(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	n := &naive{
+		keys: map[string]*apiclient.Key{}, secrets: map[string]string{}, drained: map[string]bool{},
+		leaving: map[string]bool{}, claims: map[string]*naiveClaim{},
+	}
+	var scheduling *background
+	report, err := runWith(ctx, site.Kvarali(), func(s Step) { t.Logf("%+v", s) }, func(c *cluster, s *siskinv1.Settings) process {
+		if n.cluster == nil {
+			n.cluster = c
+			scheduling = startBackground(ctx, n.schedule)
+		}
+		v := &naiveVM{naive: n, settings: s}
+		v.server = &http.Server{Addr: s.GetListen().GetCallers(), Handler: v.handler()}
+		return v
+	})
+	assert.NilError(t, err)
+	scheduling.stop()
+	for _, verdict := range report.Promises {
+		t.Logf("%+v", verdict)
+	}
+	assert.NilError(t, report.Err())
+	assert.Assert(t, report.TookMs < 30_000, "%d ms", report.TookMs)
+}
--- a/demo/step_stop.go
+++ b/demo/step_stop.go
@@ -3,13 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"siskinstack.example/siskinstack/demo/promises"
 )
 
-// afterStop lets requests and work go on under the new owner.
-const afterStop = 500 * time.Millisecond
+const (
+	// stopRequests is the number of slow requests that are certainly in flight when the stop begins.
+	stopRequests = 6
+	// beforeStop is enough for the requests to reach their endpoints, and a part of their run time.
+	beforeStop = slowWork / 4
+	// afterStop lets requests and work go on under the new owner.
+	afterStop = 500 * time.Millisecond
+)
 
 // stepStop makes a planned stop of the owner of the third zone under load.
 func (r *run) stepStop(ctx context.Context) (string, error) {
@@ -18,6 +26,9 @@
 	if err != nil {
 		return "", err
 	}
+	inFlight := r.sendThroughVM(ctx, vm)
+	defer inFlight.Wait()
+	pause(ctx, beforeStop)
 	stop := promises.Stop{VM: vm.name(), Begun: time.Now()}
 	err = r.cluster.stop(ctx, vm)
 	stop.End = time.Now()
@@ -33,3 +44,13 @@
 	pause(ctx, afterStop)
 	return fmt.Sprintf("%s took %s over from %s after %s", heir.name(), zone, vm.name(), took), nil
 }
+
+// sendThroughVM sends slow requests through one VM. The caller waits for them.
+func (r *run) sendThroughVM(ctx context.Context, vm *entryVM) *sync.WaitGroup {
+	first := slices.Index(r.cluster.live(), vm)
+	var sent sync.WaitGroup
+	for range stopRequests {
+		sent.Go(func() { r.sendOne(ctx, first, kindSlow) })
+	}
+	return &sent
+}
--- a/demo/step_withdraw.go
+++ b/demo/step_withdraw.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
@@ -15,6 +16,9 @@
 	probePause = 250 * time.Millisecond
 )
 
+// unknownKey is well-formed and was never issued.
+var unknownKey = "sk_" + strings.Repeat("0", 16) + "_" + strings.Repeat("0", 64)
+
 // withdrawKey issues a second key, withdraws it, and calls with it and with other bad keys through every VM.
 func (r *run) withdrawKey(ctx context.Context) (string, error) {
 	team := r.cluster.site.Teams[0].Name
@@ -40,7 +44,7 @@
 			r.probe(ctx, vm, promises.Withdrawn, withdrawn, key.Key)
 			r.probe(ctx, vm, promises.WrongTeam, withdrawn, r.key(r.cluster.site.Teams[1].Name))
 			r.probe(ctx, vm, promises.NoKey, withdrawn, "")
-			r.probe(ctx, vm, promises.UnknownID, withdrawn, "sk_aaaaaaaa_bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb")
+			r.probe(ctx, vm, promises.UnknownID, withdrawn, unknownKey)
 		}
 	}
 	return "a key was withdrawn", nil
