--- a/owner/owner.go
+++ b/owner/owner.go
@@ -40,6 +40,8 @@
 	workerTimeout = 2 * time.Second
 	// refreshInterval is the time between two reads of configuration, limits and the VM list.
 	refreshInterval = 250 * time.Millisecond
+	// backgroundTimeout bounds the logging of ends; ends that were not logged are found again in the next report.
+	backgroundTimeout = 5 * time.Second
 	// stopGrace is how long a stopped task may take to shut down.
 	stopGrace = 10 * time.Second
 )
@@ -70,6 +72,8 @@
 	UsedElsewhere(shard, team string) resource.Vector
 	// Room returns the room of all workers of the fleet.
 	Room() resource.Vector
+	// EntryAlive reports whether an entry VM, named with its incarnation, may still have requests in flight.
+	EntryAlive(entryVM string) bool
 	// Loads returns the last reported load of each shard.
 	Loads() []*siskinv1.ShardLoad
 }
@@ -148,6 +152,7 @@
 		heldBack: map[scheduler.TaskID]time.Time{},
 		origin:   options.Clock.Now(),
 	}
+	o.cell = scheduler.NewCell(scheduler.WithMaxQueued(o.maxQueued()))
 	log, err := shardlog.Open(ctx, shardlog.Options{
 		Store: options.Store, Clock: options.Clock, Shard: o.shard, Writer: options.Writer,
 		Owner: options.VM, Epoch: options.Right.Epoch, Apply: o.apply,
@@ -178,6 +183,7 @@
 	o.tasks.Go(func() { o.every(ctx, renewTick, o.renewDue) })
 	o.tasks.Go(func() { o.every(ctx, partsInterval, o.reconcileParts) })
 	o.tasks.Go(func() { o.every(ctx, forgetInterval, o.forgetEnded) })
+	o.tasks.Go(func() { o.every(ctx, sweepInterval, o.sweepClaims) })
 	o.every(ctx, planInterval, o.pass)
 	cancel()
 	o.tasks.Wait()
@@ -231,6 +237,15 @@
 	return platform.Authority{Shard: o.shard, Epoch: o.options.Right.Epoch}
 }
 
+// background runs a step that outlives the call that led to it, bounded by its own timeout.
+func (o *Owner) background(step func(ctx context.Context)) {
+	o.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), backgroundTimeout)
+		defer cancel()
+		step(ctx)
+	})
+}
+
 // append makes records durable. It ends the owner if another one has taken the log over.
 func (o *Owner) append(ctx context.Context, records ...*siskinv1.Record) error {
 	if len(records) == 0 {
@@ -260,10 +275,9 @@
 
 func (o *Owner) refreshTeams() {
 	o.cell.SetFleetRoom(o.options.Fleet.Room())
-	queued := o.cell.QueuedByTeam()
 	for _, team := range o.options.Config.Teams() {
 		name := team.GetName()
-		o.options.Limits.SetDemand(o.shard, name, o.cell.TeamRunning(name), queued[name])
+		o.options.Limits.SetDemand(o.shard, name, o.cell.TeamRunning(name), o.cell.TeamWaiting(name))
 		o.cell.SetTeam(scheduler.Team{Name: name, Share: team.GetShare(), Limit: o.options.Limits.Limit(o.shard, name)})
 		o.cell.SetElsewhere(name, o.options.Fleet.UsedElsewhere(o.shard, name))
 	}
@@ -279,11 +293,10 @@
 		QueuedTasks: int64(o.cell.Queued()), RunningTasks: int64(len(o.placed)),
 		Draining: o.options.Config.Draining(o.options.Zone),
 	}
-	queued := o.cell.QueuedByTeam()
 	var usage []*siskinv1.TeamUsage
 	for _, team := range o.options.Config.Teams() {
 		running := o.cell.TeamRunning(team.GetName())
-		waiting := queued[team.GetName()]
+		waiting := o.cell.TeamWaiting(team.GetName())
 		if running.IsZero() && waiting.IsZero() {
 			continue
 		}
--- a/owner/recovery.go
+++ b/owner/recovery.go
@@ -47,7 +47,7 @@
 func (o *Owner) adopt(worker string, task platform.TaskReport) bool {
 	id := taskID(task.Task)
 	j := o.state.jobs[id.Job]
-	if o.recovery == nil || j == nil || j.cancelled || !j.held.contains(id.Index) || o.placed[id] != nil {
+	if o.recovery == nil || j == nil || !j.held.contains(id.Index) || o.placed[id] != nil {
 		return false
 	}
 	if _, ended := j.ended[id.Index]; ended {
@@ -130,11 +130,7 @@
 	if len(unknown) == 0 {
 		return
 	}
-	o.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
-		defer cancel()
-		_ = o.append(ctx, unknown...)
-	})
+	o.background(func(ctx context.Context) { _ = o.append(ctx, unknown...) })
 }
 
 // claimedEnd returns the record of the end of a claimed task that is not running. The caller holds mu.
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,10 +20,15 @@
 // Server serves the peer RPC.
 type Server struct {
 	siskinv1.UnimplementedPeerServiceServer
+	// LocalControl serves membership, ownership, configuration and allowances.
+	LocalControl Control
 	// LocalWork serves the shards of this VM only, so that a call is passed on at most once.
 	LocalWork Work
 	// LocalParts serves the parts of jobs that shards of this VM hold.
 	LocalParts Parts
+	// LocalRequests and LocalClaims serve the request path; nil leaves their calls unimplemented.
+	LocalRequests Requests
+	LocalClaims   Claims
 }
 
 // SubmitWork accepts a job for a shard of this VM.
