Serve the operators' routes

Cause: operators had no way to change teams, keys, bundles and zones. Conclusion: the routes of docs/api.md are complete; the daemon has to mount them.

--- /dev/null
+++ b/operate/operate_test.go
@@ -0,0 +1,254 @@
+package operate_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/encoding/protojson"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/bundle"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/configview"
+	"siskinstack.example/siskinstack/operate"
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/standin"
+)
+
+// fleet answers for the rest of the system.
+type fleet struct{ err error }
+
+func (f fleet) Teams(context.Context) (map[string]operate.TeamUsage, error) {
+	return map[string]operate.TeamUsage{"lab": {Running: resource.Vector{MilliCPU: 7}}}, f.err
+}
+
+func (f fleet) Zone(context.Context, string) (operate.ZoneUsage, error) {
+	return operate.ZoneUsage{Running: 3, Queued: 4}, f.err
+}
+
+func (f fleet) VMs(context.Context) ([]operate.VMState, error) { return nil, f.err }
+
+func (f fleet) BundleStates(context.Context) ([]operate.VMBundle, error) {
+	return []operate.VMBundle{{VM: "a", Version: 1, Reachable: true}}, f.err
+}
+
+type site struct {
+	t       *testing.T
+	store   *standin.Store
+	view    *configview.View
+	handler http.Handler
+}
+
+func newSite(t *testing.T, f fleet) *site {
+	fake := clock.NewFake(time.UnixMilli(5000))
+	var operators []*siskinv1.Operator
+	for _, name := range []string{"ann", "bob", "cem"} {
+		token := sha256.Sum256([]byte("token-" + name))
+		public := signingKey(name).Public().(ed25519.PublicKey)
+		operators = append(operators, &siskinv1.Operator{
+			Name: name, TokenSha256: hex.EncodeToString(token[:]), SignOffKey: hex.EncodeToString(public),
+		})
+	}
+	s := &site{t: t, store: standin.NewStore(fake)}
+	s.view = configview.New(configview.Options{
+		Store: s.store, Clock: fake, Logger: logr.Discard(), Signers: bundle.NewSigners(operators),
+	})
+	s.handler = operate.New(operate.Options{
+		Store: s.view.Observing(s.store), Clock: fake, Logger: logr.Discard(), View: s.view, Operators: operators,
+		Usage: f, VMs: f, BundleStates: f, MaxBodyBytes: 4096,
+	}).Handler()
+	return s
+}
+
+func signingKey(name string) ed25519.PrivateKey {
+	seed := sha256.Sum256([]byte(name))
+	return ed25519.NewKeyFromSeed(seed[:])
+}
+
+// call sends a request as an operator and returns the status and the body.
+func (s *site) call(operator, route, body string) (int, string) {
+	method, path, _ := strings.Cut(route, " ")
+	request := httptest.NewRequestWithContext(s.t.Context(), method, path, strings.NewReader(body))
+	if operator != "" {
+		request.Header.Set("Authorization", "Bearer op_"+operator+"_token-"+operator)
+	}
+	recorder := httptest.NewRecorder()
+	s.handler.ServeHTTP(recorder, request)
+	assert.Assert(s.t, recorder.Header().Get("Siskin-Request-Id") != "")
+	assert.Equal(s.t, recorder.Header().Get("Content-Type"), "application/json")
+	return recorder.Code, recorder.Body.String()
+}
+
+// mustCall sends a request that has to succeed and decodes the answer.
+func (s *site) mustCall(operator, route, body string, status int, into any) {
+	s.t.Helper()
+	got, text := s.call(operator, route, body)
+	assert.Equal(s.t, got, status, "%s: %s", route, text)
+	assert.NilError(s.t, json.Unmarshal([]byte(text), into))
+}
+
+// mustRefuse sends a request that has to be refused, and returns the message.
+func (s *site) mustRefuse(operator, route, body, reason string) string {
+	s.t.Helper()
+	status, text := s.call(operator, route, body)
+	var refused struct {
+		RequestID string `json:"request_id"`
+		Reason    string `json:"reason"`
+		Message   string `json:"message"`
+		NotRun    *bool  `json:"not_run"`
+	}
+	assert.NilError(s.t, json.Unmarshal([]byte(text), &refused))
+	assert.Equal(s.t, refused.Reason, reason, "%s: %d %s", route, status, text)
+	assert.Assert(s.t, status >= 400 && refused.NotRun != nil && refused.RequestID != "")
+	return refused.Message
+}
+
+const sampleBundle = `{"version": 1, "zones": [{"name": "z1", "region": "r"}],
+	"teams": [{"name": "lab", "share": 1, "ceiling": {"milli_cpu": 1000, "memory_bytes": 1000}}]}`
+
+// inForce takes a bundle through all steps.
+func (s *site) inForce(text string) {
+	var p struct {
+		Hash string `json:"content_sha256"`
+	}
+	s.mustCall("ann", "POST /v1/bundles", text, http.StatusCreated, &p)
+	s.mustCall("bob", "POST /v1/bundles/1/review", `{"content_sha256": "`+p.Hash+`"}`, http.StatusOK, &p)
+	_, stored := s.call("cem", "GET /v1/bundles/1", "")
+	proposal := &siskinv1.BundleProposal{}
+	assert.NilError(s.t, protojson.Unmarshal([]byte(stored), proposal))
+	content, err := bundle.SigningBytes(proposal, "cem")
+	assert.NilError(s.t, err)
+	signature := base64.StdEncoding.EncodeToString(ed25519.Sign(signingKey("cem"), content))
+	body := `{"content_sha256": "` + p.Hash + `", "signature": "` + signature + `"}`
+	s.mustCall("cem", "POST /v1/bundles/1/sign-off", body, http.StatusOK, &p)
+}
+
+// Guards against a step of an operator's day that the routes don't carry through.
+func TestOperatorsDay(t *testing.T) {
+	s := newSite(t, fleet{})
+	s.mustRefuse("ann", "POST /v1/keys", `{"team": "lab"}`, "bad_request")
+	s.inForce(sampleBundle)
+	assert.Equal(t, s.view.Snapshot().BundleVersion(), int64(1))
+
+	var key struct{ ID, Team, Key string }
+	s.mustCall("ann", "POST /v1/keys", `{"team": "lab"}`, http.StatusCreated, &key)
+	assert.Assert(t, strings.HasPrefix(key.Key, "sk_"+key.ID+"_"))
+	var withdrawn struct{ Withdrawn bool }
+	s.mustCall("bob", "POST /v1/keys/"+key.ID+"/withdraw", "", http.StatusOK, &withdrawn)
+	assert.Assert(t, withdrawn.Withdrawn && s.view.Snapshot().Key(key.ID).GetWithdrawn())
+	_, keys := s.call("bob", "GET /v1/keys", "")
+	assert.Equal(t, keys, `{"keys":[{"id":"`+key.ID+`","team":"lab","withdrawn":true,"issued_by":"ann","issued_unix_ms":5000,"withdrawn_unix_ms":5000}]}`)
+
+	var zone struct {
+		Status struct{ State string }
+		Queued int64
+	}
+	s.mustCall("ann", "POST /v1/zones/z1/drain", "", http.StatusOK, &struct{}{})
+	s.mustCall("bob", "POST /v1/zones/z1/drain", "", http.StatusOK, &struct{}{})
+	assert.Assert(t, s.view.Snapshot().IsDraining("z1"))
+	assert.Equal(t, s.view.Snapshot().Zone("z1").GetChangedBy(), "ann", "a repeated drain changed the state again")
+	s.mustCall("ann", "GET /v1/zones/z1", "", http.StatusOK, &zone)
+	assert.Equal(t, zone.Status.State, "ZONE_STATE_DRAINING")
+	assert.Equal(t, zone.Queued, int64(4))
+	s.mustCall("ann", "POST /v1/zones/z1/return", "", http.StatusOK, &struct{}{})
+	assert.Assert(t, !s.view.Snapshot().IsDraining("z1"))
+
+	_, teams := s.call("ann", "GET /v1/teams", "")
+	none := `{"milli_cpu":0,"memory_bytes":0,"accelerators":0}`
+	assert.Equal(t, teams, `{"teams":[{"name":"lab","share":1,"ceiling":{"milli_cpu":1000,"memory_bytes":1000,"accelerators":0},`+
+		`"running":{"milli_cpu":7,"memory_bytes":0,"accelerators":0},"queued":`+none+`}]}`)
+	_, vms := s.call("ann", "GET /v1/vms", "")
+	assert.Equal(t, vms, `{"vms":[]}`)
+	_, status := s.call("ann", "GET /v1/bundles/status", "")
+	assert.Equal(t, status, `{"version":1,"vms":[{"vm":"a","version":1,"age_ms":0,"in_force_after_ms":0,"reachable":true}]}`)
+	next := strings.Replace(strings.Replace(sampleBundle, `"version": 1`, `"version": 2`, 1), `"share": 1`, `"share": 5`, 1)
+	s.mustCall("ann", "POST /v1/bundles", next, http.StatusCreated, &struct{}{})
+	_, diff := s.call("ann", "GET /v1/bundles/2/diff", "")
+	assert.Equal(t, diff, `{"changes":[{"path":"$.version","from":"1","to":"2"},{"path":"$.teams[\"lab\"].share","from":"1","to":"5"}]}`)
+}
+
+// Guards against a route that serves anybody.
+func TestEveryRouteNeedsAnOperator(t *testing.T) {
+	s := newSite(t, fleet{})
+	for _, route := range []string{
+		"GET /v1/teams", "POST /v1/keys", "GET /v1/keys", "POST /v1/keys/x/withdraw", "POST /v1/bundles",
+		"GET /v1/bundles/1", "GET /v1/bundles/1/diff", "POST /v1/bundles/1/review", "POST /v1/bundles/1/sign-off",
+		"GET /v1/bundles/status", "POST /v1/zones/z1/drain", "POST /v1/zones/z1/return", "GET /v1/zones/z1", "GET /v1/vms",
+		"DELETE /v1/vms", "GET /",
+	} {
+		s.mustRefuse("", route, "{}", "key_missing")
+		s.mustRefuse("eve", route, "{}", "key_unknown")
+	}
+	assert.Equal(t, s.store.Counts().Writes+s.store.Counts().Reads, int64(0), "the store was called for a stranger")
+}
+
+// Guards against input that is half understood, changes anything, or takes memory without bound.
+func TestHostileInput(t *testing.T) {
+	s := newSite(t, fleet{})
+	s.inForce(sampleBundle)
+	writes := s.store.Counts().Writes
+	large := `{"team": "` + strings.Repeat("x", 5000) + `"}`
+	tests := []struct{ route, body, reason string }{
+		{"POST /v1/keys", "", "bad_request"},
+		{"POST /v1/keys", "null", "bad_request"},
+		{"POST /v1/keys", `{"team": "lab", "team": "lab"}`, "bad_request"},
+		{"POST /v1/keys", `{"team": "lab", "id": "mine"}`, "bad_request"},
+		{"POST /v1/keys", `{"team": "lab"} {}`, "bad_request"},
+		{"POST /v1/keys", strings.Repeat("[", 4000), "bad_request"},
+		{"POST /v1/keys", large, "body_too_large"},
+		{"POST /v1/keys", `{"team": "none"}`, "bad_request"},
+		{"POST /v1/keys/..%2Fbundle%2Fcurrent/withdraw", "", "not_found"},
+		{"POST /v1/keys/0123456789abcdef/withdraw", "", "not_found"},
+		{"POST /v1/bundles", large, "body_too_large"},
+		{"POST /v1/bundles", `{"version": 2}`, "bad_request"},
+		{"POST /v1/bundles", sampleBundle, "conflict"},
+		{"POST /v1/bundles/2/review", `{"content_sha256": "x"}`, "not_found"},
+		{"POST /v1/bundles/1/review", `{"content_sha256": "x"}`, "conflict"},
+		{"POST /v1/bundles/1/sign-off", `{"content_sha256": "x", "signature": "!"}`, "bad_request"},
+		{"POST /v1/bundles/1/sign-off", `{"content_sha256": "x", "signature": ""}`, "conflict"},
+		{"GET /v1/bundles/-1", "", "not_found"},
+		{"GET /v1/bundles/01", "", "not_found"},
+		{"GET /v1/bundles/99999999999999999999", "", "not_found"},
+		{"GET /v1/bundles/7/diff", "", "not_found"},
+		{"POST /v1/zones/z2/drain", "", "not_found"},
+		{"POST /v1/zones/..%2Fx/drain", "", "not_found"},
+		{"GET /v1/zones/" + strings.Repeat("z", 3000), "", "not_found"},
+		{"PUT /v1/zones/z1", "", "not_found"},
+	}
+	for _, test := range tests {
+		message := s.mustRefuse("ann", test.route, test.body, test.reason)
+		assert.Assert(t, len(message) < 1000, "%s: message has %d bytes", test.route, len(message))
+	}
+	assert.Equal(t, s.store.Counts().Writes, writes)
+	message := s.mustRefuse("ann", "POST /v1/bundles", `{"version": 2, "zones": [{"nam": 1}], "shards_per_zone": -1}`, "bad_request")
+	for _, path := range []string{"$.zones[0].nam", "$.shards_per_zone", "$.teams"} {
+		assert.Assert(t, strings.Contains(message, path), "%s is missing in %s", path, message)
+	}
+}
+
+// Guards against a refusal that claims that nothing happened when that is not known, and against other faults that pass
+// for refusals.
+func TestFaultsBehindTheRoutes(t *testing.T) {
+	s := newSite(t, fleet{err: errors.New("no answer")})
+	s.inForce(sampleBundle)
+	for _, route := range []string{"GET /v1/teams", "GET /v1/vms", "GET /v1/bundles/status", "GET /v1/zones/z1"} {
+		s.mustRefuse("ann", route, "", "internal_error")
+	}
+	s.store.SetFaults(standin.StoreFaults{Down: true})
+	s.mustRefuse("ann", "POST /v1/keys", `{"team": "lab"}`, "acceptance_unknown")
+	s.mustRefuse("ann", "POST /v1/zones/z1/drain", "", "store_unavailable")
+	s.mustRefuse("ann", "GET /v1/bundles/2", "", "store_unavailable")
+	s.mustCall("ann", "GET /v1/bundles/1", "", http.StatusOK, &struct{}{})
+}
--- /dev/null
+++ b/operate/server.go
@@ -0,0 +1,183 @@
+// Package operate serves the operators' routes over HTTP/JSON: teams, keys, bundles, zones and VMs.
+package operate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/bundle"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/configview"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/teamkey"
+)
+
+const (
+	// DefaultMaxBodyBytes bounds a request body if the options name no limit. The largest sound bundle has 512 KiB.
+	DefaultMaxBodyBytes = 1 << 20
+	// requestTimeout bounds a request. A sign-off makes up to ten store calls of a few milliseconds each.
+	requestTimeout = 10 * time.Second
+)
+
+// TeamUsage is what a team has running and queued in the whole fleet.
+type TeamUsage struct {
+	Running resource.Vector
+	Queued  resource.Vector
+}
+
+// ZoneUsage is the number of tasks of a zone.
+type ZoneUsage struct {
+	Running int64
+	Queued  int64
+}
+
+// Usage knows the work of the fleet.
+type Usage interface {
+	Teams(ctx context.Context) (map[string]TeamUsage, error)
+	Zone(ctx context.Context, zone string) (ZoneUsage, error)
+}
+
+// VMState is one VM of the fleet.
+type VMState struct {
+	Name    string `json:"name"`
+	Role    string `json:"role"`
+	Zone    string `json:"zone"`
+	Rack    string `json:"rack"`
+	Leaving bool   `json:"leaving"`
+	State   string `json:"state"`
+}
+
+// VMs knows the VMs of the fleet.
+type VMs interface {
+	VMs(ctx context.Context) ([]VMState, error)
+}
+
+// VMBundle is the bundle in force on one entry VM.
+type VMBundle struct {
+	VM      string `json:"vm"`
+	Version int64  `json:"version"`
+	AgeMs   int64  `json:"age_ms"`
+	// InForceAfterMs is the time from the sign-off to being in force on the VM.
+	InForceAfterMs int64 `json:"in_force_after_ms"`
+	Reachable      bool  `json:"reachable"`
+}
+
+// BundleStates knows the bundle in force on each entry VM.
+type BundleStates interface {
+	BundleStates(ctx context.Context) ([]VMBundle, error)
+}
+
+// Options are what the routes need.
+type Options struct {
+	// Store has to be the observing store of View, so that this VM knows a change before it answers "done".
+	Store        platform.Store
+	Clock        clock.Clock
+	Logger       logr.Logger
+	View         *configview.View
+	Operators    []*siskinv1.Operator
+	Usage        Usage
+	VMs          VMs
+	BundleStates BundleStates
+	// MaxBodyBytes bounds a request body; 0 selects DefaultMaxBodyBytes.
+	MaxBodyBytes int64
+}
+
+// Server serves the operators' routes.
+type Server struct {
+	options   Options
+	operators *teamkey.Operators
+	keys      *teamkey.Register
+	bundles   *bundle.Register
+}
+
+// New returns a server.
+func New(options Options) *Server {
+	if options.MaxBodyBytes <= 0 {
+		options.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	return &Server{
+		options:   options,
+		operators: teamkey.NewOperators(options.Operators),
+		keys:      teamkey.NewRegister(options.Store, options.Clock),
+		bundles:   bundle.NewRegister(options.Store, bundle.NewSigners(options.Operators)),
+	}
+}
+
+// Patterns returns the patterns under which another mux has to mount Handler.
+func Patterns() []string {
+	return []string{"/v1/teams", "/v1/keys", "/v1/keys/", "/v1/bundles", "/v1/bundles/", "/v1/zones/", "/v1/vms"}
+}
+
+// Handler returns the handler of all routes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	routes := map[string]route{
+		"GET /v1/teams":                       s.listTeams,
+		"POST /v1/keys":                       s.issueKey,
+		"GET /v1/keys":                        s.listKeys,
+		"POST /v1/keys/{id}/withdraw":         s.withdrawKey,
+		"POST /v1/bundles":                    s.propose,
+		"GET /v1/bundles/status":              s.bundleStatus,
+		"GET /v1/bundles/{version}":           s.getBundle,
+		"GET /v1/bundles/{version}/diff":      s.diffBundle,
+		"POST /v1/bundles/{version}/review":   s.review,
+		"POST /v1/bundles/{version}/sign-off": s.signOff,
+		"POST /v1/zones/{zone}/drain":         s.drainZone,
+		"POST /v1/zones/{zone}/return":        s.returnZone,
+		"GET /v1/zones/{zone}":                s.getZone,
+		"GET /v1/vms":                         s.listVMs,
+	}
+	for pattern, serve := range routes {
+		mux.HandleFunc(pattern, s.authenticated(serve))
+	}
+	mux.HandleFunc("/", s.authenticated(func(c *call) (any, error) {
+		return nil, refusal.New(refusal.NotFound, "no route %s %s", c.http.Method, c.http.URL.Path)
+	}))
+	return mux
+}
+
+// call is one request of an authenticated operator.
+type call struct {
+	http     *http.Request
+	writer   http.ResponseWriter
+	operator string
+	// status is the HTTP status of a good answer.
+	status int
+}
+
+// route serves one request. The answer is a protobuf message or a value for encoding/json; an error is a refusal.
+type route func(*call) (any, error)
+
+func (s *Server) authenticated(serve route) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		requestID := newRequestID()
+		operator, err := s.operators.Authenticate(r.Header.Get("Authorization"))
+		if err != nil {
+			writeRefusal(w, requestID, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		c := &call{http: r.WithContext(ctx), writer: w, operator: operator, status: http.StatusOK}
+		answer, err := serve(c)
+		if err != nil {
+			writeRefusal(w, requestID, err)
+			return
+		}
+		writeAnswer(w, requestID, c.status, answer)
+	}
+}
+
+// snapshot returns the configuration as this VM knows it.
+func (s *Server) snapshot() *configview.Snapshot { return s.options.View.Snapshot() }
+
+// changed logs a change of the configuration.
+func (s *Server) changed(c *call, what string, details ...any) {
+	s.options.Logger.Info(what, append([]any{"operator", c.operator}, details...)...)
+}
