Serve all member routes in package entry

Cause: entry had two routes without keys, limits, counters or a planned stop, and no route to services. Change: the member routes of docs/api.md with keys through an interface, findings, admission limits, counters, spans, deadlines for slow callers and a bounded shutdown; at-most-once requests claim before they are forwarded. Package admission sheds the least urgent first. A body that is not read to its end keeps its read deadline, because the server would otherwise wait for the rest without a limit. Conclusion: the full path is tested over loopback sockets with several VMs and a hostile endpoint.

--- /dev/null
+++ b/admission/limiter.go
@@ -0,0 +1,127 @@
+// Package admission bounds the requests in flight through one entry VM, and sheds the least urgent ones first.
+package admission
+
+import (
+	"sync"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+// Defaults for limits that the settings leave open.
+const (
+	DefaultVM   = 4096
+	DefaultTeam = 2048
+	// DefaultService keeps one slow service from taking the whole VM.
+	DefaultService = 2048
+)
+
+// Shares of each limit, in percent, that an urgency class may fill. The rest is kept for more urgent requests.
+const (
+	canWaitPercent = 70
+	normalPercent  = 90
+	urgentPercent  = 100
+)
+
+// Callers told to come back are spread by urgency, so that urgent ones meet free room first.
+const (
+	urgentRetryAfter  = 100 * time.Millisecond
+	normalRetryAfter  = 500 * time.Millisecond
+	canWaitRetryAfter = 2 * time.Second
+)
+
+// Limits are numbers of requests in flight. Zero selects the default.
+type Limits struct {
+	VM      int
+	Team    int
+	Service int
+}
+
+// Limiter counts requests in flight.
+type Limiter struct {
+	limits Limits
+
+	mu       sync.Mutex // guards all fields below
+	total    int
+	teams    map[string]int
+	services map[string]int
+}
+
+// New returns a limiter.
+func New(limits Limits) *Limiter {
+	limits.VM = positiveOr(limits.VM, DefaultVM)
+	limits.Team = positiveOr(limits.Team, DefaultTeam)
+	limits.Service = positiveOr(limits.Service, DefaultService)
+	return &Limiter{limits: limits, teams: map[string]int{}, services: map[string]int{}}
+}
+
+func positiveOr(value, otherwise int) int {
+	if value > 0 {
+		return value
+	}
+	return otherwise
+}
+
+// Acquire counts a request in or refuses it. An empty service counts for the VM and the team only. The returned
+// function must be called once, when the request is over.
+func (l *Limiter) Acquire(team, service string, urgency siskinv1.Urgency) (func(), error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.total >= share(l.limits.VM, urgency):
+		return nil, refused(refusal.Overloaded, urgency, "this VM has too many requests in flight")
+	case l.teams[team] >= share(l.limits.Team, urgency):
+		return nil, refused(refusal.TeamLimit, urgency, "the team has too many requests in flight")
+	case service != "" && l.services[service] >= share(l.limits.Service, urgency):
+		return nil, refused(refusal.Overloaded, urgency, "the service has too many requests in flight")
+	}
+	l.total++
+	l.teams[team]++
+	if service != "" {
+		l.services[service]++
+	}
+	return func() { l.release(team, service) }, nil
+}
+
+func (l *Limiter) release(team, service string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.total--
+	decrement(l.teams, team)
+	if service != "" {
+		decrement(l.services, service)
+	}
+}
+
+// decrement drops a count of zero, so that the maps hold only what is in flight.
+func decrement(counts map[string]int, name string) {
+	counts[name]--
+	if counts[name] == 0 {
+		delete(counts, name)
+	}
+}
+
+// share returns the part of limit that an urgency class may fill, at least 1.
+func share(limit int, urgency siskinv1.Urgency) int {
+	percent := normalPercent
+	switch urgency {
+	case siskinv1.Urgency_URGENCY_URGENT:
+		percent = urgentPercent
+	case siskinv1.Urgency_URGENCY_CAN_WAIT:
+		percent = canWaitPercent
+	}
+	return max(1, limit*percent/100)
+}
+
+func refused(reason refusal.Reason, urgency siskinv1.Urgency, message string) error {
+	err := refusal.New(reason, "%s", message)
+	err.RetryAfter = normalRetryAfter
+	switch urgency {
+	case siskinv1.Urgency_URGENCY_URGENT:
+		err.RetryAfter = urgentRetryAfter
+	case siskinv1.Urgency_URGENCY_CAN_WAIT:
+		err.RetryAfter = canWaitRetryAfter
+	}
+	return err
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -76,7 +76,7 @@
 	}
 	callers := &http.Server{
 		Addr:              d.settings.GetListen().GetCallers(),
-		Handler:           (&entry.Server{Work: router, Shards: d.shardNames}).Handler(),
+		Handler:           entry.New(entry.Options{Work: router, Shards: d.shardNames, Auth: entry.OpenAccess{}}).Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
 	d.tasks.Go(func() { _ = server.Serve(peerListener) })
--- /dev/null
+++ b/entry/cluster_test.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/claim"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/peer"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/router"
+	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/server"
+)
+
+const (
+	testService = "order"
+	testZones   = 2
+)
+
+// claimOwner is the owner of all shards: a table without a store.
+type claimOwner struct {
+	mu    sync.Mutex // guards table between check and apply
+	table *claim.Table
+}
+
+func (o *claimOwner) Claim(_ context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	decision := o.table.Check(request.GetClaim())
+	o.table.Apply(decision.Record)
+	return decision.Response(), nil
+}
+
+func (o *claimOwner) FinishClaim(_ context.Context, request *siskinv1.FinishClaimRequest) (*siskinv1.FinishClaimResponse, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.table.Apply(o.table.CheckFinish(request.GetFinished()))
+	return &siskinv1.FinishClaimResponse{}, nil
+}
+
+// died ends the claims of one process.
+func (o *claimOwner) died(entryVM string) {
+	for _, record := range o.table.Sweep(time.Now(), func(vm string) bool { return vm != entryVM }) {
+		o.table.Apply(record)
+	}
+}
+
+// cluster is entry VMs, endpoints and a VM list on loopback sockets.
+type cluster struct {
+	t         testing.TB
+	endpoints *standin.Endpoints
+	listed    []platform.VM
+	list      *standin.VMList
+	claims    *claimOwner
+	service   *siskinv1.Service
+	vms       []*testVM
+	entryVMs  []router.EntryVM
+	addresses map[string]string
+}
+
+// testVM is one entry VM.
+type testVM struct {
+	name, zone string
+	version    int64
+	url        string
+	server     *Server
+	router     *router.Router
+	listener   net.Listener
+	peers      *grpc.Server
+	clients    *peer.Clients
+	stop       func()
+}
+
+// newCluster starts n entry VMs, spread over the zones.
+func newCluster(t testing.TB, n int, options standin.EndpointOptions, endpointZones ...int) *cluster {
+	c := &cluster{
+		t: t, claims: &claimOwner{table: claim.NewTable(claim.Limits{})}, addresses: map[string]string{},
+		service: &siskinv1.Service{Name: testService, Slots: 8, Connections: 60, TimeoutMs: 10_000, MaxWaiting: 1000},
+	}
+	for i, zone := range endpointZones {
+		c.listed = append(c.listed, platform.VM{
+			Name: fmt.Sprintf("endpoint-%d", i), Role: platform.RoleEndpoint, Zone: zoneName(zone), Service: testService,
+		})
+	}
+	c.endpoints = standin.NewEndpoints(clock.Real{}, c.listed, options)
+	for i := range c.listed {
+		if c.listed[i].Address == "" {
+			c.serveEndpoint(i, server.NewEndpoint(c.listed[i].Name, c.endpoints))
+		}
+	}
+	c.list = standin.NewVMList(clock.Real{}, 100*time.Millisecond, c.listed)
+	for i := range n {
+		c.entryVMs = append(c.entryVMs, router.EntryVM{Name: fmt.Sprintf("entry-%d", i), Zone: zoneName(i % testZones)})
+		c.addresses[c.entryVMs[i].Name] = ""
+	}
+	listeners := make([]net.Listener, n)
+	for i, vm := range c.entryVMs {
+		listeners[i] = listen(t)
+		c.addresses[vm.Name] = listeners[i].Addr().String()
+	}
+	for i := range n {
+		c.vms = append(c.vms, c.startVM(i, 1, listeners[i]))
+	}
+	return c
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
+
+func listen(t testing.TB) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
+// serveEndpoint puts a handler in the place of an endpoint. The list shows its address.
+func (c *cluster) serveEndpoint(i int, handler http.Handler) {
+	s := httptest.NewServer(handler)
+	c.t.Cleanup(s.Close)
+	c.setAddress(i, s.Listener.Addr().String())
+}
+
+func (c *cluster) setAddress(i int, address string) {
+	c.listed[i].Address = address
+	if c.list != nil {
+		c.list.Update(func(vms []platform.VM) []platform.VM {
+			vms[i].Address = address
+			return vms
+		})
+	}
+}
+
+func (c *cluster) startVM(i int, version int64, peers net.Listener) *testVM {
+	vm := &testVM{name: c.entryVMs[i].Name, zone: c.entryVMs[i].Zone, version: version}
+	vm.clients = peer.NewClients(c.addresses, insecure.NewCredentials())
+	calls := httpplatform.NewEndpoints(0)
+	vm.router = router.New(router.Options{
+		VM: vm.name, Zone: vm.zone, Incarnation: version, EntryVMs: c.entryVMs, Endpoints: calls, VMs: c.list,
+		Clock: clock.Real{}, Services: func() []*siskinv1.Service { return []*siskinv1.Service{c.service} },
+		Peers: &peer.RequestCalls{Clients: vm.clients}, Seed: uint64(i),
+	})
+	vm.peers = grpc.NewServer(grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
+	siskinv1.RegisterPeerServiceServer(vm.peers, &peer.Server{LocalRequests: vm.router, LocalClaims: c.claims})
+	vm.server = New(Options{
+		Auth: OpenAccess{}, Requests: vm.router, Shards: func() []string { return []string{"zone-0-0", "zone-1-0"} },
+		Claims: claim.NewClient(claim.ClientOptions{
+			Shards: c.claims, Names: func() []string { return []string{"zone-0-0", "zone-1-0"} },
+			EntryVM: fmt.Sprintf("%s/%d", vm.name, version), Clock: clock.Real{},
+		}),
+		Timeouts: Timeouts{Drain: 50 * time.Millisecond},
+	})
+	vm.listener = listen(c.t)
+	vm.url = "http://" + vm.listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.router.RefreshList(ctx)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { vm.router.Run(ctx) })
+	tasks.Go(func() { _ = vm.peers.Serve(peers) })
+	tasks.Go(func() { _ = vm.server.Serve(vm.listener) })
+	vm.stop = sync.OnceFunc(func() {
+		cancel()
+		vm.peers.Stop()
+		_ = vm.server.http.Close()
+		vm.clients.Close()
+		calls.Close()
+		tasks.Wait()
+	})
+	c.t.Cleanup(vm.stop)
+	return vm
+}
+
+// reply is what a caller got.
+type reply struct {
+	err     error
+	status  int
+	body    string
+	refusal refusalBody
+}
+
+func (r reply) refused() bool { return r.refusal.Reason != "" }
+
+// send hands one request in through a VM.
+func (c *cluster) send(vm *testVM, body string, headers ...string) reply {
+	request, err := http.NewRequest(http.MethodPost, vm.url+"/v1/services/"+testService+"/requests", bytes.NewReader([]byte(body)))
+	assert.NilError(c.t, err)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	return do(request)
+}
+
+func do(request *http.Request) reply {
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	got := reply{err: err, status: response.StatusCode, body: string(content)}
+	if response.Header.Get(HeaderReason) != "" {
+		got.err = json.Unmarshal(content, &got.refusal)
+	}
+	return got
+}
+
+// sendAll hands n requests in at once, over all VMs, each with a body of its own.
+func (c *cluster) sendAll(n int, headers ...string) map[string]reply {
+	var mu sync.Mutex // guards replies
+	replies := map[string]reply{}
+	var tasks sync.WaitGroup
+	for i := range n {
+		tasks.Go(func() {
+			body := fmt.Sprintf("request %d", i)
+			got := c.send(c.vms[i%len(c.vms)], body, headers...)
+			mu.Lock()
+			defer mu.Unlock()
+			replies[body] = got
+		})
+	}
+	tasks.Wait()
+	return replies
+}
+
+// runs counts the runs by body.
+func (c *cluster) runs() map[string]int {
+	runs := map[string]int{}
+	for _, run := range c.endpoints.Runs() {
+		runs[run.Body]++
+	}
+	return runs
+}
+
+// eventually waits for a condition, at most 10 s.
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+func workFor(d time.Duration) standin.EndpointOptions {
+	return standin.EndpointOptions{Slots: 8, Work: func(string, []byte) time.Duration { return d }}
+}
--- /dev/null
+++ b/entry/requests_test.go
@@ -0,0 +1,307 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/standin"
+)
+
+// hostile is an endpoint that writes its answers by hand: late, for another request, cut short or twice.
+type hostile struct {
+	requests atomic.Int64
+	previous atomic.Value
+	// behave chooses what the nth request gets.
+	behave func(n int64) string
+}
+
+func (h *hostile) start(t *testing.T) string {
+	listener := listen(t)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go h.serve(connection)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (h *hostile) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(request.Body)
+		if request.URL.Path == httpplatform.PathLoad {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"in_flight\":{}}")
+			continue
+		}
+		id := request.Header.Get(httpplatform.HeaderRequestID)
+		answer := message(id, "done "+string(body))
+		other, _ := h.previous.Swap(answer).(string)
+		switch h.behave(h.requests.Add(1)) {
+		case "late":
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(connection, answer)
+		case "other request's":
+			_, _ = io.WriteString(connection, other)
+		case "cut":
+			_, _ = io.WriteString(connection, answer[:len(answer)-3])
+			return
+		case "twice":
+			_, _ = io.WriteString(connection, answer+answer)
+		case "busy for another":
+			_, _ = io.WriteString(connection, strings.Replace(message("x", ""), "\r\n", "\r\nPlatform-Error: endpoint_busy\r\n", 1))
+		case "no length":
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\ndone half", id)
+			return
+		case "silent":
+			return
+		default:
+			_, _ = io.WriteString(connection, answer)
+		}
+	}
+}
+
+func message(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// TestAnswersAreNeverSwapped guards against an answer that reaches another caller, or only in part, whatever an endpoint
+// sends: late, reordered, truncated, duplicated answers and refusals.
+func TestAnswersAreNeverSwapped(t *testing.T) {
+	kinds := []string{"", "", "twice", "", "other request's", "late", "", "cut", "no length", "busy for another", ""}
+	c := newCluster(t, 2, workFor(0), 0, 0, 0, 1, 1, 1)
+	for i := range c.listed {
+		h := &hostile{behave: func(n int64) string { return kinds[n%int64(len(kinds))] }}
+		c.setAddress(i, h.start(t))
+	}
+	time.Sleep(time.Second)
+	answered := 0
+	for body, got := range c.sendAll(300, HeaderIdempotent, "true", HeaderTimeout, "2000") {
+		assert.NilError(t, got.err)
+		if got.refused() {
+			continue
+		}
+		answered++
+		assert.Equal(t, got.body, "done "+body)
+	}
+	assert.Assert(t, answered > 0)
+}
+
+// TestOnceAfterCut guards against a second send of a request that is not idempotent when the endpoint drops the
+// connection after it has got the request, and against a "not run" for it.
+func TestOnceAfterCut(t *testing.T) {
+	c := newCluster(t, 2, workFor(0), 0)
+	h := &hostile{behave: func(int64) string { return "silent" }}
+	c.setAddress(0, h.start(t))
+	time.Sleep(time.Second)
+	got := c.send(c.vms[0], "reindex", HeaderRequestKey, "k1")
+	assert.Equal(t, got.refusal.Reason, string(refusal.EndpointFailed))
+	assert.Assert(t, !got.refusal.NotRun)
+	again := c.send(c.vms[1], "reindex", HeaderRequestKey, "k1")
+	assert.Equal(t, again.refusal.Reason, string(refusal.OutcomeUnknown))
+	assert.Equal(t, h.requests.Load(), int64(1))
+	withoutKey := c.send(c.vms[0], "booking")
+	assert.Equal(t, withoutKey.refusal.Reason, string(refusal.EndpointFailed))
+	assert.Equal(t, h.requests.Load(), int64(2))
+}
+
+// TestIdempotentIsRetriedElsewhere guards against giving up a request that another endpoint can answer.
+func TestIdempotentIsRetriedElsewhere(t *testing.T) {
+	c := newCluster(t, 1, workFor(0), 0, 0)
+	h := &hostile{behave: func(int64) string { return "silent" }}
+	c.setAddress(0, h.start(t))
+	time.Sleep(time.Second)
+	for i := range 8 {
+		got := c.send(c.vms[0], fmt.Sprint(i), HeaderIdempotent, "true")
+		assert.Equal(t, got.body, fmt.Sprintf("done %d", i))
+	}
+}
+
+// TestRepeatedHandInThroughOtherVM guards against a second run of a request key, and against losing its answer.
+func TestRepeatedHandInThroughOtherVM(t *testing.T) {
+	c := newCluster(t, 3, workFor(0), 0, 1)
+	for i := range 6 {
+		got := c.send(c.vms[i%3], "book", HeaderRequestKey, "k1")
+		assert.Equal(t, got.body, "done book")
+	}
+	assert.Equal(t, c.runs()["book"], 1)
+	got := c.send(c.vms[0], "book another", HeaderRequestKey, "k1")
+	assert.Equal(t, got.refusal.Reason, string(refusal.RequestKeyReused))
+}
+
+// TestEntryVMDiesBetweenClaimAndAnswer guards against a second run after the VM that held the claim is gone.
+func TestEntryVMDiesBetweenClaimAndAnswer(t *testing.T) {
+	c := newCluster(t, 2, workFor(2*time.Second), 0, 1)
+	first := c.vms[0]
+	go c.send(first, "reindex", HeaderRequestKey, "k1")
+	eventually(t, "the request runs", func() bool { return c.runs()["reindex"] == 1 })
+	got := c.send(c.vms[1], "reindex", HeaderRequestKey, "k1")
+	assert.Equal(t, got.refusal.Reason, string(refusal.InProgress))
+	c.vms[0].stop()
+	c.claims.died("entry-0/1")
+	got = c.send(c.vms[1], "reindex", HeaderRequestKey, "k1")
+	assert.Equal(t, got.refusal.Reason, string(refusal.OutcomeUnknown))
+	assert.Assert(t, !got.refusal.NotRun)
+	assert.Equal(t, c.runs()["reindex"], 1)
+}
+
+// TestNotRunIsTrue guards against a refusal that says "not run" for a request that an endpoint ran, with too few slots,
+// a dead address and a leaving endpoint.
+func TestNotRunIsTrue(t *testing.T) {
+	options := standin.EndpointOptions{Slots: 2, Work: func(string, []byte) time.Duration { return 20 * time.Millisecond }}
+	for _, headers := range [][]string{{HeaderIdempotent, "true", HeaderTimeout, "400"}, {HeaderTimeout, "250"}} {
+		c := newCluster(t, 2, options, 0, 0, 0, 1, 1)
+		c.setAddress(1, "127.0.0.1:1")
+		c.endpoints.SetLeaving("endpoint-2")
+		replies := c.sendAll(200, headers...)
+		eventually(t, "all runs are over", func() bool { return c.endpoints.Running() == 0 })
+		runs := c.runs()
+		refused := 0
+		for body, got := range replies {
+			assert.NilError(t, got.err)
+			if !got.refused() {
+				assert.Equal(t, got.body, "done "+body)
+				continue
+			}
+			refused++
+			assert.Assert(t, !got.refusal.NotRun || runs[body] == 0, "%v", got.refusal)
+		}
+		t.Logf("%v: %d of %d refused", headers, refused, len(replies))
+		assert.Assert(t, refused > 0)
+	}
+}
+
+// TestSlotsOverSockets guards against more calls at an endpoint than its slots, with VMs that lend to each other and one
+// that is replaced while the calls of its predecessor run. The endpoint itself would take many more.
+func TestSlotsOverSockets(t *testing.T) {
+	options := standin.EndpointOptions{Slots: 1000, Work: func(string, []byte) time.Duration { return 30 * time.Millisecond }}
+	c := newCluster(t, 4, options, 0, 0)
+	stop := time.Now().Add(4 * time.Second)
+	for time.Now().Before(stop) {
+		// Only one VM of the zone has work, so that it borrows.
+		c.vms[1], c.vms[2], c.vms[3] = c.vms[0], c.vms[0], c.vms[0]
+		for _, got := range c.sendAll(60, HeaderIdempotent, "true") {
+			assert.NilError(t, got.err)
+		}
+	}
+	peer := listen(t)
+	replaced := c.vms[0]
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		replaced.stop()
+	}()
+	c.sendAll(60, HeaderIdempotent, "true")
+	c.vms[0] = c.startVM(0, 2, peer)
+	c.vms[1], c.vms[2], c.vms[3] = c.vms[0], c.vms[0], c.vms[0]
+	c.sendAll(100, HeaderIdempotent, "true")
+	for _, name := range []string{"endpoint-0", "endpoint-1"} {
+		t.Logf("%s peak %d", name, c.endpoints.Peak(name))
+		assert.Assert(t, c.endpoints.Peak(name) <= 8)
+		assert.Assert(t, c.endpoints.Peak(name) > 4, "no slot was lent")
+	}
+}
+
+// TestLeavingEndpointGetsNothing guards against new requests to a leaving endpoint after the lag of the list and one
+// interval of load questions, and against failing requests meanwhile.
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	c := newCluster(t, 1, workFor(0), 0, 0)
+	var calls atomic.Int64
+	c.serveEndpoint(0, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == httpplatform.PathCall {
+			calls.Add(1)
+		}
+		w.Header().Set(httpplatform.HeaderRequestID, r.Header.Get(httpplatform.HeaderRequestID))
+		_, _ = io.WriteString(w, `{"in_flight":{}}`)
+	}))
+	eventually(t, "the endpoint gets requests", func() bool {
+		c.send(c.vms[0], "x", HeaderIdempotent, "true")
+		return calls.Load() > 0
+	})
+	c.list.Update(func(vms []platform.VM) []platform.VM {
+		vms[0].Leaving = true
+		return vms
+	})
+	time.Sleep(1500 * time.Millisecond)
+	before := calls.Load()
+	for _, got := range c.sendAll(50, HeaderIdempotent, "true") {
+		assert.Assert(t, !got.refused())
+	}
+	assert.Equal(t, calls.Load(), before)
+}
+
+// TestForwardedOnceOnly guards against requests that wander between zones, and against a zone without endpoints that
+// does not use the other one's.
+func TestForwardedOnceOnly(t *testing.T) {
+	c := newCluster(t, 2, workFor(0), 1)
+	got := c.send(c.vms[0], "x")
+	assert.Equal(t, got.body, "done x")
+	c.endpoints.SetLeaving("endpoint-0")
+	eventually(t, "the endpoint's zone knows", func() bool {
+		return c.send(c.vms[1], "y").refusal.Reason == string(refusal.NoEndpoint)
+	})
+	got = c.send(c.vms[0], "z")
+	assert.Equal(t, got.refusal.Reason, string(refusal.NoEndpoint))
+	assert.Assert(t, got.refusal.NotRun)
+	assert.Equal(t, c.runs()["z"]+c.runs()["y"], 0)
+}
+
+// TestTwoZonesWithoutEndpoints guards against two zones that pass a request to and fro while the list still shows
+// endpoints in both.
+func TestTwoZonesWithoutEndpoints(t *testing.T) {
+	c := newCluster(t, 2, workFor(0), 0, 1)
+	c.endpoints.SetLeaving("endpoint-0")
+	c.endpoints.SetLeaving("endpoint-1")
+	time.Sleep(1500 * time.Millisecond)
+	got := c.send(c.vms[0], "x", HeaderTimeout, "1000")
+	assert.Equal(t, got.refusal.Reason, string(refusal.NoEndpoint))
+	assert.Assert(t, got.refusal.NotRun)
+}
+
+// TestShutdownCutsNothing guards against a planned stop that cuts off requests in flight, or leaves readiness on.
+func TestShutdownCutsNothing(t *testing.T) {
+	c := newCluster(t, 1, workFor(500*time.Millisecond), 0, 0, 0, 0)
+	replies := make(chan map[string]reply)
+	go func() { replies <- c.sendAll(20) }()
+	eventually(t, "requests run", func() bool { return len(c.endpoints.Runs()) > 10 })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, c.vms[0].server.Shutdown(ctx))
+	assert.Assert(t, c.vms[0].server.Ready() != nil)
+	for body, got := range <-replies {
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, "done "+body)
+	}
+	assert.Equal(t, c.vms[0].server.InFlight(), int64(0))
+}
+
+// TestShutdownIsBounded guards against a planned stop that waits for ever for one slow request.
+func TestShutdownIsBounded(t *testing.T) {
+	c := newCluster(t, 1, workFor(8*time.Second), 0)
+	go c.send(c.vms[0], "slow", HeaderIdempotent, "true")
+	eventually(t, "the request runs", func() bool { return len(c.endpoints.Runs()) == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	assert.ErrorContains(t, c.vms[0].server.Shutdown(ctx), "1 requests were cut off")
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -2,127 +2,160 @@
 package entry
 
 import (
-	"crypto/rand"
-	"encoding/base32"
-	"encoding/json"
-	"io"
+	"cmp"
+	"context"
 	"net/http"
-	"strings"
+	"sync/atomic"
+	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"siskinstack.example/siskinstack/admission"
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/claim"
 	"siskinstack.example/siskinstack/peer"
-	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/router"
 )
 
-// defaultMaxBodyBytes bounds a request body if the settings name no limit.
-const defaultMaxBodyBytes = 1 << 20
-
 // Headers of the caller's protocol.
 const (
 	HeaderRequestID  = "Siskin-Request-Id"
 	HeaderRequestKey = "Siskin-Request-Key"
 	HeaderIdempotent = "Siskin-Idempotent"
 	HeaderTimeout    = "Siskin-Timeout-Ms"
+	HeaderUrgency    = "Siskin-Urgency"
+	// HeaderReason tells a refusal of the system from an answer of an endpoint with the same status.
+	HeaderReason = "Siskin-Reason"
 )
 
-// Server is the HTTP server for callers.
-type Server struct {
+// defaultMaxBodyBytes bounds a request body if the settings name no limit.
+const defaultMaxBodyBytes = 1 << 20
+
+// Target is what a caller wants to use.
+type Target struct {
+	// Queue or Service is set for a hand-in or a request.
+	Queue   string
+	Service string
+	// Read is true for calls that change nothing: they are served from a view that is not fresh as well.
+	Read bool
+}
+
+// Authenticator decides for which team a caller acts. The error is a refusal: key_missing, key_unknown,
+// key_withdrawn, key_wrong_team, or key_unverifiable if the view of the keys is not fresh and the target is no read.
+// Queues and services open to all need no bearer token; a target without queue and service always needs one.
+type Authenticator interface {
+	Authenticate(ctx context.Context, bearer string, target Target) (team string, err error)
+}
+
+// Decoder reads a JSON body into a message and refuses unknown fields.
+type Decoder func(body []byte, into proto.Message) error
+
+// Requests sends requests to services.
+type Requests interface {
+	Send(ctx context.Context, request router.Request) (router.Answer, error)
+	Timeout(service string) (time.Duration, bool)
+}
+
+// Claims claims at-most-once requests.
+type Claims interface {
+	Begin(ctx context.Context, handIn claim.HandIn) (*claim.Held, *siskinv1.RequestFinished, error)
+	Wait()
+}
+
+// Route is a further route, served with the same counters and spans.
+type Route struct {
+	// Pattern is a pattern of http.ServeMux with method and path.
+	Pattern string
+	Handler http.HandlerFunc
+}
+
+// Options is what a Server needs. Work, Shards and Auth are required.
+type Options struct {
 	Work peer.Work
 	// Shards lists the names of all shards.
 	Shards func() []string
+	// ShardLoad returns the last known load of a shard, higher for fuller; nil takes all as equal.
+	ShardLoad func(shard string) float64
+	Auth      Authenticator
+	// Requests and Claims are nil if the VM serves no services.
+	Requests Requests
+	Claims   Claims
+	// Limiter is nil for the default limits.
+	Limiter *admission.Limiter
+	// Decode is nil for strict protojson.
+	Decode       Decoder
+	MaxBodyBytes int64
+	Registry     prometheus.Registerer
+	Tracer       trace.TracerProvider
+	Routes       []Route
+	Timeouts     Timeouts
 }
 
-// Handler returns the handler of all routes.
-func (s *Server) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/work", s.submit)
-	mux.HandleFunc("GET /v1/work/{id}", s.get)
-	return mux
+// Server is the HTTP server for callers.
+type Server struct {
+	options  Options
+	metrics  *metrics
+	tracer   trace.Tracer
+	http     *http.Server
+	leaving  atomic.Bool
+	inFlight atomic.Int64
 }
 
-func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
-	requestID := newID()
-	spec := &siskinv1.WorkSpec{}
-	if err := readJSON(w, r, spec); err != nil {
-		writeRefusal(w, requestID, err)
-		return
+// New returns a server.
+func New(options Options) *Server {
+	if options.Limiter == nil {
+		options.Limiter = admission.New(admission.Limits{})
 	}
-	shards := s.Shards()
-	if len(shards) == 0 {
-		writeRefusal(w, requestID, refusal.New(refusal.ShardUnavailable, "no shard is configured"))
-		return
+	if options.Decode == nil {
+		options.Decode = decodeStrict
 	}
-	id := newID()
-	shard := shards[int(id[0])%len(shards)]
-	answer, err := s.Work.Submit(r.Context(), &siskinv1.SubmitWorkRequest{
-		Shard: shard, Id: shard + "." + id, Team: spec.GetQueue(), Spec: spec,
-	})
-	if err != nil {
-		writeRefusal(w, requestID, err)
-		return
+	if options.Tracer == nil {
+		options.Tracer = noop.NewTracerProvider()
 	}
-	writeJSON(w, requestID, http.StatusAccepted, answer)
+	options.MaxBodyBytes = cmp.Or(options.MaxBodyBytes, defaultMaxBodyBytes)
+	options.Timeouts = options.Timeouts.withDefaults()
+	s := &Server{options: options, metrics: newMetrics(options.Registry), tracer: options.Tracer.Tracer("siskinstack/entry")}
+	s.http = s.newHTTPServer()
+	return s
 }
 
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	requestID := newID()
-	answer, err := s.Work.Get(r.Context(), &siskinv1.GetWorkRequest{Id: r.PathValue("id")})
-	if err != nil {
-		writeRefusal(w, requestID, err)
-		return
-	}
-	writeJSON(w, requestID, http.StatusOK, answer.GetStatus())
-}
-
-// newID returns 100 random bits in lower-case base32.
-func newID() string {
-	var bits [20]byte
-	_, _ = rand.Read(bits[:])
-	return strings.ToLower(base32.StdEncoding.EncodeToString(bits[:]))[:20]
+func decodeStrict(body []byte, into proto.Message) error {
+	return eris.Wrap(protojson.Unmarshal(body, into), "decode JSON")
 }
 
-func readJSON(w http.ResponseWriter, r *http.Request, into proto.Message) error {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, defaultMaxBodyBytes))
-	if err != nil {
-		return refusal.New(refusal.BodyTooLarge, "%v", err)
+// Handler returns the handler of all routes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, route := range s.memberRoutes() {
+		mux.Handle(route.Pattern, s.instrument(route))
 	}
-	if err := protojson.Unmarshal(body, into); err != nil {
-		return refusal.New(refusal.BadRequest, "%v", err)
+	for _, route := range s.options.Routes {
+		mux.Handle(route.Pattern, s.instrument(route))
 	}
-	return nil
+	mux.Handle("/", s.instrument(Route{Pattern: "other", Handler: s.notFound}))
+	return mux
 }
 
-func writeJSON(w http.ResponseWriter, requestID string, status int, message proto.Message) {
-	body, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(message)
-	if err != nil {
-		writeRefusal(w, requestID, err)
-		return
+func (s *Server) memberRoutes() []Route {
+	return []Route{
+		{"POST /v1/work", s.submit},
+		{"GET /v1/work", s.list},
+		{"GET /v1/work/{id}", s.get},
+		{"POST /v1/work/{id}/cancel", s.cancel},
+		{"GET /v1/work/{id}/explain", s.explain},
+		{"POST /v1/services/{service}/requests", s.request},
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderRequestID, requestID)
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
 }
 
-// refusalBody is the JSON form of a refusal.
-type refusalBody struct {
-	RequestID    string `json:"request_id"`
-	Reason       string `json:"reason"`
-	Message      string `json:"message"`
-	NotRun       bool   `json:"not_run"`
-	RetryAfterMs int64  `json:"retry_after_ms"`
-}
+// OpenAccess accepts every caller and takes the queue or service as the team. It is for tests and demonstrations.
+type OpenAccess struct{}
 
-func writeRefusal(w http.ResponseWriter, requestID string, err error) {
-	refused := refusal.From(err)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderRequestID, requestID)
-	w.WriteHeader(refused.Reason.Status())
-	_ = json.NewEncoder(w).Encode(refusalBody{
-		RequestID: requestID, Reason: string(refused.Reason), Message: refused.Message,
-		NotRun: refused.NotRun(), RetryAfterMs: refused.RetryAfter.Milliseconds(),
-	})
+// Authenticate implements Authenticator.
+func (OpenAccess) Authenticate(_ context.Context, _ string, target Target) (string, error) {
+	return cmp.Or(target.Queue, target.Service), nil
 }
--- /dev/null
+++ b/entry/server_test.go
@@ -0,0 +1,346 @@
+package entry
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+// fakeWork keeps jobs by identifier; one shard is down.
+type fakeWork struct {
+	mu   sync.Mutex // guards jobs
+	jobs map[string]*siskinv1.WorkStatus
+	down string
+}
+
+func (f *fakeWork) Submit(_ context.Context, r *siskinv1.SubmitWorkRequest) (*siskinv1.SubmitWorkResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, repeated := f.jobs[r.GetId()]
+	f.jobs[r.GetId()] = &siskinv1.WorkStatus{Id: r.GetId(), Team: r.GetTeam(), Spec: r.GetSpec()}
+	return &siskinv1.SubmitWorkResponse{Id: r.GetId(), Repeated: repeated}, nil
+}
+
+func (f *fakeWork) Get(_ context.Context, r *siskinv1.GetWorkRequest) (*siskinv1.GetWorkResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	status, ok := f.jobs[r.GetId()]
+	if !ok {
+		return nil, refusal.New(refusal.NotFound, "no work %q", r.GetId())
+	}
+	return &siskinv1.GetWorkResponse{Status: status}, nil
+}
+
+func (f *fakeWork) List(_ context.Context, r *siskinv1.ListWorkRequest) (*siskinv1.ListWorkResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.GetShard() == f.down {
+		return nil, refusal.New(refusal.ShardUnavailable, "down")
+	}
+	answer := &siskinv1.ListWorkResponse{}
+	for id, status := range f.jobs {
+		if strings.HasPrefix(id, r.GetShard()+".") && status.GetTeam() == r.GetTeam() && id > r.GetAfterId() {
+			answer.Work = append(answer.Work, status)
+		}
+	}
+	slices.SortFunc(answer.Work, func(a, b *siskinv1.WorkStatus) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	answer.Work = answer.Work[:min(len(answer.Work), int(r.GetLimit()))]
+	return answer, nil
+}
+
+func (f *fakeWork) Cancel(_ context.Context, r *siskinv1.CancelWorkRequest) (*siskinv1.CancelWorkResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs[r.GetId()].CancelRequested = true
+	return &siskinv1.CancelWorkResponse{Status: f.jobs[r.GetId()]}, nil
+}
+
+// teamKeys knows two keys; queue "open" needs none.
+type teamKeys struct{ stale bool }
+
+func (k teamKeys) Authenticate(_ context.Context, bearer string, target Target) (string, error) {
+	team, ok := map[string]string{"key-a": "a", "key-b": "b"}[bearer]
+	switch {
+	case target.Queue == "open":
+		return "public", nil
+	case bearer == "":
+		return "", refusal.New(refusal.KeyMissing, "a key is needed")
+	case k.stale && !target.Read:
+		return "", refusal.New(refusal.KeyUnverifiable, "the view of the keys is not fresh")
+	case !ok:
+		return "", refusal.New(refusal.KeyUnknown, "unknown key")
+	case target.Queue != "" && target.Queue != team:
+		return "", refusal.New(refusal.KeyWrongTeam, "queue of another team")
+	}
+	return team, nil
+}
+
+const validSpec = `{"name":"n","kind":"WORK_KIND_BATCH","queue":"a","count":1,"each":{"milli_cpu":1}}`
+
+func newTestServer(change func(*Options)) (*fakeWork, http.Handler) {
+	work := &fakeWork{jobs: map[string]*siskinv1.WorkStatus{}}
+	options := Options{Work: work, Auth: teamKeys{}, Shards: func() []string { return []string{"z-0", "z-1", "z-2"} }}
+	if change != nil {
+		change(&options)
+	}
+	return work, New(options).Handler()
+}
+
+func call(handler http.Handler, method, path, key, body string, headers ...string) (int, map[string]any) {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	answer := map[string]any{}
+	_ = json.Unmarshal(recorder.Body.Bytes(), &answer)
+	return recorder.Code, answer
+}
+
+// TestHandInRefusals guards against work that is accepted without the right key, or with a body that does not mean what
+// its sender thinks.
+func TestHandInRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name, key, body string
+		reason          refusal.Reason
+	}{
+		{"no key", "", validSpec, refusal.KeyMissing},
+		{"unknown key", "key-x", validSpec, refusal.KeyUnknown},
+		{"other team", "key-b", validSpec, refusal.KeyWrongTeam},
+		{"unknown field", "key-a", strings.Replace(validSpec, `"name"`, `"label":"x","name"`, 1), refusal.BadRequest},
+		{"field twice", "key-a", strings.Replace(validSpec, `"name"`, `"name":"x","name"`, 1), refusal.BadRequest},
+		{"no JSON", "key-a", "{", refusal.BadRequest},
+		{"too large", "key-a", strings.Repeat(" ", 2000) + validSpec, refusal.BodyTooLarge},
+	} {
+		work, handler := newTestServer(func(o *Options) { o.MaxBodyBytes = 1000 })
+		_, answer := call(handler, "POST", "/v1/work", c.key, c.body)
+		assert.Equal(t, answer["reason"], string(c.reason), c.name)
+		assert.Equal(t, answer["not_run"], true, c.name)
+		assert.Equal(t, len(work.jobs), 0, c.name)
+	}
+}
+
+// TestAllFindingsAtOnce guards against callers who have to repair a body field by field.
+func TestAllFindingsAtOnce(t *testing.T) {
+	_, handler := newTestServer(nil)
+	body := `{"queue":"a","kind":"WORK_KIND_SERVICE","each":{"milli_cpu":-1},"same_rack":true,"at_most_once":true,"max_attempts":200}`
+	_, answer := call(handler, "POST", "/v1/work", "key-a", body)
+	for _, path := range []string{"$.name", "$.count", "$.each.milli_cpu", "$.each:", "$.same_rack", "$.at_most_once", "$.max_attempts"} {
+		assert.Assert(t, strings.Contains(answer["message"].(string), path), "%s in %v", path, answer["message"])
+	}
+}
+
+// TestStaleViewServesReadsOnly guards against keyed work that is accepted without a fresh view of the keys.
+func TestStaleViewServesReadsOnly(t *testing.T) {
+	work, handler := newTestServer(func(o *Options) { o.Auth = teamKeys{stale: true} })
+	work.jobs["z-0.j"] = &siskinv1.WorkStatus{Id: "z-0.j", Team: "a"}
+	_, answer := call(handler, "POST", "/v1/work", "key-a", validSpec)
+	assert.Equal(t, answer["reason"], string(refusal.KeyUnverifiable))
+	_, answer = call(handler, "POST", "/v1/work/z-0.j/cancel", "key-a", "")
+	assert.Equal(t, answer["reason"], string(refusal.KeyUnverifiable))
+	status, _ := call(handler, "GET", "/v1/work/z-0.j", "key-a", "")
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// TestRepeatedHandInFindsFirst guards against a second job for one request key through another VM, which lists the same
+// shards in another order, and against one identifier for two teams or keys.
+func TestRepeatedHandInFindsFirst(t *testing.T) {
+	_, handler := newTestServer(nil)
+	_, other := newTestServer(func(o *Options) { o.Shards = func() []string { return []string{"z-2", "z-0", "z-1"} } })
+	_, first := call(handler, "POST", "/v1/work", "key-a", validSpec, HeaderRequestKey, "k")
+	_, again := call(other, "POST", "/v1/work", "key-a", validSpec, HeaderRequestKey, "k")
+	assert.Equal(t, first["id"], again["id"])
+	_, otherKey := call(handler, "POST", "/v1/work", "key-a", validSpec, HeaderRequestKey, "l")
+	assert.Assert(t, first["id"] != otherKey["id"])
+	_, otherTeam := call(handler, "POST", "/v1/work", "key-b", strings.Replace(validSpec, `"a"`, `"b"`, 1), HeaderRequestKey, "k")
+	assert.Assert(t, first["id"] != otherTeam["id"])
+}
+
+// TestWithoutKeyLessLoadedShard guards against hand-ins that pile up on a full shard.
+func TestWithoutKeyLessLoadedShard(t *testing.T) {
+	work, handler := newTestServer(func(o *Options) {
+		o.ShardLoad = func(shard string) float64 { return map[string]float64{"z-0": 1}[shard] }
+	})
+	for range 300 {
+		call(handler, "POST", "/v1/work", "key-a", validSpec)
+	}
+	full := 0
+	for id := range work.jobs {
+		if strings.HasPrefix(id, "z-0.") {
+			full++
+		}
+	}
+	// Both random choices hit the full shard once in nine times.
+	assert.Assert(t, full < 100, "%d of 300", full)
+}
+
+// TestWorkOfOthersIsHidden guards against a team that reads or cancels the work of another one.
+func TestWorkOfOthersIsHidden(t *testing.T) {
+	work, handler := newTestServer(nil)
+	work.jobs["z-0.a"] = &siskinv1.WorkStatus{Id: "z-0.a", Team: "a", Spec: &siskinv1.WorkSpec{Queue: "a"}}
+	work.jobs["z-0.p"] = &siskinv1.WorkStatus{Id: "z-0.p", Team: "public", Spec: &siskinv1.WorkSpec{Queue: "open"}}
+	for _, key := range []string{"", "key-b"} {
+		for _, path := range []string{"/v1/work/z-0.a", "/v1/work/z-0.a/explain"} {
+			status, _ := call(handler, "GET", path, key, "")
+			assert.Equal(t, status, http.StatusNotFound)
+		}
+		status, _ := call(handler, "POST", "/v1/work/z-0.a/cancel", key, "")
+		assert.Equal(t, status, http.StatusNotFound)
+	}
+	assert.Assert(t, !work.jobs["z-0.a"].GetCancelRequested())
+	status, _ := call(handler, "POST", "/v1/work/z-0.p/cancel", "", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, work.jobs["z-0.p"].GetCancelRequested())
+}
+
+// TestListNamesSilentShards guards against a list that looks complete while a shard is down, and against pages that skip
+// or repeat work.
+func TestListNamesSilentShards(t *testing.T) {
+	work, handler := newTestServer(nil)
+	for _, id := range []string{"z-0.1", "z-0.2", "z-1.1", "z-2.1"} {
+		work.jobs[id] = &siskinv1.WorkStatus{Id: id, Team: "a"}
+	}
+	work.jobs["z-0.3"] = &siskinv1.WorkStatus{Id: "z-0.3", Team: "b"}
+	var seen []string
+	for after := ""; ; after = seen[len(seen)-1] {
+		_, answer := call(handler, "GET", "/v1/work?limit=3&after_id="+after, "key-a", "")
+		page := answer["work"].([]any)
+		if len(page) == 0 {
+			break
+		}
+		for _, status := range page {
+			seen = append(seen, status.(map[string]any)["id"].(string))
+		}
+	}
+	assert.DeepEqual(t, seen, []string{"z-0.1", "z-0.2", "z-1.1", "z-2.1"})
+	work.down = "z-1"
+	_, answer := call(handler, "GET", "/v1/work", "key-a", "")
+	assert.DeepEqual(t, answer["unavailable_shards"], []any{"z-1"})
+	assert.Equal(t, len(answer["work"].([]any)), 3)
+}
+
+// TestPanicIsNotReportedAsNotRun guards against a connection that breaks without an answer when a route fails.
+func TestPanicIsNotReportedAsNotRun(t *testing.T) {
+	_, handler := newTestServer(func(o *Options) {
+		o.Routes = []Route{{"GET /v1/vms", func(http.ResponseWriter, *http.Request) { panic("fault") }}}
+	})
+	status, answer := call(handler, "GET", "/v1/vms", "", "")
+	assert.Equal(t, status, http.StatusInternalServerError)
+	assert.Equal(t, answer["not_run"], false)
+}
+
+// TestSlowCallerIsEnded guards against callers that hold a connection by sending their body for ever.
+func TestSlowCallerIsEnded(t *testing.T) {
+	work := &fakeWork{jobs: map[string]*siskinv1.WorkStatus{}}
+	s := New(Options{Work: work, Auth: teamKeys{}, Timeouts: Timeouts{Read: 50 * time.Millisecond, ReadHeader: 50 * time.Millisecond}})
+	listener := listen(t)
+	go func() { _ = s.Serve(listener) }()
+	defer func() { _ = s.http.Close() }()
+	for _, start := range []string{"POST /v1/work HTTP/1.1\r\nHost: x\r\n", "POST /v1/work HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"} {
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		_, _ = io.WriteString(connection, start)
+		assert.NilError(t, connection.SetReadDeadline(time.Now().Add(10*time.Second)))
+		_, err = io.ReadAll(connection)
+		assert.NilError(t, err, "the server did not close the connection")
+	}
+}
+
+// TestCountersAndSpans guards against routes without counters and against a trace that breaks at this hop.
+func TestCountersAndSpans(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	spans := tracetest.NewSpanRecorder()
+	_, handler := newTestServer(func(o *Options) {
+		o.Registry = registry
+		o.Tracer = trace.NewTracerProvider(trace.WithSpanProcessor(spans))
+	})
+	parent := "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	call(handler, "POST", "/v1/work", "key-a", validSpec, "traceparent", parent)
+	call(handler, "GET", "/v1/work/none", "key-a", "")
+	expected := `
+# HELP siskin_entry_requests_total Answered requests of callers by route and status.
+# TYPE siskin_entry_requests_total counter
+siskin_entry_requests_total{route="GET /v1/work/{id}",status="404"} 1
+siskin_entry_requests_total{route="POST /v1/work",status="202"} 1
+`
+	assert.NilError(t, testutil.GatherAndCompare(registry, bytes.NewBufferString(expected), "siskin_entry_requests_total"))
+	assert.Equal(t, spans.Ended()[0].SpanContext().TraceID().String(), parent[3:35])
+}
+
+// FuzzRequestHeaders guards against headers that crash the parser or pass with a value outside its bounds.
+func FuzzRequestHeaders(f *testing.F) {
+	f.Add("true", "key", "100", "urgent", "Bearer sk_a_b")
+	f.Add("TRUE", "\x00", "-1", "", "Basic x")
+	f.Add("", "", "9223372036854775807", "can_wait", "Bearer ")
+	f.Fuzz(func(t *testing.T, idempotent, key, timeout, urgency, authorization string) {
+		header := http.Header{}
+		header.Set(HeaderIdempotent, idempotent)
+		header.Set(HeaderRequestKey, key)
+		header.Set(HeaderTimeout, timeout)
+		header.Set(HeaderUrgency, urgency)
+		header.Set("Authorization", authorization)
+		parsed, err := parseRequestHeaders(header)
+		if err == nil {
+			assert.Assert(t, len(parsed.requestKey) <= maxRequestKeyBytes && parsed.requestKey == key)
+			assert.Assert(t, parsed.timeout >= 0 && parsed.timeout <= maxTimeout)
+			assert.Equal(t, parsed.idempotent, idempotent == "true")
+		}
+		if token, err := parseBearer(header); err == nil {
+			assert.Assert(t, authorization == "" || authorization == bearerPrefix+token)
+		}
+	})
+}
+
+// FuzzHandInBody guards against bodies that crash the server or get in with findings.
+func FuzzHandInBody(f *testing.F) {
+	f.Add([]byte(validSpec))
+	f.Add([]byte(`{"count":-1,"each":null,"command":["a"]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		work, handler := newTestServer(nil)
+		status, answer := call(handler, "POST", "/v1/work", "key-a", string(body))
+		assert.Equal(t, status == http.StatusAccepted, len(work.jobs) == 1)
+		assert.Assert(t, status == http.StatusAccepted || answer["not_run"] == true)
+		for _, job := range work.jobs {
+			assert.NilError(t, validate(job.GetSpec()))
+		}
+	})
+}
+
+// FuzzPath guards against paths and queries that crash the server.
+func FuzzPath(f *testing.F) {
+	f.Add("work", "limit=1&after_id=x")
+	f.Add("work/../services/x/requests", "limit=-1")
+	f.Fuzz(func(t *testing.T, path, query string) {
+		_, handler := newTestServer(nil)
+		request := httptest.NewRequest(http.MethodGet, "/v1/", nil)
+		request.URL.Path += path
+		request.URL.RawQuery = query
+		request.Header.Set("Authorization", "Bearer key-a")
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		assert.Assert(t, recorder.Code < 500, "%d", recorder.Code)
+	})
+}
--- a/standin/endpoints.go
+++ b/standin/endpoints.go
@@ -78,6 +78,17 @@
 	return runs
 }
 
+// Running returns how many requests are in flight at all endpoints.
+func (e *Endpoints) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	running := 0
+	for _, ep := range e.endpoints {
+		running += ep.total
+	}
+	return running
+}
+
 // Peak returns the most requests that an endpoint has had in flight at once.
 func (e *Endpoints) Peak(name string) int {
 	e.mu.Lock()
