Let a shard decide on claims, and show the endpoint table

Cause: the claim table needs its log in the right order, and operators see nothing of slots and waiting requests.

--- a/claim/client_test.go
+++ b/claim/client_test.go
@@ -19,43 +19,61 @@
 
 // shardOwner is one owner whose answers can be lost after they took effect.
 type shardOwner struct {
+	*Service
+	table *Table
+	log   *memoryLog
+
 	mu         sync.Mutex // guards all fields below
-	table      *Table
 	loseClaims int
 	loseEnds   int
 	shards     map[string]bool
 }
 
-func (o *shardOwner) Claim(_ context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error) {
+// memoryLog applies at once; before and fail let a test act during a write.
+type memoryLog struct {
+	table  *Table
+	before func()
+	fail   func() (mayBeWritten bool, err error)
+}
+
+func (l *memoryLog) Append(_ context.Context, record *siskinv1.Record) (bool, error) {
+	if l.before != nil {
+		l.before()
+	}
+	if l.fail != nil {
+		return l.fail()
+	}
+	l.table.Apply(record)
+	return true, nil
+}
+
+func (o *shardOwner) Claim(ctx context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error) {
+	answer, err := o.Service.Claim(ctx, request)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.shards[request.GetShard()] = true
-	decision := o.table.Check(request.GetClaim())
-	if decision.Verdict == Grant {
-		o.table.Apply(decision.Record)
-	}
 	if o.loseClaims > 0 {
 		o.loseClaims--
 		return nil, errLost
 	}
-	return decision.Response(), nil
+	return answer, err
 }
 
-func (o *shardOwner) FinishClaim(_ context.Context, request *siskinv1.FinishClaimRequest) (*siskinv1.FinishClaimResponse, error) {
+func (o *shardOwner) FinishClaim(ctx context.Context, request *siskinv1.FinishClaimRequest) (*siskinv1.FinishClaimResponse, error) {
+	answer, err := o.Service.FinishClaim(ctx, request)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if record := o.table.CheckFinish(request.GetFinished()); record != nil {
-		o.table.Apply(record)
-	}
 	if o.loseEnds > 0 {
 		o.loseEnds--
 		return nil, errLost
 	}
-	return &siskinv1.FinishClaimResponse{}, nil
+	return answer, err
 }
 
 func newPair() (*shardOwner, *Client) {
-	owner := &shardOwner{table: NewTable(Limits{}), shards: map[string]bool{}}
+	table := NewTable(Limits{})
+	log := &memoryLog{table: table}
+	owner := &shardOwner{Service: NewService(table, log), table: table, log: log, shards: map[string]bool{}}
 	return owner, clientOf(owner, "entry-0/1")
 }
 
@@ -137,24 +155,49 @@
 	owner, client := newPair()
 	_, _, err := client.Begin(t.Context(), handIn("r1", "a"))
 	assert.NilError(t, err)
-	for _, record := range owner.table.Sweep(time.Now(), func(vm string) bool { return vm != "entry-0/1" }) {
-		owner.table.Apply(record)
-	}
+	assert.NilError(t, owner.Sweep(t.Context(), time.Now(), func(vm string) bool { return vm != "entry-0/1" }))
 	_, _, err = clientOf(owner, "entry-0/2").Begin(t.Context(), handIn("r2", "a"))
 	assert.Equal(t, reasonOf(t, err), refusal.OutcomeUnknown)
 	assert.Assert(t, !refusal.From(err).NotRun())
 }
 
-// TestSecondClaimWaitsForWrite guards against two grants of one key while the first record is being written.
-func TestSecondClaimWaitsForWrite(t *testing.T) {
-	table := NewTable(Limits{})
-	first := &siskinv1.RequestClaimed{RequestKey: "k", RequestId: "r1"}
-	second := &siskinv1.RequestClaimed{RequestKey: "k", RequestId: "r2"}
-	assert.Equal(t, table.Check(first).Verdict, Grant)
-	assert.Equal(t, table.Check(first).Verdict, Pending)
-	assert.Equal(t, table.Check(second).Verdict, InProgress)
-	table.Abandon(first)
-	assert.Equal(t, table.Check(second).Verdict, Grant)
+// TestClaimsDuringWrite guards against two grants of one key while the first record is being written, and against a
+// repeated call that is refused because its own write is not over.
+func TestClaimsDuringWrite(t *testing.T) {
+	owner, client := newPair()
+	writing, goOn := make(chan struct{}), make(chan struct{})
+	owner.log.before = sync.OnceFunc(func() {
+		close(writing)
+		<-goOn
+	})
+	claimed := &siskinv1.RequestClaimed{Team: "t", Service: "s", RequestKey: "k", RequestId: "r1", BodySha256: BodyHash("", []byte("a"))}
+	granted := make(chan bool, 2)
+	for range 2 {
+		go func() {
+			answer, err := owner.Claim(context.Background(), &siskinv1.ClaimRequest{Claim: claimed})
+			granted <- err == nil && answer.GetGranted()
+		}()
+	}
+	<-writing
+	_, _, err := client.Begin(t.Context(), handIn("r2", "a"))
+	assert.Equal(t, reasonOf(t, err), refusal.InProgress)
+	close(goOn)
+	assert.Assert(t, <-granted && <-granted)
+}
+
+// TestFailedWriteOfClaim guards against a key that stays taken by a claim that was certainly not written, and against a
+// grant of one that may have been.
+func TestFailedWriteOfClaim(t *testing.T) {
+	for _, mayBeWritten := range []bool{false, true} {
+		owner, client := newPair()
+		owner.log.fail = func() (bool, error) { return mayBeWritten, errLost }
+		claimed := &siskinv1.RequestClaimed{Team: "t", Service: "s", RequestKey: "k", RequestId: "r1"}
+		_, err := owner.Claim(t.Context(), &siskinv1.ClaimRequest{Claim: claimed})
+		assert.Equal(t, reasonOf(t, err), refusal.StoreUnavailable)
+		owner.log.fail = nil
+		held, _, err := client.Begin(t.Context(), handIn("r2", "a"))
+		assert.Equal(t, held != nil, !mayBeWritten, "%v", err)
+	}
 }
 
 // TestTableIsBounded guards against claims without limit, and against forgetting one before its retention is over.
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -33,32 +33,12 @@
 	testZones   = 2
 )
 
-// claimOwner is the owner of all shards: a table without a store.
-type claimOwner struct {
-	mu    sync.Mutex // guards table between check and apply
-	table *claim.Table
-}
-
-func (o *claimOwner) Claim(_ context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	decision := o.table.Check(request.GetClaim())
-	o.table.Apply(decision.Record)
-	return decision.Response(), nil
-}
+// memoryLog applies records at once.
+type memoryLog struct{ table *claim.Table }
 
-func (o *claimOwner) FinishClaim(_ context.Context, request *siskinv1.FinishClaimRequest) (*siskinv1.FinishClaimResponse, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.table.Apply(o.table.CheckFinish(request.GetFinished()))
-	return &siskinv1.FinishClaimResponse{}, nil
-}
-
-// died ends the claims of one process.
-func (o *claimOwner) died(entryVM string) {
-	for _, record := range o.table.Sweep(time.Now(), func(vm string) bool { return vm != entryVM }) {
-		o.table.Apply(record)
-	}
+func (l memoryLog) Append(_ context.Context, record *siskinv1.Record) (bool, error) {
+	l.table.Apply(record)
+	return true, nil
 }
 
 // cluster is entry VMs, endpoints and a VM list on loopback sockets.
@@ -67,7 +47,7 @@
 	endpoints *standin.Endpoints
 	listed    []platform.VM
 	list      *standin.VMList
-	claims    *claimOwner
+	claims    *claim.Service
 	service   *siskinv1.Service
 	vms       []*testVM
 	entryVMs  []router.EntryVM
@@ -89,8 +69,9 @@
 
 // newCluster starts n entry VMs, spread over the zones.
 func newCluster(t testing.TB, n int, options standin.EndpointOptions, endpointZones ...int) *cluster {
+	table := claim.NewTable(claim.Limits{})
 	c := &cluster{
-		t: t, claims: &claimOwner{table: claim.NewTable(claim.Limits{})}, addresses: map[string]string{},
+		t: t, claims: claim.NewService(table, memoryLog{table}), addresses: map[string]string{},
 		service: &siskinv1.Service{Name: testService, Slots: 8, Connections: 60, TimeoutMs: 10_000, MaxWaiting: 1000},
 	}
 	for i, zone := range endpointZones {
--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -160,7 +160,7 @@
 	got := c.send(c.vms[1], "reindex", HeaderRequestKey, "k1")
 	assert.Equal(t, got.refusal.Reason, string(refusal.InProgress))
 	c.vms[0].stop()
-	c.claims.died("entry-0/1")
+	assert.NilError(t, c.claims.Sweep(t.Context(), time.Now(), func(vm string) bool { return vm != "entry-0/1" }))
 	got = c.send(c.vms[1], "reindex", HeaderRequestKey, "k1")
 	assert.Equal(t, got.refusal.Reason, string(refusal.OutcomeUnknown))
 	assert.Assert(t, !got.refusal.NotRun)
--- a/router/pool.go
+++ b/router/pool.go
@@ -36,7 +36,10 @@
 	endpoints   []*endpoint
 	waiting     waiting
 	random      *rand.Rand
-	askedLoan   time.Time
+	choose      choice
+	// open is the scratch space of pick.
+	open      []*endpoint
+	askedLoan time.Time
 }
 
 // configure takes over the limits of the service. A changed number of slots applies to endpoints listed afterwards.
@@ -179,40 +182,24 @@
 	}
 }
 
-// pick returns the less loaded of two random endpoints with room, or nil. The lock is held.
+// pick returns an endpoint with room, if possible not the one named avoid, or nil. The lock is held.
 func (p *pool) pick(avoid string) *endpoint {
 	now := p.clock.Now()
-	var open []*endpoint
+	p.open = p.open[:0]
 	var avoided *endpoint
 	for _, e := range p.endpoints {
-		if e.room(now) <= 0 {
-			continue
-		}
-		if e.name == avoid {
+		switch {
+		case e.room(now) <= 0:
+		case e.name == avoid:
 			avoided = e
-			continue
+		default:
+			p.open = append(p.open, e)
 		}
-		open = append(open, e)
 	}
-	switch len(open) {
-	case 0:
+	if len(p.open) == 0 {
 		return avoided
-	case 1:
-		return open[0]
-	}
-	i := p.random.IntN(len(open))
-	j := p.random.IntN(len(open) - 1)
-	if j >= i {
-		j++
-	}
-	return lessLoaded(open[i], open[j])
-}
-
-func lessLoaded(a, b *endpoint) *endpoint {
-	if b.load() < a.load() {
-		return b
 	}
-	return a
+	return p.choose(p.random, p.open)
 }
 
 // observe takes over an endpoint's own account of its load.
--- a/router/router.go
+++ b/router/router.go
@@ -95,6 +95,9 @@
 			r.zoneVMs = append(r.zoneVMs, vm.Name)
 		}
 	}
+	if options.Registry != nil {
+		options.Registry.MustRegister(newCollector(r))
+	}
 	return r
 }
 
@@ -142,7 +145,7 @@
 	return &pool{
 		service: service, vm: r.options.VM, zoneVMs: r.zoneVMs, clock: r.options.Clock,
 		budget: retrybudget.New(retrybudget.DefaultRatio, retrybudget.DefaultBurst),
-		random: rand.New(rand.NewPCG(r.options.Seed, 2)),
+		random: rand.New(rand.NewPCG(r.options.Seed, 2)), choose: twoChoices,
 	}
 }
 
