--- a/claim/client_test.go
+++ b/claim/client_test.go
@@ -182,7 +182,9 @@
 	_, _, err := client.Begin(t.Context(), handIn("r2", "a"))
 	assert.Equal(t, reasonOf(t, err), refusal.InProgress)
 	close(goOn)
-	assert.Assert(t, <-granted && <-granted)
+	for range 2 {
+		assert.Assert(t, <-granted)
+	}
 }
 
 // TestFailedWriteOfClaim guards against a key that stays taken by a claim that was certainly not written, and against a
