--- a/bundle/register_test.go
+++ b/bundle/register_test.go
@@ -56,9 +56,9 @@
 }
 
 func signature(t *testing.T, p *siskinv1.BundleProposal, signer string) []byte {
-	content, err := bundle.SigningBytes(p, signer)
+	signed, err := bundle.Sign(p, signer, privateKey(signer))
 	assert.NilError(t, err)
-	return ed25519.Sign(privateKey(signer), content)
+	return signed
 }
 
 func (s *site) reviewed(version int64) *siskinv1.BundleProposal {
--- a/bundle/verify.go
+++ b/bundle/verify.go
@@ -32,6 +32,15 @@
 	})
 }
 
+// Sign returns the signature of a reviewed proposal, for the tools of operators.
+func Sign(p *siskinv1.BundleProposal, signer string, key ed25519.PrivateKey) ([]byte, error) {
+	content, err := SigningBytes(p, signer)
+	if err != nil {
+		return nil, err
+	}
+	return ed25519.Sign(key, content), nil
+}
+
 // Signers holds the sign-off keys of the operators of the settings.
 type Signers map[string]ed25519.PublicKey
 
--- a/configview/view_test.go
+++ b/configview/view_test.go
@@ -6,16 +6,13 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/configstore"
 	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/standin"
 )
 
 // peerRound lets a VM ask all others.
@@ -237,36 +234,42 @@
 	assert.Assert(t, !b.isFresh())
 }
 
-// Guards against a follower that misses changes, does not notify, or does not end.
-func TestRunFollowsTheStore(t *testing.T) {
-	w := newWorld()
-	real := clock.Real{}
-	store := standin.NewStore(real)
-	a := w.vms["a"]
-	a.view = New(Options{Store: store, Clock: real, Logger: logr.Discard(), Signers: w.signers, Peers: a})
+// Guards against a follower that never asks the peers during a store outage, does not follow the store once it is back,
+// does not notify, or does not end.
+func TestRun(t *testing.T) {
+	w, key := outage(t)
+	b := w.vms["b"]
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	changed, unsubscribe := a.view.Subscribe()
+	changed, unsubscribe := b.view.Subscribe()
 	defer unsubscribe()
 	ended := make(chan struct{})
-	go func() { a.view.Run(ctx); close(ended) }()
-	for version := int64(1); version <= 3; version++ {
-		found, err := store.Get(ctx, configstore.BundleCurrent)
-		assert.Assert(t, err == nil || version == 1)
-		value, err := configstore.Encode(signedBundle(version))
-		assert.NilError(t, err)
-		_, err = store.Put(ctx, platform.PutRequest{Key: configstore.BundleCurrent, Value: value, Expected: found.Revision})
-		assert.NilError(t, err)
-		for a.view.Snapshot().BundleVersion() < version {
-			select {
-			case <-changed:
-			case <-ctx.Done():
-				t.Fatal("version is not in force after 20 s")
+	go func() { b.view.Run(ctx); close(ended) }()
+	// steps makes a change and lets time pass, both while the loops of the view are asleep.
+	steps := func(count int, change func()) {
+		for range count {
+			for w.clock.Sleepers() < 2 && ctx.Err() == nil {
+				time.Sleep(100 * time.Microsecond)
 			}
+			assert.NilError(t, ctx.Err())
+			change()
+			b.heartbeat()
+			w.clock.Advance(retryPause)
 		}
 	}
+	steps(20, func() {})
+	assert.Assert(t, b.isFresh())
+	assert.Assert(t, b.view.Snapshot().Key(key).GetWithdrawn())
+	steps(20, func() { w.cut[link("b", "c")] = true })
+	assert.Assert(t, !b.isFresh(), "fresh for 5 s without the store and c")
+	steps(1, func() { w.setDown(false) })
+	steps(1, func() { w.signOff(w.vms["a"]) })
+	for b.view.Snapshot().BundleVersion() < 2 {
+		steps(1, func() {})
+	}
 	cancel()
 	<-ended
-	assert.Equal(t, len(a.view.History()), 3)
-	assert.Equal(t, a.view.Snapshot().InForceSince(), a.view.History()[2].Since)
+	<-changed
+	history := b.view.History()
+	assert.Equal(t, history[len(history)-1], InForce{Version: 2, Since: b.view.Snapshot().InForceSince()})
 }
--- a/operate/operate_test.go
+++ b/operate/operate_test.go
@@ -128,9 +128,9 @@
 	_, stored := s.call("cem", "GET /v1/bundles/1", "")
 	proposal := &siskinv1.BundleProposal{}
 	assert.NilError(s.t, protojson.Unmarshal([]byte(stored), proposal))
-	content, err := bundle.SigningBytes(proposal, "cem")
+	signed, err := bundle.Sign(proposal, "cem", signingKey("cem"))
 	assert.NilError(s.t, err)
-	signature := base64.StdEncoding.EncodeToString(ed25519.Sign(signingKey("cem"), content))
+	signature := base64.StdEncoding.EncodeToString(signed)
 	body := `{"content_sha256": "` + p.Hash + `", "signature": "` + signature + `"}`
 	s.mustCall("cem", "POST /v1/bundles/1/sign-off", body, http.StatusOK, &p)
 }
