Withdraw keys whose stored value is corrupt; state heartbeat conversion

Cause: a view keeps the last good value of a corrupt key, but withdrawing such a key failed, so it could not be ended. A heartbeat whose configuration fields were never filled in would have counted as a confirmation. Conclusion: every key in force can be withdrawn.

--- a/bundle/register_test.go
+++ b/bundle/register_test.go
@@ -130,9 +130,10 @@
 
 // Guards against two sign-offs of one version that both report success.
 func TestRacingSignersHaveOneWinner(t *testing.T) {
-	for range 50 {
+	for run := range 50 {
 		s := newSite(t)
 		p := s.reviewed(1)
+		s.store.SetFaults(standin.StoreFaults{LoseAnswers: run % 5})
 		signers := []string{"cem", "dia"}
 		results := make([]error, len(signers))
 		var all sync.WaitGroup
--- a/configstore/write.go
+++ b/configstore/write.go
@@ -80,7 +80,8 @@
 	return bytes.Equal(value, w.Value)
 }
 
-// Read decodes the value of a key into a message and returns its revision. A missing key gives revision 0.
+// Read decodes the value of a key into a message and returns its revision. A missing key gives revision 0. A value that can't
+// be decoded gives its revision, so that it can be replaced, and a refusal.
 func Read(ctx context.Context, store platform.Store, key string, into proto.Message) (platform.Revision, error) {
 	found, err := store.Get(ctx, key)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -90,7 +91,8 @@
 		return 0, refusal.New(refusal.StoreUnavailable, "store can't be read: %v", err)
 	}
 	if err := proto.Unmarshal(found.Value, into); err != nil {
-		return 0, refusal.New(refusal.InternalError, "value of %s can't be decoded: %v", key, err)
+		proto.Reset(into)
+		return found.Revision, refusal.New(refusal.InternalError, "value of %s can't be decoded: %v", key, err)
 	}
 	return found.Revision, nil
 }
--- a/configview/apply.go
+++ b/configview/apply.go
@@ -108,8 +108,10 @@
 	if err := proto.Unmarshal(value, key); err != nil {
 		return nil, eris.Wrap(err, "decode team key")
 	}
+	complete := key.GetTeam() != "" && len(key.GetSecretSha256()) == sha256.Size
 	switch {
-	case key.GetId() != id || key.GetTeam() == "" || len(key.GetSecretSha256()) != sha256.Size:
+	// The tombstone of a key whose value was corrupt holds nothing but the id.
+	case key.GetId() != id || !complete && !key.GetWithdrawn():
 		return nil, eris.New("team key is not complete")
 	case earlier.GetWithdrawn() && !key.GetWithdrawn():
 		return nil, eris.New("a withdrawn team key can't come back")
--- a/configview/machine_test.go
+++ b/configview/machine_test.go
@@ -97,7 +97,9 @@
 		}
 		m.states[name] = PeerState{VM: name, AsOf: now}
 		if !m.world.cut[link(m.name, name)] {
-			m.states[name] = PeerState{VM: name, AsOf: now, Reachable: true, State: other.view.State(now)}
+			response := &siskinv1.HeartbeatResponse{Vm: name}
+			other.view.State(now).FillHeartbeat(response)
+			m.states[name] = NewPeerState(response, now)
 		}
 	}
 }
--- a/configview/peers.go
+++ b/configview/peers.go
@@ -22,6 +22,21 @@
 	AsOf time.Time
 }
 
+// NewPeerState returns what the answer to a heartbeat says, which was sent at a time on this VM's clock. The request of a
+// heartbeat can't be used in the same way: when its sender's state held is not known on this VM's clock.
+func NewPeerState(response *siskinv1.HeartbeatResponse, sent time.Time) PeerState {
+	return PeerState{
+		VM:        response.GetVm(),
+		Reachable: true,
+		State: State{
+			Revision:      platform.Revision(response.GetConfigRevision()),
+			Age:           time.Duration(response.GetConfigAgeMs()) * time.Millisecond,
+			BundleVersion: response.GetBundleVersion(),
+		},
+		AsOf: sent,
+	}
+}
+
 // Peers gives access to the views of the other entry VMs.
 type Peers interface {
 	// States returns the newest known state of all other configured entry VMs.
@@ -46,7 +61,8 @@
 			all = false
 			continue
 		}
-		all = all && state.State.Age >= 0
+		// A view without a revision holds nothing, and a state that was never filled in has none.
+		all = all && state.State.Age >= 0 && state.State.Revision > 0
 		if state.AsOf.Before(confirmed) {
 			confirmed = state.AsOf
 		}
--- a/configview/view.go
+++ b/configview/view.go
@@ -138,6 +138,13 @@
 	BundleVersion int64
 }
 
+// FillHeartbeat writes the state into the answer to a heartbeat. An unknown age is written as a negative one.
+func (s State) FillHeartbeat(response *siskinv1.HeartbeatResponse) {
+	response.ConfigRevision = int64(s.Revision)
+	response.ConfigAgeMs = s.Age.Milliseconds()
+	response.BundleVersion = s.BundleVersion
+}
+
 // unknownAge is the age of a view that the store has not confirmed since the start of the process.
 const unknownAge = -time.Millisecond
 
--- a/configview/view_test.go
+++ b/configview/view_test.go
@@ -187,8 +187,17 @@
 	assert.Equal(t, b.view.Snapshot().BundleVersion(), int64(1))
 	assert.Assert(t, b.view.Snapshot().Key(w.keys[0]).GetWithdrawn())
 	assert.Assert(t, !b.view.Snapshot().IsDraining("z1"))
-	// One line for the bundle in force, one for each of five bad values.
-	assert.Equal(t, len(logged), 6, "%s", strings.Join(logged, "\n"))
+	// A key whose value is corrupt stays in force, so operators have to be able to withdraw it.
+	w.issue(a)
+	w.pollAll()
+	w.overwrite(configstore.TeamKey(w.keys[1]), []byte{0xff})
+	w.pollAll()
+	assert.Assert(t, !b.view.Snapshot().Key(w.keys[1]).GetWithdrawn())
+	w.withdraw(a, w.keys[1])
+	w.pollAll()
+	assert.Assert(t, b.view.Snapshot().Key(w.keys[1]).GetWithdrawn())
+	// One line for the bundle in force, one for each of six bad values.
+	assert.Equal(t, len(logged), 7, "%s", strings.Join(logged, "\n"))
 }
 
 // Guards against deleted entries that stay in force, and against a deleted bundle that does not.
--- a/operate/zones.go
+++ b/operate/zones.go
@@ -24,7 +24,8 @@
 	}
 	earlier := &siskinv1.ZoneStatus{}
 	revision, err := configstore.Read(c.http.Context(), s.options.Store, configstore.Zone(zone), earlier)
-	if err != nil {
+	// A state that can't be decoded is replaced.
+	if err != nil && revision == 0 {
 		return nil, err
 	}
 	if revision != 0 && earlier.GetState() == state {
--- a/teamkey/register.go
+++ b/teamkey/register.go
@@ -48,6 +48,9 @@
 	stored := &siskinv1.TeamKey{}
 	revision, err := configstore.Read(ctx, r.store, configstore.TeamKey(id), stored)
 	switch {
+	case err != nil && revision != 0:
+		// VMs keep the last good value of a key whose value is corrupt, so such a key has to be withdrawn too.
+		stored.Id = id
 	case err != nil:
 		return nil, err
 	case revision == 0:
