--- a/apiclient/client_test.go
+++ b/apiclient/client_test.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
-	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/bundle"
 	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/standin/site"
 )
 
 type counted struct {
@@ -97,20 +96,15 @@
 	assert.NilError(t, err)
 	private, err := DecodePrivateKey(text)
 	assert.NilError(t, err)
-	bundle := &siskinv1.Bundle{Version: 3}
-	hash, err := ContentSHA256(bundle)
+	content := site.Kvarali().Bundle(3)
+	hash, err := bundle.ContentHash(content)
 	assert.NilError(t, err)
-	proposal := &siskinv1.BundleProposal{Bundle: bundle, Author: "alice", Reviewer: "bob", ContentSha256: hash}
-	signature, err := Sign(proposal, "carol", private)
+	proposal := &siskinv1.BundleProposal{Bundle: content, Author: "alice", Reviewer: "bob", ContentSha256: hash}
+	proposal.Signature, err = Sign(proposal, "carol", private)
 	assert.NilError(t, err)
-	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(&siskinv1.SignedContent{
-		Version: 3, ContentSha256: hash, Author: "alice", Reviewer: "bob", Signer: "carol",
-	})
-	assert.NilError(t, err)
-	public, err := hex.DecodeString(key.Settings().GetSignOffKey())
-	assert.NilError(t, err)
-	assert.Assert(t, ed25519.Verify(public, content, signature))
-	bundle.Comment = "changed"
+	proposal.Signer = "carol"
+	assert.NilError(t, bundle.NewSigners([]*siskinv1.Operator{key.Settings()}).Verify(proposal))
+	content.Comment = "changed"
 	_, err = Sign(proposal, "carol", private)
 	assert.ErrorContains(t, err, "hash")
 }
--- a/apiclient/operatorkey.go
+++ b/apiclient/operatorkey.go
@@ -10,9 +10,10 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/proto"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/bundle"
+	"siskinstack.example/siskinstack/names"
 )
 
 // tokenBytes is the length of an operator's token; 256 random bits need no slow hash.
@@ -32,8 +33,8 @@
 
 // NewOperatorKey makes the secrets of an operator.
 func NewOperatorKey(name string) (OperatorKey, error) {
-	if name == "" || strings.ContainsAny(name, "_ \t\r\n") {
-		return OperatorKey{}, eris.Errorf("operator name %q is empty or has spaces or underscores", name)
+	if !names.IsValid(name) {
+		return OperatorKey{}, eris.Errorf("%q is not a name: lower-case letters, digits and inner hyphens", name)
 	}
 	token := make([]byte, tokenBytes)
 	if _, err := rand.Read(token); err != nil {
@@ -94,31 +95,18 @@
 	return key, nil
 }
 
-// ContentSHA256 returns the hash of a bundle's content.
-func ContentSHA256(bundle *siskinv1.Bundle) (string, error) {
-	text, err := proto.MarshalOptions{Deterministic: true}.Marshal(bundle)
-	if err != nil {
-		return "", eris.Wrap(err, "encode bundle")
-	}
-	hash := sha256.Sum256(text)
-	return hex.EncodeToString(hash[:]), nil
-}
-
 // Sign signs a proposal for signer. It refuses a proposal whose hash does not fit its content.
 func Sign(proposal *siskinv1.BundleProposal, signer string, key ed25519.PrivateKey) ([]byte, error) {
-	hash, err := ContentSHA256(proposal.GetBundle())
+	hash, err := bundle.ContentHash(proposal.GetBundle())
 	if err != nil {
 		return nil, err
 	}
 	if hash != proposal.GetContentSha256() {
 		return nil, eris.Errorf("content has hash %s, but the proposal names %s", hash, proposal.GetContentSha256())
 	}
-	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(&siskinv1.SignedContent{
-		Version: proposal.GetBundle().GetVersion(), ContentSha256: hash,
-		Author: proposal.GetAuthor(), Reviewer: proposal.GetReviewer(), Signer: signer,
-	})
+	content, err := bundle.SigningBytes(proposal, signer)
 	if err != nil {
-		return nil, eris.Wrap(err, "encode signed content")
+		return nil, err
 	}
 	return ed25519.Sign(key, content), nil
 }
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -10,6 +10,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/bundle"
 )
 
 const (
@@ -58,15 +59,28 @@
 }
 
 func (a *App) proposeBundle(ctx context.Context, cmd *cli.Command) error {
-	bundle := &siskinv1.Bundle{}
-	if err := readMessage(cmd.Args().First(), bundle); err != nil {
+	proposed, err := readBundle(cmd.Args().First())
+	if err != nil {
 		return err
 	}
 	return callOnce(a, ctx, cmd, func(ctx context.Context, c *apiclient.Client) (*siskinv1.BundleProposal, error) {
-		return c.ProposeBundle(ctx, bundle)
+		return c.ProposeBundle(ctx, proposed)
 	}, showProposal)
 }
 
+// readBundle reads a bundle and validates it as the entry VMs will.
+func readBundle(path string) (*siskinv1.Bundle, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usagef("read %s: %v", path, err)
+	}
+	read, findings, err := bundle.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	return read, findingsError(path, findings)
+}
+
 func showProposal(p *siskinv1.BundleProposal) (result, error) {
 	text, err := message(p)
 	return result{
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/bundle"
 )
 
 // fakeServer answers each "METHOD path" with a status and a body.
@@ -79,6 +79,7 @@
 		{ExitFailure, []string{"zone", "status", "zone-1"}},
 		{ExitFailure, []string{"--server", "127.0.0.1:1", "vm", "list"}},
 		{ExitUsage, []string{"work", "submit", bad}},
+		{ExitUsage, []string{"bundle", "propose", good}},
 		{ExitUsage, []string{"work", "get"}},
 		{ExitUsage, []string{"work", "get", "a", "b"}},
 		{ExitUsage, []string{"work", "fetch", "a"}},
@@ -148,10 +149,10 @@
 
 // TestSignOff guards against signatures that the entry VMs do not accept, and against signing unread content.
 func TestSignOff(t *testing.T) {
-	bundle := &siskinv1.Bundle{Version: 7, Comment: "c"}
-	hash, err := apiclient.ContentSHA256(bundle)
+	content := &siskinv1.Bundle{Version: 7, Comment: "c"}
+	hash, err := bundle.ContentHash(content)
 	assert.NilError(t, err)
-	proposal, err := message(&siskinv1.BundleProposal{Bundle: bundle, Author: "alice", Reviewer: "bob", ContentSha256: hash})
+	proposal, err := message(&siskinv1.BundleProposal{Bundle: content, Author: "alice", Reviewer: "bob", ContentSha256: hash})
 	assert.NilError(t, err)
 	server := fakeServer(t, map[string]fakeAnswer{
 		"GET /v1/bundles/7":           {200, string(proposal)},
--- a/ctl/file.go
+++ b/ctl/file.go
@@ -19,8 +19,13 @@
 	if err != nil {
 		return err
 	}
-	if len(findings) > 0 {
-		return usagef("%d findings in %s:\n%s", len(findings), path, strings.Join(findings.Lines(), "\n"))
+	return findingsError(path, findings)
+}
+
+// findingsError returns all findings as bad usage; nil if there are none.
+func findingsError(path string, findings jsoncheck.Findings) error {
+	if len(findings) == 0 {
+		return nil
 	}
-	return nil
+	return usagef("%d findings in %s:\n%s", len(findings), path, strings.Join(findings.Lines(), "\n"))
 }
--- a/demo/naive_test.go
+++ b/demo/naive_test.go
@@ -21,6 +21,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/bundle"
 	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/resource"
@@ -164,7 +165,7 @@
 func (v *naiveVM) propose(w http.ResponseWriter, _ *http.Request, body []byte) {
 	v.proposal = &siskinv1.BundleProposal{Bundle: &siskinv1.Bundle{}, Author: author}
 	_ = protojson.Unmarshal(body, v.proposal.GetBundle())
-	v.proposal.ContentSha256, _ = apiclient.ContentSHA256(v.proposal.GetBundle())
+	v.proposal.ContentSha256, _ = bundle.ContentHash(v.proposal.GetBundle())
 	reply(w, v.proposal)
 }
 
