Verify entry VMs that serve callers over TLS from the command line

Cause: settings can name caller_tls, but siskinctl could not be told which certificates to trust. Change: --ca and SISKIN_CA. Conclusion: servers named as https:// are verified; there is no flag to skip that.

--- a/apiclient/client.go
+++ b/apiclient/client.go
@@ -4,6 +4,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"io"
 	"net"
@@ -57,7 +59,7 @@
 func New(options Options) (*Client, error) {
 	c := &Client{key: options.Key, http: &http.Client{Transport: options.Transport}}
 	if options.Transport == nil {
-		c.http.Transport = NewTransport()
+		c.http.Transport = NewTransport(nil)
 	}
 	for _, server := range options.Servers {
 		address, err := baseURL(server)
@@ -72,9 +74,11 @@
 	return c, nil
 }
 
-// NewTransport returns the default transport, with bounded dialling.
-func NewTransport() *http.Transport {
+// NewTransport returns the default transport, with bounded dialling. roots verify servers whose address begins with
+// https; nil selects those of the machine.
+func NewTransport(roots *x509.CertPool) *http.Transport {
 	return &http.Transport{
+		TLSClientConfig:     &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12},
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -111,6 +113,7 @@
 	flagKey     = "key"
 	flagOutput  = "output"
 	flagTimeout = "timeout"
+	flagCA      = "ca"
 
 	outputTable = "table"
 	outputJSON  = "json"
@@ -126,6 +129,10 @@
 			Name: flagKey, Sources: cli.EnvVars("SISKIN_KEY"), HideDefault: true,
 			Usage: "team or operator `KEY`; prefer the environment, which other users cannot see",
 		},
+		&cli.StringFlag{
+			Name: flagCA, Sources: cli.EnvVars("SISKIN_CA"),
+			Usage: "PEM `FILE` that verifies servers named as https://IP:PORT; default: those of the machine",
+		},
 		&cli.StringFlag{
 			Name: flagOutput, Value: outputTable, Usage: "`FORMAT` of the output: table or json",
 			Validator: func(value string) error {
@@ -202,13 +209,35 @@
 	if len(servers) == 0 {
 		return nil, usagef("name an entry VM with --server or SISKIN_SERVER")
 	}
-	c, err := apiclient.New(apiclient.Options{Servers: servers, Key: cmd.String(flagKey)})
+	roots, err := authorities(cmd.String(flagCA))
+	if err != nil {
+		return nil, err
+	}
+	c, err := apiclient.New(apiclient.Options{
+		Servers: servers, Key: cmd.String(flagKey), Transport: apiclient.NewTransport(roots),
+	})
 	if err != nil {
 		return nil, usagef("%v", err)
 	}
 	return c, nil
 }
 
+// authorities reads the certificates that verify servers; nil selects those of the machine.
+func authorities(path string) (*x509.CertPool, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usagef("read certificates: %v", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, usagef("%s holds no PEM certificate", path)
+	}
+	return roots, nil
+}
+
 // callOnce makes one call within the timeout and prints its result.
 func callOnce[T any](
 	a *App, ctx context.Context, cmd *cli.Command,
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -100,6 +101,22 @@
 	}
 }
 
+// TestTLS guards against calls to servers that are not verified.
+func TestTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"vms":[]}`))
+	}))
+	defer server.Close()
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	text := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	assert.NilError(t, os.WriteFile(file, text, secretMode))
+	code, _, errOut := execute("--server", server.URL, "--ca", file, "vm", "list")
+	assert.Equal(t, code, ExitOK, errOut)
+	code, _, errOut = execute("--server", server.URL, "vm", "list")
+	assert.Equal(t, code, ExitFailure)
+	assert.Assert(t, strings.Contains(errOut, "certificate"), errOut)
+}
+
 // TestOutput guards against JSON that scripts can't read and tables without their rows.
 func TestOutput(t *testing.T) {
 	server := fakeServer(t, map[string]fakeAnswer{
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -45,7 +45,7 @@
 
 func newClients(delay time.Duration) *clients {
 	return &clients{
-		transport: delayedTransport{apiclient.NewTransport(), delay}, all: map[[2]string]*apiclient.Client{},
+		transport: delayedTransport{apiclient.NewTransport(nil), delay}, all: map[[2]string]*apiclient.Client{},
 	}
 }
 
