Check the client against the operators' routes

Cause: client and routes were written against the same page, by different people. Conclusion: client and operators' routes agree.

--- a/apiclient/operators.go
+++ b/apiclient/operators.go
@@ -49,13 +49,20 @@
 	return fetch[Key](ctx, c, post("/v1/keys/"+url.PathEscape(id)+"/withdraw", nil, true))
 }
 
-// ProposeBundle proposes the next bundle; the caller becomes its author.
-func (c *Client) ProposeBundle(ctx context.Context, bundle *siskinv1.Bundle) (*siskinv1.BundleProposal, error) {
+// ProposeBundle proposes the next bundle; the caller becomes its author. replaces is the hash of the content of an
+// unsigned proposal of the same version that it replaces, or empty.
+func (c *Client) ProposeBundle(
+	ctx context.Context, bundle *siskinv1.Bundle, replaces string,
+) (*siskinv1.BundleProposal, error) {
 	body, err := encodeMessage(bundle)
 	if err != nil {
 		return nil, err
 	}
-	return c.proposal(ctx, post("/v1/bundles", body, false))
+	path := "/v1/bundles"
+	if replaces != "" {
+		path += "?replaces=" + url.QueryEscape(replaces)
+	}
+	return c.proposal(ctx, post(path, body, false))
 }
 
 // Bundle returns the proposal of a version.
--- a/apiclient/types.go
+++ b/apiclient/types.go
@@ -79,9 +79,9 @@
 
 // Change is one difference between two bundles.
 type Change struct {
-	Path string          `json:"path"`
-	From json.RawMessage `json:"from"`
-	To   json.RawMessage `json:"to"`
+	Path string `json:"path"`
+	From string `json:"from"`
+	To   string `json:"to"`
 }
 
 // BundleStatus says which bundle is in force where.
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -16,6 +16,7 @@
 const (
 	flagPrivateKey = "private-key"
 	flagContent    = "content-sha256"
+	flagReplaces   = "replaces"
 )
 
 func (a *App) bundleCommands() *cli.Command {
@@ -26,6 +27,9 @@
 		a.leaf(leaf{
 			name: "propose", usage: "propose the bundle in a JSON file; the caller becomes author",
 			args: []string{"FILE"}, example: "siskinctl bundle propose bundle.json", run: a.proposeBundle,
+			flags: []cli.Flag{&cli.StringFlag{
+				Name: flagReplaces, Usage: "`HASH` of the content of an unsigned proposal of the same version to replace",
+			}},
 		}),
 		a.leaf(leaf{
 			name: "diff", usage: "compare a proposal with the bundle in force", args: []string{"VERSION"},
@@ -64,7 +68,7 @@
 		return err
 	}
 	return callOnce(a, ctx, cmd, func(ctx context.Context, c *apiclient.Client) (*siskinv1.BundleProposal, error) {
-		return c.ProposeBundle(ctx, proposed)
+		return c.ProposeBundle(ctx, proposed, cmd.String(flagReplaces))
 	}, showProposal)
 }
 
@@ -112,7 +116,7 @@
 	}, func(diff bundleDiff) (result, error) {
 		shown := result{json: diff, header: []string{"PATH", "FROM", "TO"}}
 		for _, change := range diff.Changes {
-			shown.rows = append(shown.rows, []string{change.Path, string(change.From), string(change.To)})
+			shown.rows = append(shown.rows, []string{change.Path, change.From, change.To})
 		}
 		shown.rows = append(shown.rows, []string{"content sha256", "", diff.ContentSHA256})
 		return shown, nil
--- a/demo/step_bundle.go
+++ b/demo/step_bundle.go
@@ -51,7 +51,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	proposal, err := by[author].ProposeBundle(ctx, bundle)
+	proposal, err := by[author].ProposeBundle(ctx, bundle, "")
 	if err != nil {
 		return available("POST /v1/bundles", err)
 	}
