Tell a service's own errors from refusals

Cause: an error of a service whose JSON body has a reason was taken for a refusal of the entry VM, and its not_run believed. Change: a refusal has to name the request as the response header does. Conclusion: only the entry VM can say that a request did not run.

--- a/apiclient/client_test.go
+++ b/apiclient/client_test.go
@@ -33,6 +33,7 @@
 		case "cut":
 			panic(http.ErrAbortHandler)
 		default:
+			w.Header().Set(headerRequestID, "r")
 			w.WriteHeader(reason.Status())
 			_, _ = fmt.Fprintf(w, `{"request_id":"r","reason":%q,"not_run":%t}`, reason, reason.NotRun())
 		}
@@ -77,6 +78,22 @@
 	assert.Equal(t, second.calls, 1)
 }
 
+// TestServiceErrorIsNoRefusal guards against an error of the service itself that counts as a refusal, and as not run.
+func TestServiceErrorIsNoRefusal(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerRequestID, "r")
+		w.WriteHeader(http.StatusConflict)
+		_, _ = fmt.Fprint(w, `{"request_id":"own","reason":"leaving","not_run":true}`)
+	}))
+	defer server.Close()
+	c, err := New(Options{Servers: []string{server.URL}})
+	assert.NilError(t, err)
+	defer c.Close()
+	got, err := c.Send(context.Background(), Request{Service: "s"})
+	assert.NilError(t, err)
+	assert.Equal(t, got.Status, http.StatusConflict)
+}
+
 // TestServerNames guards against addresses that fail only at the first call.
 func TestServerNames(t *testing.T) {
 	for _, bad := range [][]string{nil, {""}, {"ftp://x"}, {"http://"}} {
--- a/apiclient/errors.go
+++ b/apiclient/errors.go
@@ -78,7 +78,11 @@
 		NotRun       bool   `json:"not_run"`
 		RetryAfterMs int64  `json:"retry_after_ms"`
 	}
-	if json.Unmarshal(got.body, &body) != nil || body.Reason == "" || body.RequestID == "" {
+	if json.Unmarshal(got.body, &body) != nil || body.Reason == "" {
+		return nil
+	}
+	// An endpoint's own error may look alike, but only the entry VM names the request both ways.
+	if body.RequestID == "" || body.RequestID != got.requestID {
 		return nil
 	}
 	return &Refusal{
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -33,6 +33,7 @@
 			http.NotFound(w, r)
 			return
 		}
+		w.Header().Set("Siskin-Request-Id", "r1")
 		w.WriteHeader(answer.status)
 		_, _ = w.Write([]byte(answer.body))
 	}))
--- a/demo/naive_test.go
+++ b/demo/naive_test.go
@@ -103,6 +103,7 @@
 }
 
 func refuse(w http.ResponseWriter, reason refusal.Reason) {
+	w.Header().Set("Siskin-Request-Id", "refused")
 	w.WriteHeader(reason.Status())
 	reply(w, map[string]any{"request_id": "refused", "reason": reason, "not_run": reason.NotRun()})
 }
