Sign a second bundle off during the demo

Cause: with one version only, no VM could be seen to go back. Conclusion: the check of the promise bundle can now see a reversal.

--- a/demo/step_bundle.go
+++ b/demo/step_bundle.go
@@ -39,6 +39,20 @@
 	return fmt.Sprintf("version 1 in force everywhere after %s", since(began)), nil
 }
 
+// nextBundle signs a second bundle off while everything else goes on, so that a VM could go back to the first one.
+func (r *run) nextBundle(ctx context.Context) (string, error) {
+	began := time.Now()
+	bundle := r.cluster.site.Bundle(2)
+	bundle.Comment = "second bundle of " + r.cluster.site.Name
+	if err := r.signOff(ctx, bundle); err != nil {
+		return "", err
+	}
+	if err := r.waitInForce(ctx, 2); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("version 2 in force everywhere after %s", since(began)), nil
+}
+
 // signOff takes a bundle from proposal to sign-off.
 func (r *run) signOff(ctx context.Context, bundle *siskinv1.Bundle) error {
 	by := map[string]*apiclient.Client{}
