--- a/apiclient/client_test.go
+++ b/apiclient/client_test.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
-	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/bundle"
 	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/standin/site"
 )
 
 type counted struct {
@@ -34,6 +33,7 @@
 		case "cut":
 			panic(http.ErrAbortHandler)
 		default:
+			w.Header().Set(headerRequestID, "r")
 			w.WriteHeader(reason.Status())
 			_, _ = fmt.Fprintf(w, `{"request_id":"r","reason":%q,"not_run":%t}`, reason, reason.NotRun())
 		}
@@ -78,6 +78,22 @@
 	assert.Equal(t, second.calls, 1)
 }
 
+// TestServiceErrorIsNoRefusal guards against an error of the service itself that counts as a refusal, and as not run.
+func TestServiceErrorIsNoRefusal(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerRequestID, "r")
+		w.WriteHeader(http.StatusConflict)
+		_, _ = fmt.Fprint(w, `{"request_id":"own","reason":"leaving","not_run":true}`)
+	}))
+	defer server.Close()
+	c, err := New(Options{Servers: []string{server.URL}})
+	assert.NilError(t, err)
+	defer c.Close()
+	got, err := c.Send(context.Background(), Request{Service: "s"})
+	assert.NilError(t, err)
+	assert.Equal(t, got.Status, http.StatusConflict)
+}
+
 // TestServerNames guards against addresses that fail only at the first call.
 func TestServerNames(t *testing.T) {
 	for _, bad := range [][]string{nil, {""}, {"ftp://x"}, {"http://"}} {
@@ -97,20 +113,15 @@
 	assert.NilError(t, err)
 	private, err := DecodePrivateKey(text)
 	assert.NilError(t, err)
-	bundle := &siskinv1.Bundle{Version: 3}
-	hash, err := ContentSHA256(bundle)
-	assert.NilError(t, err)
-	proposal := &siskinv1.BundleProposal{Bundle: bundle, Author: "alice", Reviewer: "bob", ContentSha256: hash}
-	signature, err := Sign(proposal, "carol", private)
-	assert.NilError(t, err)
-	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(&siskinv1.SignedContent{
-		Version: 3, ContentSha256: hash, Author: "alice", Reviewer: "bob", Signer: "carol",
-	})
+	content := site.Kvarali().Bundle(3)
+	hash, err := bundle.ContentHash(content)
 	assert.NilError(t, err)
-	public, err := hex.DecodeString(key.Settings().GetSignOffKey())
+	proposal := &siskinv1.BundleProposal{Bundle: content, Author: "alice", Reviewer: "bob", ContentSha256: hash}
+	proposal.Signature, err = Sign(proposal, "carol", private)
 	assert.NilError(t, err)
-	assert.Assert(t, ed25519.Verify(public, content, signature))
-	bundle.Comment = "changed"
+	proposal.Signer = "carol"
+	assert.NilError(t, bundle.NewSigners([]*siskinv1.Operator{key.Settings()}).Verify(proposal))
+	content.Comment = "changed"
 	_, err = Sign(proposal, "carol", private)
 	assert.ErrorContains(t, err, "hash")
 }
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -10,11 +10,13 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/bundle"
 )
 
 const (
 	flagPrivateKey = "private-key"
 	flagContent    = "content-sha256"
+	flagReplaces   = "replaces"
 )
 
 func (a *App) bundleCommands() *cli.Command {
@@ -25,6 +27,9 @@
 		a.leaf(leaf{
 			name: "propose", usage: "propose the bundle in a JSON file; the caller becomes author",
 			args: []string{"FILE"}, example: "siskinctl bundle propose bundle.json", run: a.proposeBundle,
+			flags: []cli.Flag{&cli.StringFlag{
+				Name: flagReplaces, Usage: "`HASH` of the content of an unsigned proposal of the same version to replace",
+			}},
 		}),
 		a.leaf(leaf{
 			name: "diff", usage: "compare a proposal with the bundle in force", args: []string{"VERSION"},
@@ -58,15 +63,28 @@
 }
 
 func (a *App) proposeBundle(ctx context.Context, cmd *cli.Command) error {
-	bundle := &siskinv1.Bundle{}
-	if err := readMessage(cmd.Args().First(), bundle); err != nil {
+	proposed, err := readBundle(cmd.Args().First())
+	if err != nil {
 		return err
 	}
 	return callOnce(a, ctx, cmd, func(ctx context.Context, c *apiclient.Client) (*siskinv1.BundleProposal, error) {
-		return c.ProposeBundle(ctx, bundle)
+		return c.ProposeBundle(ctx, proposed, cmd.String(flagReplaces))
 	}, showProposal)
 }
 
+// readBundle reads a bundle and validates it as the entry VMs will.
+func readBundle(path string) (*siskinv1.Bundle, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usagef("read %s: %v", path, err)
+	}
+	read, findings, err := bundle.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	return read, findingsError(path, findings)
+}
+
 func showProposal(p *siskinv1.BundleProposal) (result, error) {
 	text, err := message(p)
 	return result{
@@ -98,7 +116,7 @@
 	}, func(diff bundleDiff) (result, error) {
 		shown := result{json: diff, header: []string{"PATH", "FROM", "TO"}}
 		for _, change := range diff.Changes {
-			shown.rows = append(shown.rows, []string{change.Path, string(change.From), string(change.To)})
+			shown.rows = append(shown.rows, []string{change.Path, change.From, change.To})
 		}
 		shown.rows = append(shown.rows, []string{"content sha256", "", diff.ContentSHA256})
 		return shown, nil
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,7 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/bundle"
 )
 
 // fakeServer answers each "METHOD path" with a status and a body.
@@ -32,6 +33,7 @@
 			http.NotFound(w, r)
 			return
 		}
+		w.Header().Set("Siskin-Request-Id", "r1")
 		w.WriteHeader(answer.status)
 		_, _ = w.Write([]byte(answer.body))
 	}))
@@ -79,6 +81,7 @@
 		{ExitFailure, []string{"zone", "status", "zone-1"}},
 		{ExitFailure, []string{"--server", "127.0.0.1:1", "vm", "list"}},
 		{ExitUsage, []string{"work", "submit", bad}},
+		{ExitUsage, []string{"bundle", "propose", good}},
 		{ExitUsage, []string{"work", "get"}},
 		{ExitUsage, []string{"work", "get", "a", "b"}},
 		{ExitUsage, []string{"work", "fetch", "a"}},
@@ -99,6 +102,22 @@
 	}
 }
 
+// TestTLS guards against calls to servers that are not verified.
+func TestTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"vms":[]}`))
+	}))
+	defer server.Close()
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	text := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	assert.NilError(t, os.WriteFile(file, text, secretMode))
+	code, _, errOut := execute("--server", server.URL, "--ca", file, "vm", "list")
+	assert.Equal(t, code, ExitOK, errOut)
+	code, _, errOut = execute("--server", server.URL, "vm", "list")
+	assert.Equal(t, code, ExitFailure)
+	assert.Assert(t, strings.Contains(errOut, "certificate"), errOut)
+}
+
 // TestOutput guards against JSON that scripts can't read and tables without their rows.
 func TestOutput(t *testing.T) {
 	server := fakeServer(t, map[string]fakeAnswer{
@@ -148,10 +167,10 @@
 
 // TestSignOff guards against signatures that the entry VMs do not accept, and against signing unread content.
 func TestSignOff(t *testing.T) {
-	bundle := &siskinv1.Bundle{Version: 7, Comment: "c"}
-	hash, err := apiclient.ContentSHA256(bundle)
+	content := &siskinv1.Bundle{Version: 7, Comment: "c"}
+	hash, err := bundle.ContentHash(content)
 	assert.NilError(t, err)
-	proposal, err := message(&siskinv1.BundleProposal{Bundle: bundle, Author: "alice", Reviewer: "bob", ContentSha256: hash})
+	proposal, err := message(&siskinv1.BundleProposal{Bundle: content, Author: "alice", Reviewer: "bob", ContentSha256: hash})
 	assert.NilError(t, err)
 	server := fakeServer(t, map[string]fakeAnswer{
 		"GET /v1/bundles/7":           {200, string(proposal)},
