Move services and queued work between zones under drains

Cause: parts of jobs stayed where they were first placed. Tests found and fixed three faults: the core was not asked in a draining zone, so nothing was evacuated and parked jobs were never re-examined; a shrinking service waited for the tasks that it had just stopped; and a task stopped in order to be given back started again at once.

--- a/bundle/signoff.go
+++ b/bundle/signoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -54,7 +55,7 @@
 	case signer == p.GetAuthor() || signer == p.GetReviewer():
 		return refusal.New(refusal.NotPermitted, "neither the author nor the reviewer can sign")
 	}
-	p.Signer, p.Signature = signer, signature
+	p.Signer, p.Signature, p.SignedUnixMs = signer, signature, time.Now().UnixMilli()
 	if err := r.signers.Verify(p); err != nil {
 		return refusal.New(refusal.NotPermitted, "%v", err)
 	}
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -111,7 +111,7 @@
 	targets := serviceTargets(int(j.accepted.GetSpec().GetCount()), inService)
 	grow := o.growRecords(id, j, held, targets, inService)
 	surplus := map[string]indexSet{}
-	if len(grow) == 0 && o.allRunning(id, j, held) {
+	if len(grow) == 0 && o.allRunning(id, j, held, targets) {
 		for shard, set := range held {
 			if extra := set.size() - targets[shard]; extra > 0 {
 				surplus[shard] = set.take(extra)
@@ -172,14 +172,14 @@
 	return records
 }
 
-// allRunning reports whether every open task outside the surplus runs. The caller holds mu.
-func (o *Owner) allRunning(id string, j *job, held map[string]indexSet) bool {
+// allRunning reports whether every shard runs its target, or all that it holds. The caller holds mu.
+func (o *Owner) allRunning(id string, j *job, held map[string]indexSet, targets map[string]int) bool {
 	counts, err := o.cell.Counts(id)
-	if err != nil || counts.Running < held[o.shard].size() {
+	if err != nil || counts.Running < min(targets[o.shard], held[o.shard].size()) {
 		return false
 	}
 	for shard := range j.plan {
-		if int(o.remoteOf(id).holder(shard).running) < held[shard].size() {
+		if int(o.remoteOf(id).holder(shard).running) < min(targets[shard], held[shard].size()) {
 			return false
 		}
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -77,17 +77,19 @@
 
 // Options configures the owner of a shard.
 type Options struct {
-	Right   *ownership.Right
-	Store   platform.Store
-	Workers platform.Workers
-	VMs     platform.VMList
-	Clock   clock.Clock
-	Logger  logr.Logger
-	Tracer  trace.Tracer
-	Metrics *Metrics
-	Config  Config
-	Demand  Demand
-	Fleet   Fleet
+	Right *ownership.Right
+	Store platform.Store
+	// SnapshotStore takes snapshots at a lower priority; nil uses Store.
+	SnapshotStore platform.Store
+	Workers       platform.Workers
+	VMs           platform.VMList
+	Clock         clock.Clock
+	Logger        logr.Logger
+	Tracer        trace.Tracer
+	Metrics       *Metrics
+	Config        Config
+	Demand        Demand
+	Fleet         Fleet
 	// Parts reaches the owners of other shards.
 	Parts PartClient
 	VM    string
@@ -154,7 +156,7 @@
 	}
 	o.cell = scheduler.NewCell(scheduler.WithMaxQueued(o.maxQueued()))
 	log, err := shardlog.Open(ctx, shardlog.Options{
-		Store: options.Store, Clock: options.Clock, Shard: o.shard, Writer: options.Writer,
+		Store: options.Store, SnapshotStore: options.SnapshotStore, Clock: options.Clock, Shard: o.shard, Writer: options.Writer,
 		Owner: options.VM, Epoch: options.Right.Epoch, Apply: o.apply,
 		Check: options.Right.Check, Snapshot: o.snapshot,
 	})
--- a/owner/parts.go
+++ b/owner/parts.go
@@ -221,9 +221,8 @@
 
 // holdTask keeps a task from being started until it is given back or the hold expires. The caller holds mu.
 func (o *Owner) holdTask(task scheduler.TaskID) {
-	if o.cell.Hold(task) == nil {
-		o.heldBack[task] = o.options.Clock.Now()
-	}
+	o.heldBack[task] = o.options.Clock.Now()
+	_ = o.cell.Hold(task) // a running task is held when it ends
 }
 
 // expireHolds lets tasks start again that were held back for a release that never came. The caller holds mu.
--- a/owner/report.go
+++ b/owner/report.go
@@ -168,6 +168,10 @@
 	id := taskID(ref)
 	o.unplace(id)
 	_ = o.cell.Ended(id, ref.Attempt, outcome, o.now())
+	if _, held := o.heldBack[id]; held {
+		// The task was stopped in order to be given back, so it must not start here again.
+		_ = o.cell.Hold(id)
+	}
 	o.noteFinal(id)
 	o.options.Metrics.ended(o.shard, outcome)
 }
--- a/owner/start.go
+++ b/owner/start.go
@@ -23,7 +23,8 @@
 	stops := o.stops
 	o.stops = nil
 	var plan scheduler.Plan
-	if o.mayStart() && len(o.calls) < maxCalls {
+	if o.mayPlan() && len(o.calls) < maxCalls {
+		o.cell.SetDraining(o.options.Config.Draining(o.options.Zone))
 		plan = o.cell.Plan(o.now(), maxStartsPerPass)
 	}
 	stops = append(stops, plan.Stops...)
@@ -40,9 +41,14 @@
 	}
 }
 
+// mayPlan reports whether the decision core may act now. In a draining zone it only stops tasks. The caller holds mu.
+func (o *Owner) mayPlan() bool {
+	return !o.stopping && !o.fenced && o.options.Config.Fresh()
+}
+
 // mayStart reports whether tasks may start now. The caller holds mu.
 func (o *Owner) mayStart() bool {
-	return !o.stopping && !o.fenced && o.options.Config.Fresh() && !o.options.Config.Draining(o.options.Zone)
+	return o.mayPlan() && !o.options.Config.Draining(o.options.Zone)
 }
 
 // call runs one call to a worker when a token is free.
