Let the state machine test keep stale states of unreachable peers

Cause: with empty states the test passed without the check of Reachable. Change: an unreachable peer keeps its last state in the test. Conclusion: the check is tested again.

--- a/configview/machine_test.go
+++ b/configview/machine_test.go
@@ -95,7 +95,7 @@
 		if name == m.name {
 			continue
 		}
-		m.states[name] = PeerState{VM: name, AsOf: now}
+		m.states[name] = PeerState{VM: name, AsOf: now, State: m.states[name].State}
 		if !m.world.cut[link(m.name, name)] {
 			response := &siskinv1.HeartbeatResponse{Vm: name}
 			other.view.State(now).FillHeartbeat(response)
