--- a/shardlog/log.go
+++ b/shardlog/log.go
@@ -32,8 +32,8 @@
 )
 
 const (
-	// commitInterval is the shortest time between two group commits of a shard.
-	commitInterval = 20 * time.Millisecond
+	// defaultCommitInterval is the shortest time between the starts of two group commits of a shard.
+	defaultCommitInterval = 20 * time.Millisecond
 	// defaultPendingRecords and defaultPendingBytes bound the records that wait for a commit.
 	defaultPendingRecords = 65536
 	defaultPendingBytes   = 32 << 20
@@ -103,6 +103,9 @@
 	// SnapshotEntries and SnapshotBytes trigger a snapshot when the entries since the last one reach either.
 	SnapshotEntries int
 	SnapshotBytes   int
+	// CommitInterval is the shortest time between the starts of two commits; 0 selects 20 ms. Each commit costs one write,
+	// and later one deletion.
+	CommitInterval time.Duration
 	// MaxPendingRecords and MaxPendingBytes bound the records that wait for a commit.
 	MaxPendingRecords int
 	MaxPendingBytes   int
@@ -124,6 +127,9 @@
 	if o.SnapshotBytes <= 0 {
 		o.SnapshotBytes = defaultSnapshotBytes
 	}
+	if o.CommitInterval <= 0 {
+		o.CommitInterval = defaultCommitInterval
+	}
 	if o.MaxPendingRecords <= 0 {
 		o.MaxPendingRecords = defaultPendingRecords
 	}
@@ -246,12 +252,13 @@
 	defer close(l.done)
 	defer l.stop()
 	for l.next() {
+		started := l.options.Clock.Now()
 		if !l.commitNext(l.life) {
 			break
 		}
 		l.collectSnapshot()
 		l.startSnapshot()
-		l.pause()
+		l.pause(l.untilNext(started))
 	}
 	l.finish()
 	l.awaitSnapshot()
@@ -267,8 +274,13 @@
 	}
 }
 
-// pause keeps commits apart, unless the log is being closed.
-func (l *Log) pause() {
+// untilNext returns how long to wait after a commit, so that commits start at least an interval apart.
+func (l *Log) untilNext(started time.Time) time.Duration {
+	return max(0, l.options.CommitInterval-l.options.Clock.Now().Sub(started))
+}
+
+// pause waits, unless the log is being closed.
+func (l *Log) pause(wait time.Duration) {
 	ctx, cancel := context.WithCancel(l.life)
 	defer cancel()
 	released := make(chan struct{})
@@ -280,7 +292,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	_ = l.options.Clock.Sleep(ctx, commitInterval)
+	_ = l.options.Clock.Sleep(ctx, wait)
 	cancel()
 	<-released
 }
