--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -326,3 +327,39 @@
 	assert.Assert(t, writes <= 10, "%d writes in %d s", writes, seconds)
 	assert.NilError(t, w.violation)
 }
+
+// idleLimiter is a runtime in which nothing runs.
+type idleLimiter struct{}
+
+func (idleLimiter) SetLimit(string, string, resource.Vector) resource.Vector {
+	return resource.Vector{}
+}
+
+// Guards against data races between serving demand, giving back, and taking shards over; run with -race.
+func TestConcurrentUse(t *testing.T) {
+	w := newWorld(soundRules())
+	m := w.vms[0].manager
+	m.options.Limiter = idleLimiter{}
+	m.options.Check = func(string) error { return nil }
+	var group sync.WaitGroup
+	for i := range 3 {
+		shard := shardNames[i]
+		m.Own(shard)
+		group.Go(func() {
+			for n := range int64(100) {
+				m.SetDemand(shard, team, cpu(n%50))
+				m.Step(context.Background())
+				w.line.Advance(writeInterval)
+			}
+		})
+		group.Go(func() {
+			for range 100 {
+				request := &siskinv1.GiveBackAllowanceRequest{Shard: shard, Team: team, Wanted: cpu(5).Proto()}
+				m.GiveBack(context.Background(), request)
+				_ = m.Limit(shard, team)
+			}
+			m.Disown(shard)
+		})
+	}
+	group.Wait()
+}
--- a/membership/manager.go
+++ b/membership/manager.go
@@ -61,7 +61,8 @@
 	Sender Sender
 	// Local returns the state of this VM. Its lists must not be changed afterwards.
 	Local func() Local
-	// Changed is called when a peer's status or incarnation has changed. It must not block; nil ignores changes.
+	// Changed is called when a peer's status or incarnation has changed. It must not block or call the
+	// manager; nil ignores changes.
 	Changed func(Member)
 	// Fanout bounds the heartbeats of one round; 0 selects the default. With more peers, rounds take turns.
 	Fanout  int
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -20,7 +20,8 @@
 	LeaseTTL = 3 * time.Second
 	// PromiseDuration is how long a peer that promised does not acquire the shard.
 	PromiseDuration = 3 * time.Second
-	// DriftMargin covers the difference of two clocks' rates over a lease, and the time between a check and its act.
+	// DriftMargin covers the difference of two clocks' rates over a lease, and the time between a check and its act. It
+	// is enough for clocks that run up to 4.5% too fast or too slow.
 	DriftMargin = 300 * time.Millisecond
 	// renewInterval is the time between two renewals of the store lease.
 	renewInterval = time.Second
@@ -80,9 +81,9 @@
 	Promiser Promiser
 	// Random returns numbers in [0, 1) for jitter.
 	Random func() float64
-	// Acquired is called when the VM has become the owner of a shard. It must not block.
+	// Acquired is called when the VM has become the owner of a shard. It must not block or call the manager.
 	Acquired func(*Right)
-	// Lost is called when the VM has ceased to be the owner of a shard. It must not block.
+	// Lost is called when the VM has ceased to be the owner of a shard. It must not block or call the manager.
 	Lost    func(shard string)
 	Metrics *Metrics
 }
--- a/ownership/manager_test.go
+++ b/ownership/manager_test.go
@@ -35,7 +35,7 @@
 }
 
 // Guards against shards that stop in a store outage while all VMs reach each other, and against shards that go on when
-// one VM is out of reach.
+// one VM is out of reach, or stay without owner after the outage.
 func TestOutageWithAndWithoutAllPeers(t *testing.T) {
 	w := newWorld(1, 1, 1)
 	w.tick(5*time.Second, w.vms...)
@@ -48,6 +48,12 @@
 	w.cut[[2]int{owner.number, (owner.number + 1) % 3}] = true
 	w.tick(LeaseTTL, w.vms...)
 	assert.Assert(t, w.owner("kartli-1-0") == nil)
+	w.cut = map[[2]int]bool{}
+	for _, vm := range w.vms {
+		vm.faults.SetCut(false)
+	}
+	w.tick(takeoverTarget, w.vms...)
+	assert.Assert(t, w.owner("kartli-1-0") != nil)
 	assert.NilError(t, w.violation)
 }
 
@@ -148,3 +154,20 @@
 		assert.Assert(t, n > shards/vms/2 && n < shards/vms*2, "vm%d is preferred by %d of %d", i, n, shards)
 	}
 }
+
+// Guards against a long gap when the store returns and the leases have ended in the meantime.
+func TestOwnersReturnAfterAnOutage(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	w.tick(5*time.Second, w.vms...)
+	owner := w.owner("kartli-1-0")
+	for _, vm := range w.vms {
+		vm.faults.SetCut(true)
+	}
+	w.tick(time.Minute, w.vms...)
+	for _, vm := range w.vms {
+		vm.faults.SetCut(false)
+	}
+	w.tick(2*renewInterval, w.vms...)
+	assert.Equal(t, w.owner("kartli-1-0"), owner)
+	assert.NilError(t, w.violation)
+}
--- a/shardlog/log.go
+++ b/shardlog/log.go
@@ -158,11 +158,12 @@
 	nonces  nonceSource
 	rules   rules
 
-	mu           sync.Mutex // guards pending, pendingBytes, pendingCount and err
+	mu           sync.Mutex // guards pending, pendingBytes, pendingCount, err and cause
 	pending      []*pendingAppend
 	pendingBytes int
 	pendingCount int
-	err          error
+	err          error // refuses appends
+	cause        error // ended the writer
 
 	// The fields below belong to the writer: Open until it returns, then the goroutine in run.
 	backoff   *storeclient.Backoff
@@ -247,6 +248,15 @@
 // Done returns a channel that is closed when the log takes no more appends, because it was closed or has failed.
 func (l *Log) Done() <-chan struct{} { return l.done }
 
+// Err returns why the log takes no more appends, after Done: ErrClosed after Close, ErrFenced if another owner has taken
+// over or the right has ended, or ErrUnknown if the outcome of the last commit could not be found out. After ErrUnknown
+// the shard must be opened again, by this VM under a new epoch or by another one.
+func (l *Log) Err() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cause
+}
+
 // run commits as appends arrive, until the log is closed or fails.
 func (l *Log) run() {
 	defer close(l.done)
--- a/shardlog/log_test.go
+++ b/shardlog/log_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -74,6 +75,7 @@
 	writer.faults.SetCut(true)
 	assert.Assert(t, !writer.log.commitNext(ctx))
 	assert.ErrorIs(t, <-p.done, ErrUnknown)
+	assert.ErrorIs(t, writer.log.Err(), ErrUnknown)
 	writer.faults.SetCut(false)
 	_, err = writer.log.enqueue([]*siskinv1.Record{record("b")})
 	assert.ErrorIs(t, err, ErrClosed)
@@ -109,3 +111,56 @@
 	assert.Equal(t, len(applied), 12) // the fence, a, and ten more
 	assert.ErrorIs(t, log.Append(context.Background(), record("late")), ErrClosed)
 }
+
+// Guards against records lost or doubled when snapshots are written beside concurrent appends; run with -race.
+func TestConcurrentAppendsAndSnapshots(t *testing.T) {
+	const appenders, each = 8, 20
+	store := standin.NewStore(clock.Real{})
+	var mu sync.Mutex // guards state
+	var state []string
+	options := Options{
+		Store: store, Clock: clock.Real{}, Shard: testShard, Writer: "vm1", Epoch: 1,
+		CommitInterval: time.Millisecond, SnapshotEntries: 2,
+	}
+	options.Apply = func(r *siskinv1.Record) {
+		mu.Lock()
+		defer mu.Unlock()
+		if id := r.GetJobCancelled().GetId(); id != "" {
+			state = append(state, id)
+		}
+	}
+	options.Snapshot = func() []*siskinv1.Record {
+		mu.Lock()
+		defer mu.Unlock()
+		var records []*siskinv1.Record
+		for _, id := range state {
+			records = append(records, record(id))
+		}
+		return records
+	}
+	log, err := Open(context.Background(), options)
+	assert.NilError(t, err)
+	var group sync.WaitGroup
+	for i := range appenders {
+		group.Go(func() {
+			for j := range each {
+				assert.Check(t, log.Append(context.Background(), record(fmt.Sprintf("%d-%d", i, j))))
+			}
+		})
+	}
+	group.Wait()
+	log.Close()
+	assert.ErrorIs(t, log.Err(), ErrClosed)
+	_, err = store.Get(context.Background(), HeadKey(testShard))
+	assert.NilError(t, err)
+	state, options.Epoch = nil, 2
+	second, err := Open(context.Background(), options)
+	assert.NilError(t, err)
+	second.Close()
+	seen := map[string]bool{}
+	for _, id := range state {
+		seen[id] = true
+	}
+	assert.Equal(t, len(state), appenders*each)
+	assert.Equal(t, len(seen), appenders*each)
+}
--- a/shardlog/pending.go
+++ b/shardlog/pending.go
@@ -132,6 +132,9 @@
 	l.refuse(ErrClosed)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.cause == nil {
+		l.cause = err
+	}
 	waiting := err
 	if !IsNotDurable(err) {
 		waiting = ErrClosed
--- a/storeclient/client_test.go
+++ b/storeclient/client_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,3 +162,30 @@
 	assert.Equal(t, testutil.ToFloat64(calls.WithLabelValues("config", "watch", "ok")), 1.0)
 	assert.Equal(t, testutil.ToFloat64(calls.WithLabelValues("claim", "get", "refused")), 1.0)
 }
+
+// Guards against more calls in flight than allowed, and against slots that are not given back; run with -race.
+func TestConcurrencyIsBounded(t *testing.T) {
+	const bound, callers = 4, 32
+	inner := faultstore.New(standin.NewStore(clock.Real{}), nil)
+	client := New(inner, Options{MaxConcurrent: bound, ReadsPerSecond: 1e6})
+	defer client.Close()
+	var inFlight, most atomic.Int64
+	inner.SetBefore(func(int) {
+		now := inFlight.Add(1)
+		defer inFlight.Add(-1)
+		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		}
+		runtime.Gosched()
+	})
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			_, err := client.For(KindLog).Get(context.Background(), "a")
+			assert.Check(t, errors.Is(err, platform.ErrNotFound))
+		})
+	}
+	group.Wait()
+	assert.Assert(t, most.Load() <= bound)
+	assert.Equal(t, inner.Calls(), callers)
+	assert.Equal(t, client.gate.inFlight, 0)
+}
