Make ownership's calls ordered; keep the release pause constant

Cause: calls followed map order, so a failing random run could not be repeated exactly, and each Release doubled the time for which the VM left the shard alone. Change: attempts, deletions and promise requests are in order of the shard names; only Decline doubles its time.

--- a/ownership/acquire.go
+++ b/ownership/acquire.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -148,8 +150,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var found []*attempt
-	for _, a := range m.attempts {
-		if a.sent {
+	for _, shard := range sortedKeys(m.attempts) {
+		if a := m.attempts[shard]; a.sent {
 			found = append(found, a)
 		}
 	}
@@ -213,16 +215,16 @@
 // deleteKeys deletes own keys without a right.
 func (m *Manager) deleteKeys(ctx context.Context) {
 	m.mu.Lock()
-	deletions := map[string]platform.Revision{}
-	for shard, revision := range m.deletions {
-		deletions[shard] = revision
-	}
+	deletions := maps.Clone(m.deletions)
 	m.mu.Unlock()
-	for shard, revision := range deletions {
-		_ = m.deleteKey(ctx, shard, revision)
+	for _, shard := range sortedKeys(deletions) {
+		_ = m.deleteKey(ctx, shard, deletions[shard])
 	}
 }
 
+// sortedKeys returns the keys of a map in order, so that the order of calls does not depend on the map.
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 // deleteKey deletes an own key. Any answer of the store, success or not, proves that the key is gone.
 func (m *Manager) deleteKey(ctx context.Context, shard string, revision platform.Revision) error {
 	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, callTimeout)
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -35,7 +35,7 @@
 	revision := platform.Revision(right.Epoch)
 	m.drop(shard)
 	m.deletions[shard] = revision
-	m.decline(shard, releasePause)
+	m.leaveAlone(shard, releasePause)
 	m.mu.Unlock()
 	backoff := storeclient.NewBackoff(releaseRetryMin, releaseRetryMax, m.options.Random)
 	for {
@@ -74,7 +74,7 @@
 	}
 	m.drop(shard)
 	m.deletions[shard] = platform.Revision(right.Epoch)
-	m.decline(shard, declineMin)
+	m.decline(shard)
 	m.options.Metrics.declined.Inc()
 }
 
@@ -85,15 +85,24 @@
 	delete(m.declined, shard)
 }
 
-// decline sets the time for which a shard is left alone. The caller holds mu.
-func (m *Manager) decline(shard string, least time.Duration) {
+// decline leaves a shard alone for a time that doubles each time. The caller holds mu.
+func (m *Manager) decline(shard string) {
+	wait := declineMin
+	if d := m.declined[shard]; d != nil {
+		wait = min(max(2*d.wait, declineMin), declineMax)
+	}
+	m.leaveAlone(shard, wait)
+	m.declined[shard].wait = wait
+}
+
+// leaveAlone keeps this VM from acquiring a shard on its own for a time. The caller holds mu.
+func (m *Manager) leaveAlone(shard string, wait time.Duration) {
 	d := m.declined[shard]
 	if d == nil {
 		d = &declined{}
 		m.declined[shard] = d
 	}
-	d.wait = min(max(2*d.wait, least), declineMax)
-	d.until = m.options.Clock.Now().Add(d.wait)
+	d.until = m.options.Clock.Now().Add(wait)
 }
 
 // Preferred returns the VM that a shard prefers as its owner.
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -88,8 +88,8 @@
 	request := &siskinv1.PromiseRequest{
 		Vm: m.options.VM, Incarnation: m.options.Incarnation, DurationMs: PromiseDuration.Milliseconds(),
 	}
-	for shard, right := range m.held {
-		request.Shards = append(request.Shards, &siskinv1.ShardEpoch{Shard: shard, Epoch: right.Epoch})
+	for _, shard := range sortedKeys(m.held) {
+		request.Shards = append(request.Shards, &siskinv1.ShardEpoch{Shard: shard, Epoch: m.held[shard].Epoch})
 	}
 	return request
 }
