Grant every shard a base part of each ceiling, and start ownership in turns

Cause: a team without a limit has no demand that counts, and without demand it got no limit, so no task ever started; entry VMs that start together raced for all shards, so one VM took those of other zones. Change: demand is at least half of the ceiling over the shards; turns to acquire begin at the end of the start wait. Conclusion: as designed, half of each ceiling is granted evenly.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -284,9 +284,11 @@
 }
 
 func (o *Owner) refreshTeams(elsewhere map[string]resource.Vector) {
+	shards := int64(max(1, len(o.options.Config.Shards())))
 	for _, team := range o.options.Config.Teams() {
 		name := team.GetName()
-		o.options.Demand.SetDemand(o.shard, name, o.cell.TeamRunning(name).Add(o.cell.TeamWaiting(name)))
+		demand := o.cell.TeamRunning(name).Add(o.cell.TeamWaiting(name))
+		o.options.Demand.SetDemand(o.shard, name, demand.Max(baseline(team, shards)))
 		if limit, ok := o.limits[name]; ok {
 			o.cell.SetTeam(scheduler.Team{Name: name, Share: team.GetShare(), Limit: limit})
 		}
@@ -294,6 +296,17 @@
 	}
 }
 
+// baseline is the part of a team's ceiling that every shard holds without demand: half of the ceiling is split evenly,
+// so that a shard that is cut off can start work of every team.
+func baseline(team *siskinv1.Team, shards int64) resource.Vector {
+	ceiling := resource.FromProto(team.GetCeiling())
+	return resource.Vector{
+		MilliCPU:     ceiling.MilliCPU / (2 * shards),
+		MemoryBytes:  ceiling.MemoryBytes / (2 * shards),
+		Accelerators: ceiling.Accelerators / (2 * shards),
+	}
+}
+
 // SetLimit bounds what a team may run in the shard from now on, and returns what it runs with starts under way.
 // A new owner learns the limits after it has adopted running tasks; a zero limit before the first real one would stop
 // them.
--- a/ownership/acquire.go
+++ b/ownership/acquire.go
@@ -56,6 +56,10 @@
 	if d := m.declined[shard.Name]; d != nil && now.Before(d.until) {
 		return false
 	}
+	// Before the end of the start wait no VM of the site may acquire, so turns begin there when all start together.
+	if first := m.started.Add(m.rules.startWait); since.Before(first) {
+		since = first
+	}
 	return now.Sub(since) >= wait
 }
 
