Measure the decision core and test its policies

Change: benchmarks with the naive core in the same run, a small driver with a fake time for fairness, packing, drains, deadlines and waiting times, and tests of each policy.

--- /dev/null
+++ b/scheduler/driver_test.go
@@ -0,0 +1,237 @@
+package scheduler_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"time"
+
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler"
+	"siskinstack.example/siskinstack/scheduler/naive"
+)
+
+// decider is a decision core under a driver.
+type decider interface {
+	setTeam(scheduler.Team)
+	setWorker(scheduler.Worker)
+	submit(scheduler.Job)
+	plan(now time.Duration) scheduler.Plan
+	ended(start scheduler.Start, outcome scheduler.Outcome, now time.Duration)
+}
+
+const driverStarts = 1024
+
+type fastDecider struct{ *scheduler.Cell }
+
+func (d fastDecider) setTeam(t scheduler.Team)     { d.SetTeam(t) }
+func (d fastDecider) setWorker(w scheduler.Worker) { d.SetWorker(w) }
+func (d fastDecider) submit(job scheduler.Job) {
+	if err := d.Submit(job); err != nil {
+		panic(err)
+	}
+}
+func (d fastDecider) plan(now time.Duration) scheduler.Plan { return d.Plan(now, driverStarts) }
+func (d fastDecider) ended(start scheduler.Start, outcome scheduler.Outcome, now time.Duration) {
+	_ = d.Ended(start.Task, start.Attempt, outcome, now)
+	if outcome == scheduler.Succeeded {
+		_ = d.Forget(start.Task.Job)
+	}
+}
+
+type naiveDecider struct{ *naive.Cell }
+
+func (d naiveDecider) setTeam(t scheduler.Team)     { d.SetTeam(t) }
+func (d naiveDecider) setWorker(w scheduler.Worker) { d.SetWorker(w) }
+func (d naiveDecider) submit(job scheduler.Job)     { d.Submit(job) }
+func (d naiveDecider) plan(time.Duration) scheduler.Plan {
+	return scheduler.Plan{Starts: d.Plan(driverStarts, nil)}
+}
+func (d naiveDecider) ended(start scheduler.Start, outcome scheduler.Outcome, _ time.Duration) {
+	d.Ended(start.Task, start.Attempt, outcome == scheduler.Succeeded)
+	d.Forget(start.Task.Job)
+}
+
+// run is a running task in a driver.
+type run struct {
+	start scheduler.Start
+	began time.Duration
+	ends  time.Duration
+	at    int
+}
+
+type runHeap []*run
+
+func (h runHeap) Len() int { return len(h) }
+func (h runHeap) Less(i, j int) bool {
+	if h[i].ends != h[j].ends {
+		return h[i].ends < h[j].ends
+	}
+	return h[i].start.Task.Job < h[j].start.Task.Job
+}
+func (h runHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].at, h[j].at = i, j }
+func (h *runHeap) Push(x any)   { x.(*run).at = len(*h); *h = append(*h, x.(*run)) }
+func (h *runHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// driver runs a decision core against tasks with known run times under a fake time.
+type driver struct {
+	decider
+	now     time.Duration
+	step    time.Duration
+	rand    *rand.Rand
+	jobs    map[string]scheduler.Job
+	left    map[scheduler.TaskID]time.Duration // run time still needed
+	full    map[string]time.Duration
+	running map[scheduler.TaskID]*run
+	ends    runHeap
+	started map[scheduler.TaskID]time.Duration // first start
+	done    map[string]time.Duration           // end of single-task jobs
+	work    float64                            // processor seconds of work that was not lost
+	stops   int
+	moved   func(scheduler.Job) // called for tasks stopped by a drain instead of letting them wait
+	next    int
+	prefix  string         // of job identifiers
+	unbegun map[string]int // submitted tasks without a start, by team
+}
+
+func newDriver(d decider) *driver {
+	return &driver{
+		decider: d, step: 100 * time.Millisecond, rand: rand.New(rand.NewSource(7)), jobs: map[string]scheduler.Job{},
+		left: map[scheduler.TaskID]time.Duration{}, full: map[string]time.Duration{},
+		unbegun: map[string]int{}, running: map[scheduler.TaskID]*run{}, started: map[scheduler.TaskID]time.Duration{}, done: map[string]time.Duration{},
+	}
+}
+
+// fleet adds equal workers of 64 processors and 128 GB, eight to a rack.
+func (d *driver) fleet(workers int) {
+	for i := range workers {
+		d.setWorker(scheduler.Worker{Name: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/8), Room: vector(64, 128, 0)})
+	}
+}
+
+func (d *driver) teams(shares ...int64) {
+	for i, share := range shares {
+		d.setTeam(scheduler.Team{Name: teamName(i), Share: share, Limit: vector(1<<30, 1<<30, 1<<20)})
+	}
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
+
+// add submits a job whose tasks run for runFor.
+func (d *driver) add(job scheduler.Job, runFor time.Duration) {
+	d.next++
+	if job.ID == "" {
+		job.ID = fmt.Sprintf("%sjob-%d", d.prefix, d.next)
+	}
+	if job.Accepted == 0 {
+		job.Accepted = d.now
+	}
+	d.jobs[job.ID], d.full[job.ID] = job, runFor
+	for _, index := range job.Indexes {
+		id := scheduler.TaskID{Job: job.ID, Index: index}
+		if _, ok := d.left[id]; !ok {
+			d.left[id] = runFor
+			d.unbegun[job.Team]++
+		}
+	}
+	d.submit(job)
+}
+
+// advance moves the time by one step, with one pass at its end.
+func (d *driver) advance() {
+	d.now += d.step
+	for len(d.ends) > 0 && d.ends[0].ends <= d.now {
+		r := d.ends[0]
+		d.remove(r)
+		d.left[r.start.Task] = 0
+		d.work += cpuSeconds(r.start.Room, r.ends-r.began)
+		d.done[r.start.Task.Job] = r.ends
+		d.ended(r.start, scheduler.Succeeded, d.now)
+	}
+	plan := d.plan(d.now)
+	for _, stop := range plan.Stops {
+		d.stopTask(stop)
+	}
+	for _, start := range plan.Starts {
+		d.begin(start)
+	}
+}
+
+func (d *driver) begin(start scheduler.Start) {
+	if _, ok := d.started[start.Task]; !ok {
+		d.started[start.Task] = d.now
+		d.unbegun[start.Team]--
+	}
+	r := &run{start: start, began: d.now, ends: d.now + d.left[start.Task]}
+	d.running[start.Task] = r
+	heap.Push(&d.ends, r)
+}
+
+func (d *driver) stopTask(stop scheduler.Stop) {
+	r := d.running[stop.Task]
+	if r == nil {
+		return
+	}
+	d.stops++
+	d.remove(r)
+	if stop.Checkpoint {
+		d.work += cpuSeconds(r.start.Room, d.now-r.began)
+		d.left[stop.Task] = r.ends - d.now
+	}
+	d.ended(r.start, scheduler.Stopped, d.now)
+	if d.moved != nil && stop.Reason == scheduler.StopDraining {
+		d.moved(d.jobs[stop.Task.Job])
+	}
+}
+
+func (d *driver) remove(r *run) {
+	heap.Remove(&d.ends, r.at)
+	delete(d.running, r.start.Task)
+}
+
+func cpuSeconds(room resource.Vector, ran time.Duration) float64 {
+	return float64(room.MilliCPU) / 1000 * ran.Seconds()
+}
+
+// inProgress returns the work done so far by running tasks.
+func (d *driver) inProgress() float64 {
+	sum := 0.0
+	for _, r := range d.ends {
+		sum += cpuSeconds(r.start.Room, d.now-r.began)
+	}
+	return sum
+}
+
+// busy returns the processors in use by team.
+func (d *driver) busy() (byTeam map[string]float64, total float64) {
+	byTeam = map[string]float64{}
+	for _, r := range d.ends {
+		cpus := float64(r.start.Room.MilliCPU) / 1000
+		byTeam[r.start.Team] += cpus
+		total += cpus
+	}
+	return byTeam, total
+}
+
+// exponential returns a run time with the mean, cut at six times the mean.
+func (d *driver) exponential(mean time.Duration) time.Duration {
+	return time.Duration(min(d.rand.ExpFloat64(), 6) * float64(mean))
+}
+
+// wrongBy returns t times a factor between 1/most and most, evenly on a logarithmic scale.
+func (d *driver) wrongBy(t time.Duration, most float64) time.Duration {
+	return time.Duration(float64(t) * math.Pow(most, 2*d.rand.Float64()-1))
+}
+
+// batch returns a batch job of one task of a size drawn from 1 to 8 processors, of which the mean is 4.5.
+func (d *driver) batch(team int) scheduler.Job {
+	cpus := int64(1 + d.rand.Intn(8))
+	job := tasks("", scheduler.Batch, vector(cpus, cpus, 0), 1)
+	job.Team, job.Queue, job.Checkpoint = teamName(team), "batch", true
+	return job
+}
--- a/scheduler/naive/cell.go
+++ b/scheduler/naive/cell.go
@@ -39,6 +39,7 @@
 	tasks     []*task
 	cancelled bool
 	peak      resource.Vector
+	left      int // tasks that neither run nor are done
 }
 
 type task struct {
@@ -108,7 +109,7 @@
 func (c *Cell) Submit(spec scheduler.Job) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	j := &job{Job: spec}
+	j := &job{Job: spec, left: len(spec.Indexes)}
 	for _, index := range spec.Indexes {
 		j.tasks = append(j.tasks, &task{index: index})
 	}
@@ -197,6 +198,9 @@
 	}
 	t.worker = nil
 	t.done = done
+	if !done {
+		c.job(id.Job).left++
+	}
 }
 
 // Apply carries a start of another core out, or says which promise it breaks.
@@ -210,9 +214,21 @@
 			w = known
 		}
 	}
-	switch {
-	case t == nil || w == nil || owner == nil || owner.Name != j.Team:
+	if t == nil || w == nil || owner == nil || owner.Name != j.Team {
 		return eris.Wrapf(ErrBroken, "%v: unknown task, worker or team", start)
+	}
+	if err := c.check(start, j, t, w, owner); err != nil {
+		return err
+	}
+	t.attempt = start.Attempt
+	place(t, w, owner, start.Room)
+	j.left--
+	return nil
+}
+
+// check says which promise a start breaks.
+func (c *Cell) check(start scheduler.Start, j *job, t *task, w *worker, owner *team) error {
+	switch {
 	case t.worker != nil:
 		return eris.Wrapf(ErrBroken, "%v: runs already", start)
 	case t.done || t.held || j.cancelled:
@@ -228,8 +244,6 @@
 	case !owner.running.Add(start.Room).Fits(owner.Limit):
 		return eris.Wrapf(ErrBroken, "%v: team over its limit", start)
 	}
-	t.attempt = start.Attempt
-	place(t, w, owner, start.Room)
 	return nil
 }
 
@@ -239,6 +253,16 @@
 	owner.running = owner.running.Add(room)
 }
 
+// Retract takes a start back that was not carried out, with its attempt.
+func (c *Cell) Retract(start scheduler.Start) {
+	c.Ended(start.Task, start.Attempt, false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.find(start.Task); t != nil && t.worker == nil {
+		t.attempt = start.Attempt - 1
+	}
+}
+
 // Running returns the room that a team has running.
 func (c *Cell) Running(name string) resource.Vector {
 	c.mu.Lock()
@@ -248,3 +272,21 @@
 	}
 	return resource.Vector{}
 }
+
+// Forget drops a job whose tasks are all done.
+func (c *Cell) Forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, j := range c.jobs {
+		if j.ID != id {
+			continue
+		}
+		for _, t := range j.tasks {
+			if !t.done {
+				return
+			}
+		}
+		c.jobs = append(c.jobs[:i], c.jobs[i+1:]...)
+		return
+	}
+}
--- a/scheduler/naive/plan.go
+++ b/scheduler/naive/plan.go
@@ -33,7 +33,7 @@
 func (c *Cell) next(excluded func(string) bool) []scheduler.Start {
 	for _, owner := range c.teamsInOrder() {
 		for _, j := range c.jobs {
-			if j.Team != owner.Name || j.cancelled {
+			if j.left == 0 || j.Team != owner.Name || j.cancelled {
 				continue
 			}
 			if starts := c.startJob(j, owner, excluded); starts != nil {
@@ -115,7 +115,7 @@
 		}
 		start, ok := c.startTask(j, t, owner, excluded, rack)
 		if !ok {
-			c.undo(waiting[:len(starts)], owner)
+			j.undo(waiting[:len(starts)], owner)
 			return nil
 		}
 		starts = append(starts, start)
@@ -132,12 +132,13 @@
 	return false
 }
 
-func (c *Cell) undo(tasks []*task, owner *team) {
+func (j *job) undo(tasks []*task, owner *team) {
 	for _, t := range tasks {
 		t.attempt--
 		t.worker.used = t.worker.used.Sub(t.room)
 		owner.running = owner.running.Sub(t.room)
 		t.worker = nil
+		j.left++
 	}
 }
 
@@ -165,6 +166,7 @@
 	}
 	t.attempt++
 	place(t, best, owner, bestRoom)
+	j.left--
 	return scheduler.Start{
 		Task: scheduler.TaskID{Job: j.ID, Index: t.index}, Attempt: t.attempt, Worker: best.Name, Room: bestRoom, Team: j.Team,
 	}, true
