--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -16,6 +16,8 @@
 	// minVictimRun is how long a task runs before it may give way. A task of the same plan would be stopped before it
 	// has started.
 	minVictimRun = 500 * time.Millisecond
+	// shareTolerance covers the rounding of computed shares.
+	shareTolerance = 1e-9
 )
 
 // claimant is a waiting job that may take room from running work.
@@ -89,7 +91,7 @@
 }
 
 func (c *Cell) underOwed(t *team, need resource.Vector) bool {
-	return c.dominantWith(t, t.reclaimed.Add(need)) <= t.owed
+	return c.dominantWith(t, t.reclaimed.Add(need)) <= t.owed+shareTolerance
 }
 
 // reclaimable returns the tasks in the next window of workers that may give way, least waste first.
@@ -252,5 +254,5 @@
 	if j.Kind == Gang {
 		room = room.Scale(int64(j.counts.Running))
 	}
-	return c.dominantWith(j.team, resource.Vector{}.Sub(j.team.stopping).Sub(room)) >= j.team.owed
+	return c.dominantWith(j.team, resource.Vector{}.Sub(j.team.stopping).Sub(room)) >= j.team.owed-shareTolerance
 }
