Keep consecutive task indexes without a list

Cause: a queued job of one task took ten allocations.

Change: a job with consecutive indexes keeps only the first one.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"sort"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -15,6 +15,7 @@
 	shape *shape
 	class *usageClass
 	tasks []task          // by slot
+	first int32           // index of the first slot if the indexes are consecutive
 	slots map[int32]int32 // slot by index; nil if the indexes are consecutive
 	rooms []resource.Vector
 	// hint is a slot before which no task can be started.
@@ -92,31 +93,42 @@
 
 // addTasks appends tasks for the indexes, and reports whether all of them were new.
 func (j *job) addTasks(indexes []int32) bool {
-	sorted := append([]int32(nil), indexes...)
-	sort.Slice(sorted, func(a, b int) bool { return sorted[a] < sorted[b] })
-	for i := 1; i < len(sorted); i++ {
-		if sorted[i] == sorted[i-1] {
-			return false
-		}
-	}
 	first := len(j.tasks)
-	j.tasks = append(make([]task, 0, first+len(sorted)), j.tasks...)
-	for range sorted {
-		j.tasks = append(j.tasks, task{attempt: j.FirstAttempt})
+	j.tasks = append(make([]task, 0, first+len(indexes)), j.tasks...)[:first+len(indexes)]
+	for slot := first; slot < len(j.tasks); slot++ {
+		j.tasks[slot].attempt = j.FirstAttempt
 	}
-	j.Indexes = append(j.Indexes, sorted...)
-	if !consecutive(j.Indexes) {
-		j.mapSlots()
+	if first == 0 && consecutive(indexes) {
+		if len(indexes) > 0 {
+			j.first = indexes[0]
+		}
 		return true
 	}
-	j.slots = nil
-	j.Indexes = j.Indexes[:min(1, len(j.Indexes)):min(1, len(j.Indexes))]
-	if len(j.Indexes) == 1 {
-		j.Indexes = []int32{j.Indexes[0]}
+	j.nameSlots(first)
+	added := slices.Clone(indexes)
+	slices.Sort(added)
+	j.Indexes = append(j.Indexes, added...)
+	for i, index := range added {
+		if _, ok := j.slots[index]; ok {
+			return false
+		}
+		j.slots[index] = int32(first + i)
 	}
 	return true
 }
 
+// nameSlots keeps the index of each of the first n slots, which were consecutive so far.
+func (j *job) nameSlots(n int) {
+	if j.slots != nil {
+		return
+	}
+	j.slots = map[int32]int32{}
+	for slot := range int32(n) {
+		j.Indexes = append(j.Indexes, j.first+slot)
+		j.slots[j.first+slot] = slot
+	}
+}
+
 func consecutive(indexes []int32) bool {
 	for i, index := range indexes {
 		if index != indexes[0]+int32(i) {
@@ -126,23 +138,13 @@
 	return true
 }
 
-func (j *job) mapSlots() {
-	j.slots = make(map[int32]int32, len(j.Indexes))
-	for slot, index := range j.Indexes {
-		j.slots[index] = int32(slot)
-	}
-}
-
 // slotOf returns the slot of an index.
 func (j *job) slotOf(index int32) (int32, bool) {
 	if j.slots != nil {
 		slot, ok := j.slots[index]
 		return slot, ok
 	}
-	if len(j.tasks) == 0 {
-		return 0, false
-	}
-	slot := int64(index) - int64(j.Indexes[0])
+	slot := int64(index) - int64(j.first)
 	return int32(slot), slot >= 0 && slot < int64(len(j.tasks))
 }
 
@@ -151,7 +153,7 @@
 	if j.slots != nil {
 		return j.Indexes[slot]
 	}
-	return j.Indexes[0] + slot
+	return j.first + slot
 }
 
 func (j *job) id(slot int32) TaskID { return TaskID{Job: j.ID, Index: j.indexOf(slot)} }
@@ -225,13 +227,6 @@
 	if len(added) == 0 {
 		return
 	}
-	if j.slots == nil {
-		all := make([]int32, len(j.tasks))
-		for slot := range all {
-			all[slot] = j.indexOf(int32(slot))
-		}
-		j.Indexes = all
-	}
 	j.addTasks(added)
 	c.waitMore(j, len(added))
 }
--- a/scheduler/policy_bench_test.go
+++ b/scheduler/policy_bench_test.go
@@ -290,7 +290,9 @@
 		for _, name := range deciderNames {
 			b.Run(fmt.Sprintf("load=%d/%s", percent, name), func(b *testing.B) {
 				for b.Loop() {
-					for class, waits := range waiting(name, float64(percent)/100) {
+					waits, used := waiting(name, float64(percent)/100)
+					b.ReportMetric(100*used, "used-%")
+					for class, waits := range waits {
 						b.ReportMetric(quantile(waits, 0.5)/1e6, class+"-p50-s")
 						b.ReportMetric(quantile(waits, 0.99)/1e6, class+"-p99-s")
 					}
@@ -301,7 +303,7 @@
 }
 
 // waiting offers 10% urgent, 15% can-wait, 15% gang and 5% service work, the rest normal batch.
-func waiting(name string, offered float64) map[string][]time.Duration {
+func waiting(name string, offered float64) (map[string][]time.Duration, float64) {
 	d := newDriver(deciders[name]())
 	d.fleet(20)
 	d.teams(1, 1, 1, 1, 1, 1)
@@ -327,7 +329,7 @@
 		}
 		waits[classes[id.Job]] = append(waits[classes[id.Job]], start-accepted)
 	}
-	return waits
+	return waits, (d.work + d.inProgress()) / (20 * 64 * d.now.Seconds())
 }
 
 func (d *driver) mixed() (scheduler.Job, string) {
