Do not stop a gang job in the plan that completes it

Cause: a plan could start a lost task of a gang job again and stop the whole gang job for urgent work.

Change: a gang job may give way once its latest start is old enough.

--- a/scheduler/counterexamples_test.go
+++ b/scheduler/counterexamples_test.go
@@ -63,3 +63,20 @@
 	}
 	assert.Assert(t, len(c.Plan(2*time.Minute, 100).Stops) > 0)
 }
+
+// TestGangIsNotStoppedInThePlanThatCompletesIt guards against a plan that starts a lost task of a gang job again and
+// stops the whole gang job. Found by TestCoreKeepsPromises.
+func TestGangIsNotStoppedInThePlanThatCompletesIt(t *testing.T) {
+	c := newCell(t, 1, vector(16, 16, 0))
+	submit(t, c, tasks("gang", scheduler.Gang, vector(4, 4, 0), 3), tasks("rest", scheduler.Service, vector(4, 4, 0), 1))
+	starts := c.Plan(time.Second, 100).Starts
+	assert.Equal(t, len(starts), 4)
+	end(t, c, starts[0], scheduler.Lost, time.Minute)
+	urgent := tasks("urgent", scheduler.Batch, vector(8, 8, 0), 1)
+	urgent.Urgency = scheduler.Urgent
+	submit(t, c, urgent)
+	plan := c.Plan(time.Minute, 100)
+	assert.Equal(t, len(plan.Starts), 1)
+	assert.Equal(t, len(plan.Stops), 0)
+	assert.Equal(t, len(c.Plan(2*time.Minute, 100).Stops), 3)
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -42,6 +42,8 @@
 	failedOn      []int32
 	// claims is the number of tasks for which room is being freed.
 	claims int
+	// lastStart is when a task was started last.
+	lastStart Time
 }
 
 // Submit adds a job. It returns a *QueueFullError if too many tasks wait.
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -275,8 +275,13 @@
 
 // canYield reports whether a running task may be stopped for other work at all.
 func (c *Cell) canYield(ref taskRef) bool {
-	t := ref.task()
-	return ref.job.Kind != Service && !ref.job.AtMostOnce && t.flags&flagStopping == 0 && c.now-t.started >= minVictimRun
+	t, j := ref.task(), ref.job
+	started := t.started
+	if j.Kind == Gang {
+		// All tasks of the gang job would be stopped, also one that was started again after the others.
+		started = j.lastStart
+	}
+	return j.Kind != Service && !j.AtMostOnce && t.flags&flagStopping == 0 && c.now-started >= minVictimRun
 }
 
 // mayTake reports whether a running task may give way to the claimant.
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -60,6 +60,7 @@
 	t.pos = int32(len(w.tasks))
 	t.room = j.internRoom(room)
 	t.started = c.now
+	j.lastStart = c.now
 	w.tasks = append(w.tasks, ref)
 	c.addUsed(w, room)
 	j.team.running = j.team.running.Add(room)
