--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -77,3 +77,14 @@
 	}
 	return nil
 }
+
+// Entries returns the number of entries in the lists of a cell that are cleaned lazily.
+func (c *Cell) Entries() int {
+	n := len(c.parked) + len(c.shapes) + len(c.stopping) + len(c.timed)
+	for _, t := range c.teamList {
+		for _, l := range t.lanes {
+			n += len(l.entries)
+		}
+	}
+	return n
+}
