Empty leaving workers and keep a worker for large tasks

Cause: work on a worker that leaves was lost with it, and a single task nearly as large as a worker could be starved by smaller ones, as gang jobs could before they had a reservation.

Change: checkpointable batch work on leaving workers is saved and stopped, and services move one task at a time if there is room, both under the rate limit of a drain.

Conclusion: one reservation at a time serves gang jobs and large tasks.

--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -85,8 +85,10 @@
 	updating   []*job // services with tasks of an older version
 
 	reservation *reservation
+	released    int // reservations that were given up
 	stopping    []pendingStop
 	probing     []*worker
+	leaving     []*worker // leaving workers that may have tasks
 	suspended   []*worker
 	failureRate float64
 	victimStart int
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "time"
+
 // SetDraining starts or ends the drain of the shard's availability zone. After the end the zone fills gradually.
 func (c *Cell) SetDraining(draining bool) {
 	if c.draining == draining {
@@ -37,7 +39,7 @@
 // replacements run elsewhere, tasks that cannot run again run to their end, and tasks without checkpoints get a grace
 // time to end by themselves.
 func (c *Cell) evacuate(plan *Plan) {
-	interval := Time(float64(Time(1e9)) / max(c.options.EvacuationsPerSecond, 1e-3))
+	interval := c.evacuationInterval()
 	for range c.workers {
 		w := c.workers[c.evacuateStart%len(c.workers)]
 		if w != nil && !c.evacuateWorker(w, interval, plan) {
@@ -49,6 +51,30 @@
 	c.evacuateAt = max(c.evacuateAt, c.now)
 }
 
+// evacuationInterval returns the time between two stops under the rate limit.
+func (c *Cell) evacuationInterval() Time {
+	return Time(float64(time.Second) / max(c.options.EvacuationsPerSecond, 1e-3))
+}
+
+// evacuateLeaving moves work off leaving workers under the same rate limit.
+func (c *Cell) evacuateLeaving(plan *Plan) {
+	interval := c.evacuationInterval()
+	kept := c.leaving[:0]
+	limited := false
+	for _, w := range c.leaving {
+		if !w.present || !w.Leaving {
+			continue
+		}
+		kept = append(kept, w)
+		limited = limited || !c.evacuateWorker(w, interval, plan)
+	}
+	clear(c.leaving[len(kept):])
+	c.leaving = kept
+	if !limited {
+		c.evacuateAt = max(c.evacuateAt, c.now)
+	}
+}
+
 // evacuateWorker stops the tasks of a worker that may be moved, and reports whether the rate limit let it finish.
 func (c *Cell) evacuateWorker(w *worker, interval Time, plan *Plan) bool {
 	for i := 0; i < len(w.tasks); i++ {
@@ -68,8 +94,22 @@
 
 func (c *Cell) evacuates(ref taskRef) bool {
 	j := ref.job
-	if j.Kind == Service || j.AtMostOnce || ref.task().flags&flagStopping != 0 {
+	if j.AtMostOnce || ref.task().flags&flagStopping != 0 {
+		return false
+	}
+	if j.Kind == Service {
+		return !c.draining && c.canMove(j)
+	}
+	return j.Checkpoint || c.draining && c.now-c.drainSince >= c.options.EvacuationGrace
+}
+
+// canMove reports whether a task of a service may be stopped to run on another worker: all others run, and there is
+// room for it.
+func (c *Cell) canMove(j *job) bool {
+	if j.counts.Queued > 0 || j.stopping > 0 {
 		return false
 	}
-	return j.Checkpoint || c.now-c.drainSince >= c.options.EvacuationGrace
+	c.refreshShape(j.shape, j.team)
+	id, _ := c.findBest(j.shape, j.team, -1)
+	return id >= 0
 }
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -7,6 +7,9 @@
 	"siskinstack.example/siskinstack/scheduler/policy/reserve"
 )
 
+// largePart is the part of the largest worker, as a divisor, from which a single task may have a worker kept for it.
+const largePart = 3
+
 // gangScratch is reused by the searches for gang jobs.
 type gangScratch struct {
 	fits  []int32 // by worker
@@ -21,7 +24,7 @@
 	fit  int
 }
 
-// reservation keeps workers for one gang job at a time, so that two gang jobs never hold parts of what the other needs.
+// reservation keeps workers for one gang job or large task at a time, so that two gang jobs never hold parts of what the other needs.
 type reservation struct {
 	job     *job
 	workers []int32
@@ -196,10 +199,10 @@
 	}
 }
 
-// startReserved tries the gang job that workers are kept for before any other work.
-func (c *Cell) startReserved(plan *Plan, maxStarts int) {
+// startReservedGang tries the gang job that workers are kept for before any other work.
+func (c *Cell) startReservedGang(plan *Plan, maxStarts int) {
 	r := c.reservation
-	if r == nil || maxStarts <= 0 || !c.rampAllows() {
+	if r == nil || r.job.Kind != Gang || maxStarts <= 0 || !c.rampAllows() {
 		return
 	}
 	if r.job.parked != WaitNone || c.now-r.since > 2*c.options.ReserveAfter {
@@ -210,7 +213,52 @@
 	c.tryGang(r.job, plan)
 }
 
-// reserveFor keeps workers for a gang job that has waited too long, unless another one has that already.
+// startReservedTask starts the large task that a worker is kept for once there is room. It comes after the other work,
+// so that urgent work goes first.
+func (c *Cell) startReservedTask(plan *Plan, maxStarts int) {
+	r := c.reservation
+	if r == nil || r.job.Kind == Gang || len(plan.Starts) >= maxStarts || !c.rampAllows() {
+		return
+	}
+	j := r.job
+	c.refreshShape(j.shape, j.team)
+	slot, ok := j.nextQueued()
+	if !ok || !c.permits(j.team, j.shape.need) {
+		c.dropReservation(j)
+		return
+	}
+	for _, id := range r.workers {
+		w := c.workers[id]
+		if w == nil || w.reserved != j || !w.takesWork() {
+			continue
+		}
+		if need := c.needOn(j, w); need.Fits(c.index.free[id]) {
+			c.dropReservation(j)
+			plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, w, need))
+			return
+		}
+	}
+}
+
+// yieldReservation gives the worker kept for a large task to urgent work that found no room elsewhere.
+func (c *Cell) yieldReservation(t *team) bool {
+	r := c.reservation
+	if r == nil || r.job.Kind == Gang || r.job.lane == laneUrgent || !t.goesFirst() {
+		return false
+	}
+	c.dropReservation(r.job)
+	return true
+}
+
+// isLarge reports whether a task needs so much of a worker that smaller tasks could starve it.
+func (c *Cell) isLarge(need resource.Vector) bool {
+	scale := c.index.scale
+	return largePart*need.MilliCPU >= scale.MilliCPU && need.MilliCPU > 0 ||
+		largePart*need.MemoryBytes >= scale.MemoryBytes && need.MemoryBytes > 0 ||
+		largePart*need.Accelerators >= scale.Accelerators && need.Accelerators > 0
+}
+
+// reserveFor keeps workers for n tasks of a job that has waited too long, unless another one has that already.
 func (c *Cell) reserveFor(j *job, n int) {
 	if c.reservation != nil || j.parked != WaitNone || c.now-j.Accepted < c.options.ReserveAfter {
 		return
@@ -241,7 +289,7 @@
 	}
 }
 
-// Reservation returns the gang job that workers are kept for, and the workers; empty if there is none.
+// Reservation returns the job that workers are kept for, and the workers; empty if there is none.
 func (c *Cell) Reservation() (id string, workers []string) {
 	if c.reservation == nil {
 		return "", nil
@@ -283,6 +331,7 @@
 		return
 	}
 	c.reservation = nil
+	c.released++
 	for _, id := range r.workers {
 		if w := c.workers[id]; w != nil && w.reserved == j {
 			w.reserved = nil
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -42,6 +42,8 @@
 	failedOn      []int32
 	// claims is the number of tasks for which room is being freed.
 	claims int
+	// stopping is the number of running tasks that were ordered to stop.
+	stopping int
 	// lastStart is when a task was started last.
 	lastStart Time
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -2,6 +2,10 @@
 
 import "siskinstack.example/siskinstack/resource"
 
+// maxRounds bounds how often a pass goes through the queues. Another round is made when workers were released that had
+// been kept for a job.
+const maxRounds = 4
+
 // Plan decides what to start and stop now, at most maxStarts starts; a gang job that would exceed maxStarts is started
 // as a whole. The room of the starts is reserved: the caller checks each with Recheck before it carries it out, and
 // reports StartFailed for those that it did not carry out.
@@ -18,6 +22,7 @@
 		c.evacuate(&plan)
 		return plan
 	}
+	c.evacuateLeaving(&plan)
 	c.continueUpdates(&plan)
 	c.startWork(&plan, maxStarts)
 	if len(plan.Starts) < maxStarts && c.rampAllows() {
@@ -28,13 +33,29 @@
 
 // startWork starts tasks in fair order until nothing more fits.
 func (c *Cell) startWork(plan *Plan, maxStarts int) {
+	c.startReservedGang(plan, maxStarts)
+	for range maxRounds {
+		released := c.released
+		c.rewindTeams()
+		c.startInOrder(plan, maxStarts)
+		c.startReservedTask(plan, maxStarts)
+		if c.released == released {
+			return
+		}
+	}
+}
+
+// rewindTeams makes every waiting job a candidate again.
+func (c *Cell) rewindTeams() {
 	for _, t := range c.teamList {
 		for i := range t.lanes {
 			t.lanes[i].rewind()
 		}
 		t.candidate, t.exhausted = nil, !t.known
 	}
-	c.startReserved(plan, maxStarts)
+}
+
+func (c *Cell) startInOrder(plan *Plan, maxStarts int) {
 	for len(plan.Starts) < maxStarts && c.rampAllows() {
 		t := c.nextTeam()
 		if t == nil {
@@ -61,7 +82,7 @@
 				continue
 			}
 		}
-		urgent := t.lane == laneUrgent && t.share*float64(max(t.Share, 1)) < t.owed
+		urgent := t.goesFirst()
 		if best == nil || (urgent && !bestUrgent) || (urgent == bestUrgent && t.share < best.share) {
 			best, bestUrgent = t, urgent
 		}
@@ -69,6 +90,11 @@
 	return best
 }
 
+// goesFirst reports whether the candidate of a team is urgent work inside the share that the team is owed.
+func (t *team) goesFirst() bool {
+	return t.lane == laneUrgent && t.share*float64(max(t.Share, 1)) < t.owed
+}
+
 // permits reports whether a team may run need more.
 func (c *Cell) permits(t *team, need resource.Vector) bool {
 	return c.options.Policies.Permit.Permit(t.running, need, t.Limit)
@@ -102,9 +128,15 @@
 		return c.startSmaller(j, slot, plan)
 	}
 	w, need := c.pick(j, slot)
+	if w == nil && c.yieldReservation(t) {
+		w, need = c.pick(j, slot)
+	}
 	if w == nil {
 		j.shape.blockedAt = c.capacity
 		c.examine(j)
+		if c.isLarge(j.shape.need) {
+			c.reserveFor(j, 1)
+		}
 		return false
 	}
 	plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, w, need))
--- a/scheduler/policy_test.go
+++ b/scheduler/policy_test.go
@@ -458,3 +458,60 @@
 	assert.NilError(t, c.Ended(stops[0].Task, stops[0].Attempt, scheduler.Stopped, time.Minute))
 	assert.Equal(t, c.Plan(time.Minute+2*time.Second, 10).Starts[0].Task.Job, "u")
 }
+
+// TestLargeTaskIsNotStarvedBySmallWork guards against a task as large as a worker that waits for ever because each gap
+// is filled at once.
+func TestLargeTaskIsNotStarvedBySmallWork(t *testing.T) {
+	c := newCell(t, 4, vector(8, 8, 0))
+	large := tasks("large", scheduler.Batch, vector(8, 8, 0), 1)
+	large.Accepted = time.Second
+	var running []scheduler.Start
+	for second := range 200 {
+		now := time.Duration(second) * time.Second
+		submit(t, c, tasks(fmt.Sprintf("small-%d", second), scheduler.Batch, vector(1, 1, 0), 8))
+		if second == 5 {
+			submit(t, c, large)
+		}
+		for _, start := range c.Plan(now, 100).Starts {
+			if start.Task.Job == "large" {
+				return
+			}
+			running = append(running, start)
+		}
+		for range min(4, len(running)) {
+			end(t, c, running[0], scheduler.Succeeded, now)
+			running = running[1:]
+		}
+	}
+	t.Fatal("the large task has not started")
+}
+
+// TestLeavingWorkerIsEmptied guards against work that is lost with a leaving worker, and against a service that loses
+// more than one task at a time, or one for which there is no room.
+func TestLeavingWorkerIsEmptied(t *testing.T) {
+	c := newCell(t, 1, vector(8, 8, 0))
+	saved := tasks("saved", scheduler.Batch, vector(1, 1, 0), 2)
+	saved.Checkpoint = true
+	submit(t, c, saved, tasks("s", scheduler.Service, vector(1, 1, 0), 2), tasks("unsaved", scheduler.Batch, vector(1, 1, 0), 1))
+	assert.Equal(t, len(c.Plan(time.Second, 100).Starts), 5)
+	c.SetWorker(scheduler.Worker{Name: "a", Rack: "a", Room: vector(8, 8, 0), Leaving: true})
+	stopped := map[string]int{}
+	for second := range 10 {
+		now := time.Duration(second+2) * time.Second
+		plan := c.Plan(now, 100)
+		services := 0
+		for _, stop := range plan.Stops {
+			assert.Equal(t, stop.Worker, "a")
+			stopped[stop.Task.Job]++
+			if stop.Task.Job == "s" {
+				services++
+			}
+			assert.NilError(t, c.Ended(stop.Task, stop.Attempt, scheduler.Stopped, now))
+		}
+		assert.Assert(t, services <= 1 && (services == 0 || second >= 5))
+		if second == 5 {
+			c.SetWorker(scheduler.Worker{Name: "b", Rack: "b", Room: vector(8, 8, 0)})
+		}
+	}
+	assert.DeepEqual(t, stopped, map[string]int{"saved": 2, "s": 2})
+}
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -29,6 +29,7 @@
 	if t.flags&flagStopping == 0 {
 		room := ref.room()
 		t.flags |= flagStopping
+		ref.job.stopping++
 		ref.job.team.stopping = ref.job.team.stopping.Add(room)
 		if benefit != nil {
 			benefit.team.reclaimed = benefit.team.reclaimed.Add(room)
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -85,6 +85,7 @@
 	c.addUsed(w, resource.Vector{}.Sub(room))
 	j.team.running = j.team.running.Sub(room)
 	if t.flags&flagStopping != 0 {
+		j.stopping--
 		j.team.stopping = j.team.stopping.Sub(room)
 	}
 	c.refreshShare(j.team)
--- a/scheduler/update.go
+++ b/scheduler/update.go
@@ -68,21 +68,16 @@
 	if j.cancelled {
 		return false
 	}
-	next, stopping := int32(-1), false
+	next := int32(-1)
 	for slot := range j.tasks {
-		t := &j.tasks[slot]
-		if t.state != taskRunning {
-			continue
-		}
-		stopping = stopping || t.flags&flagStopping != 0
-		if next < 0 && t.flags&flagOld != 0 {
+		if t := &j.tasks[slot]; next < 0 && t.state == taskRunning && t.flags&flagOld != 0 {
 			next = int32(slot)
 		}
 	}
 	if next < 0 {
 		return false
 	}
-	if !stopping && j.counts.Queued == 0 {
+	if j.stopping == 0 && j.counts.Queued == 0 {
 		plan.Stops = append(plan.Stops, c.stop(taskRef{j, next}, StopReplaced, nil))
 	}
 	return true
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -10,7 +10,7 @@
 	present bool
 	used    resource.Vector
 	tasks   []taskRef
-	// reserved is the gang job that the worker is kept for.
+	// reserved is the job that the worker is kept for.
 	reserved *job
 	health   health
 }
@@ -43,6 +43,9 @@
 	if w.Leaving {
 		c.dropReservation(state.reserved)
 	}
+	if w.Leaving && (!state.present || !state.Leaving) {
+		c.leaving = append(c.leaving, state)
+	}
 	state.Worker = w
 	state.present = true
 	c.total = c.total.Add(w.Room)
