--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -85,11 +85,14 @@
 	updating   []*job // services with tasks of an older version
 
 	reservation *reservation
+	released    int // reservations that were given up
 	stopping    []pendingStop
 	probing     []*worker
+	leaving     []*worker // leaving workers that may have tasks
 	suspended   []*worker
 	failureRate float64
 	victimStart int
+	reclaimAt   Time // earliest next search for room to reclaim
 	gangScratch gangScratch
 
 	draining      bool
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -61,6 +61,7 @@
 	t.pos = int32(len(w.tasks))
 	t.room = j.internRoom(room)
 	t.started = c.now
+	j.lastStart = c.now
 	w.tasks = append(w.tasks, ref)
 	c.addUsed(w, room)
 	j.team.running = j.team.running.Add(room)
@@ -85,6 +86,7 @@
 	c.addUsed(w, resource.Vector{}.Sub(room))
 	j.team.running = j.team.running.Sub(room)
 	if t.flags&flagStopping != 0 {
+		j.stopping--
 		j.team.stopping = j.team.stopping.Sub(room)
 	}
 	c.refreshShare(j.team)
