Follow changed slots and find dead endpoints without requests

Cause: endpoints kept the allowance of a former bundle; a dead endpoint was found only by failing requests; a caller of endpoints that is no entry VM kept a restarted VM's slots back for ever; the server guessed a content type. Change: allowances follow the bundle, load questions without a connection count as failures, only configured VMs count as borrowers, answers pass without a guessed type, and requests that wait come before new ones. Conclusion: unit tests for the first two; the others by reading.

--- a/entry/request.go
+++ b/entry/request.go
@@ -78,6 +78,9 @@
 // send forwards a request, after a claim if it must run at most once under its key. A request that is not idempotent is
 // seen through even if the caller goes away, so that its outcome gets known and no booking is cut off half way.
 func (s *Server) send(ctx context.Context, request router.Request, requestKey string) (router.Answer, error) {
+	if !time.Now().Before(request.Deadline) {
+		return router.Answer{}, refusal.New(refusal.DeadlineTooShort, "the time allowed by the caller is over")
+	}
 	if request.Idempotent {
 		return s.sendOnce(ctx, request)
 	}
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -50,8 +50,13 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.Timeouts.Write))
 	if contentType != "" {
 		w.Header().Set("Content-Type", contentType)
+	} else {
+		// The server would guess a type that the endpoint did not name.
+		w.Header()["Content-Type"] = nil
+	}
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
--- a/router/pool.go
+++ b/router/pool.go
@@ -42,13 +42,18 @@
 	askedLoan time.Time
 }
 
-// configure takes over the limits of the service. A changed number of slots applies to endpoints listed afterwards.
+// configure takes over the limits of the service. While the VMs learn of a change one after the other, their parts add
+// up to no more than the larger of the two numbers of slots.
 func (p *pool) configure(service *siskinv1.Service) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.slots = positiveOr(service.GetSlots(), defaultSlots)
 	p.connections = positiveOr(service.GetConnections(), defaultConnections)
 	p.waiting.limit = positiveOr(service.GetMaxWaiting(), defaultMaxWaiting)
+	for _, e := range p.endpoints {
+		e.connections = Allowance(p.connections, e.name, p.zoneVMs, p.vm)
+		e.slots.allowance = Allowance(p.slots, e.name, p.zoneVMs, p.vm)
+	}
 }
 
 func positiveOr(value int32, otherwise int) int {
@@ -115,6 +120,8 @@
 // acquire takes a slot of an endpoint, if possible not the one named avoid, and waits for one if necessary.
 func (p *pool) acquire(ctx context.Context, request Request, avoid string) (held, error) {
 	p.mu.Lock()
+	// Time alone may have made room since the last tick; those who wait come first.
+	p.dispatch()
 	if e := p.pick(avoid); e != nil {
 		defer p.mu.Unlock()
 		return p.hold(e), nil
@@ -217,6 +224,16 @@
 	p.dispatch()
 }
 
+// unreachable counts a load question that found no connection. It does not prolong an ejection that has begun.
+func (p *pool) unreachable(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if e := p.find(name); e != nil && !e.health.ejected(now) {
+		e.health.failed(now)
+	}
+}
+
 // find returns the endpoint of a name. The lock is held.
 func (p *pool) find(name string) *endpoint {
 	for _, e := range p.endpoints {
--- a/router/refresh.go
+++ b/router/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -134,6 +135,9 @@
 	load, err := r.options.Endpoints.Load(ctx, t.name, t.address)
 	if err != nil {
 		r.metrics.loadErrors.Inc()
+		if errors.Is(err, platform.ErrNotSent) && ctx.Err() == nil {
+			p.unreachable(t.name)
+		}
 		return
 	}
 	p.observe(t.name, observation{load: load, asked: asked, from: r.from})
--- a/router/slots.go
+++ b/router/slots.go
@@ -171,8 +171,8 @@
 	if borrower != "" {
 		return usage[borrower] <= o.allowances[borrower]
 	}
-	for vm, n := range usage {
-		if vm != o.vm && n > o.allowances[vm] {
+	for vm, allowance := range o.allowances {
+		if vm != o.vm && usage[vm] > allowance {
 			return false
 		}
 	}
--- a/router/waiting_test.go
+++ b/router/waiting_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
 )
 
 // TestWaitingMatchesSortedList guards against a queue that serves or sheds another request than the first or last by
@@ -75,6 +77,26 @@
 	assert.Equal(t, h.room(4, 0, now), 4)
 }
 
+// TestSlotsOfServiceChange guards against endpoints that keep the allowance of a former bundle.
+func TestSlotsOfServiceChange(t *testing.T) {
+	p := &pool{vm: "entry-0", zoneVMs: []string{"entry-0", "entry-1"}, clock: clock.NewFake(time.Unix(0, 0))}
+	for _, slots := range []int32{8, 4, 12} {
+		p.configure(&siskinv1.Service{Slots: slots})
+		p.list([]platform.VM{{Name: "e"}})
+		assert.Equal(t, p.endpoints[0].slots.allowance, int(slots)/2)
+	}
+}
+
+// TestIdleDeadEndpointIsEjected guards against a dead endpoint that is found only at the cost of requests.
+func TestIdleDeadEndpointIsEjected(t *testing.T) {
+	p := &pool{clock: clock.NewFake(time.Unix(0, 0)), endpoints: []*endpoint{{name: "e"}}}
+	for range failuresToEject {
+		assert.Assert(t, p.hasUsable())
+		p.unreachable("e")
+	}
+	assert.Assert(t, !p.hasUsable())
+}
+
 // TestFailureWhileReturningEjectsLonger guards against probing a dead endpoint every second for ever.
 func TestFailureWhileReturningEjectsLonger(t *testing.T) {
 	now := time.Unix(0, 0)
