--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -117,6 +117,9 @@
 	return listener
 }
 
+// Owner implements peer.Directory: the last VM owns all shards, so that the others claim over the peer RPC.
+func (c *cluster) Owner(string) (string, bool) { return c.entryVMs[len(c.entryVMs)-1].Name, true }
+
 // serveEndpoint puts a handler in the place of an endpoint.
 func (c *cluster) serveEndpoint(i int, handler http.Handler) {
 	s := httptest.NewServer(handler)
@@ -138,7 +141,7 @@
 	vm.server = New(Options{
 		Auth: OpenAccess{}, Requests: vm.router, Shards: func() []string { return []string{"zone-0-0", "zone-1-0"} },
 		Claims: claim.NewClient(claim.ClientOptions{
-			Shards: c.claims, Names: func() []string { return []string{"zone-0-0", "zone-1-0"} },
+			Shards: &peer.ClaimRouter{VM: vm.name, Local: c.claims, Directory: c, Clients: vm.clients}, Names: func() []string { return []string{"zone-0-0", "zone-1-0"} },
 			EntryVM: fmt.Sprintf("%s/%d", vm.name, version), Clock: clock.Real{},
 		}),
 		Timeouts: Timeouts{Drain: 50 * time.Millisecond},
