--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -274,6 +274,16 @@
 	assert.Equal(t, c.runs()["z"]+c.runs()["y"], 0)
 }
 
+// TestForwardPassesDeadVM guards against an unknown outcome for a request that was never sent to the dead VM.
+func TestForwardPassesDeadVM(t *testing.T) {
+	c := newCluster(t, 4, workFor(0), 1)
+	c.vms[1].stop()
+	for i := range 10 {
+		got := c.send(c.vms[0], fmt.Sprint(i))
+		assert.Equal(t, got.body, fmt.Sprintf("done %d", i))
+	}
+}
+
 // TestTwoZonesWithoutEndpoints guards against two zones that pass a request to and fro while the list still shows
 // endpoints in both.
 func TestTwoZonesWithoutEndpoints(t *testing.T) {
