Check callers that do not read their answer

Cause: the write deadline and the end of the read deadline had no test. Change: one test for both; it fails without either.

--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/router"
 )
 
 // fakeWork keeps jobs by identifier; one shard is down.
@@ -269,6 +271,34 @@
 	}
 }
 
+// slowRequests answers after a while with a body that no socket buffer holds.
+type slowRequests struct{ cut atomic.Bool }
+
+func (r *slowRequests) Send(ctx context.Context, _ router.Request) (router.Answer, error) {
+	time.Sleep(200 * time.Millisecond)
+	r.cut.Store(ctx.Err() != nil)
+	return router.Answer{Status: http.StatusOK, Body: make([]byte, 64<<20)}, nil
+}
+
+func (r *slowRequests) Timeout(string) (time.Duration, bool) { return time.Minute, true }
+
+// TestSlowReaderIsEnded guards against callers that hold an answer in memory by not reading it, and against a read
+// deadline that cuts off a request whose body came in time.
+func TestSlowReaderIsEnded(t *testing.T) {
+	requests := &slowRequests{}
+	s := New(Options{Auth: OpenAccess{}, Requests: requests, Timeouts: Timeouts{Read: 50 * time.Millisecond, Write: 50 * time.Millisecond}})
+	listener := listen(t)
+	go func() { _ = s.Serve(listener) }()
+	defer func() { _ = s.http.Close() }()
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = connection.Close() }()
+	_, _ = io.WriteString(connection, "POST /v1/services/s/requests HTTP/1.1\r\nHost: x\r\nSiskin-Idempotent: true\r\nContent-Length: 1\r\n\r\nx")
+	eventually(t, "the request is in flight", func() bool { return s.InFlight() == 1 })
+	eventually(t, "the answer is given up", func() bool { return s.InFlight() == 0 })
+	assert.Assert(t, !requests.cut.Load())
+}
+
 // TestCountersAndSpans guards against routes without counters and against a trace that breaks at this hop.
 func TestCountersAndSpans(t *testing.T) {
 	registry := prometheus.NewRegistry()
