Date sightings of a bundle by the question

Cause: a sighting was dated by its answer, which may come seconds after the version was read. Conclusion: a slow answer cannot make a bundle look late.

--- a/demo/step_bundle.go
+++ b/demo/step_bundle.go
@@ -90,12 +90,14 @@
 // watchVersion records the version that a VM says it has in force.
 func (r *run) watchVersion(ctx context.Context, vm *entryVM) {
 	for pause(ctx, sightingInterval) {
+		// The version that is answered was in force at this moment or came into force later.
+		asked := time.Now()
 		version, ok := r.versionOf(ctx, vm)
 		if !ok {
 			continue
 		}
 		r.recorder.update(func(records *promises.Records) {
-			records.Sightings = append(records.Sightings, promises.Sighting{VM: vm.name(), At: time.Now(), Version: version})
+			records.Sightings = append(records.Sightings, promises.Sighting{VM: vm.name(), At: asked, Version: version})
 		})
 	}
 }
