Bound the demo to its 30 s and test the waits of the command line

Cause: steps that all run into their limits would have taken the demo past 30 s; waits were tested for sign-off only. Conclusion: a failing demo ends in time too.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -102,6 +102,37 @@
 	}
 }
 
+// TestWaits guards against waits that report success for work that failed, or without showing progress.
+func TestWaits(t *testing.T) {
+	server := fakeServer(t, map[string]fakeAnswer{
+		"POST /v1/work":                {202, `{"id":"w"}`},
+		"GET /v1/work/w":               {200, `{"id":"w","succeeded":1,"failed":1}`},
+		"POST /v1/zones/zone-1/drain":  {200, `{"zone":"zone-1"}`},
+		"GET /v1/zones/zone-1":         {200, `{"running":0}`},
+		"POST /v1/zones/zone-2/drain":  {200, `{"zone":"zone-2"}`},
+		"GET /v1/zones/zone-2":         {200, `{"running":"2"}`},
+		"POST /v1/zones/unseen/drain":  {200, `{"zone":"unseen"}`},
+		"GET /v1/zones/unseen":         {401, refused(true)},
+		"POST /v1/zones/unseen/return": {200, `{}`},
+	})
+	file := filepath.Join(t.TempDir(), "work.json")
+	assert.NilError(t, os.WriteFile(file, []byte(`{"name":"n","count":2}`), secretMode))
+	for _, test := range []struct {
+		want     int
+		progress string
+		args     []string
+	}{
+		{ExitFailure, "succeeded 1, failed 1", []string{"work", "submit", "--wait", file}},
+		{ExitOK, "0 tasks still run", []string{"zone", "drain", "--wait", "zone-1"}},
+		{ExitFailure, "2 tasks still run", []string{"zone", "drain", "--wait", "--wait-limit", "10ms", "zone-2"}},
+		{ExitNotRun, "key_withdrawn", []string{"zone", "drain", "--wait", "unseen"}},
+	} {
+		code, _, errOut := execute(append([]string{"--server", server}, test.args...)...)
+		assert.Equal(t, code, test.want, "%v: %s", test.args, errOut)
+		assert.Assert(t, strings.Contains(errOut, test.progress), errOut)
+	}
+}
+
 // TestTLS guards against calls to servers that are not verified.
 func TestTLS(t *testing.T) {
 	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -98,6 +98,9 @@
 	}
 }
 
+// stepsLimit leaves two of the demo's 30 s for the checks. Steps that are cut short by it fail.
+const stepsLimit = 28 * time.Second
+
 // Run works the site and checks the promises. progress may be nil.
 func Run(ctx context.Context, chosen site.Site, progress func(Step)) (Report, error) {
 	return runWith(ctx, chosen, progress, startDaemon)
@@ -111,8 +114,10 @@
 	}
 	defer r.close()
 	report := Report{Site: chosen.Name, Shown: true}
+	limited, cancel := context.WithTimeout(ctx, stepsLimit)
+	defer cancel()
 	for _, s := range steps() {
-		done := r.do(ctx, s)
+		done := r.do(limited, s)
 		report.Steps = append(report.Steps, done)
 		report.Shown = report.Shown && done.State == Done
 		if progress != nil {
