Cut a killed VM off from the whole platform

Cause: a killed VM could still reach workers and endpoints while its daemon ended, and closing the demo waited for one VM after the other. Change: Network.Isolate; kill uses it; closing waits 5 s for all VMs together. Conclusion: a kill is abrupt towards the platform whatever the daemon does at the end of its context.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -17,8 +17,12 @@
 	"siskinstack.example/siskinstack/standin/site"
 )
 
-// stopTimeout bounds the wait for an entry VM to end.
-const stopTimeout = 5 * time.Second
+const (
+	// stopTimeout bounds the planned stop of an entry VM.
+	stopTimeout = 8 * time.Second
+	// closeTimeout bounds the end of all entry VMs at the end of the demo.
+	closeTimeout = 5 * time.Second
+)
 
 // process is the daemon of one entry VM. Run serves until ctx ends.
 type process interface {
@@ -89,8 +93,10 @@
 	for _, vm := range c.vms {
 		vm.cancel()
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
 	for _, vm := range c.vms {
-		_ = waitEnded(context.Background(), vm)
+		_ = waitEnded(ctx, vm)
 	}
 	c.platform.Close()
 }
@@ -128,10 +134,10 @@
 // killer is a daemon that can end without notice: listeners and connections close, nothing is handed over.
 type killer interface{ Kill() }
 
-// kill ends an entry VM without notice. The store refuses its calls from then on, so that it can hand nothing over. A
-// daemon without Kill ends when its context does.
+// kill ends an entry VM without notice. The platform, its workers and its endpoints are cut off from it at once, so that
+// it can hand nothing over. A daemon without Kill ends when its context does; its callers then see a planned stop.
 func (c *cluster) kill(vm *entryVM) {
-	c.platform.Store.SetFaultsFor(vm.name(), standin.StoreFaults{Down: true})
+	c.platform.Network.Isolate(vm.name())
 	if abrupt, ok := vm.daemon.(killer); ok {
 		abrupt.Kill()
 	}
--- a/standin/network.go
+++ b/standin/network.go
@@ -45,6 +45,19 @@
 // Heal opens both ways between two VMs.
 func (n *Network) Heal(a, b string) { n.set(false, link{a, b}, link{b, a}) }
 
+// Isolate loses everything between a VM and all others.
+func (n *Network) Isolate(vm string) {
+	n.mu.Lock()
+	var links []link
+	for other := range n.zones {
+		if other != vm {
+			links = append(links, link{vm, other}, link{other, vm})
+		}
+	}
+	n.mu.Unlock()
+	n.set(true, links...)
+}
+
 // CutZone loses everything between the VMs of a zone and all others.
 func (n *Network) CutZone(zone string) { n.set(true, n.border(zone)...) }
 
