--- a/demo/promises/control.go
+++ b/demo/promises/control.go
@@ -122,7 +122,8 @@
 		open += final.GetRunning()
 	}
 	if open > 0 {
-		v.violate("work %s (%s) has %d tasks that did not come to an end or start", id, work.Tag, open)
+		v.violate("work %s (%s) has %d tasks that did not come to an end or start: %q", id, work.Tag, open,
+			final.GetWaitingReason())
 	}
 	if bad := final.GetFailed() + final.GetCancelled(); bad > 0 {
 		v.violate("work %s (%s) has %d tasks failed or cancelled without cause", id, work.Tag, bad)
