--- a/demo/promises/control.go
+++ b/demo/promises/control.go
@@ -124,7 +124,7 @@
 		open = work.Count - min(work.Count, final.GetRunning())
 	}
 	if open > 0 {
-		v.violate("work %s (%s) has %d tasks that did not come to an end or start: %s", id, work.Tag, open,
+		v.violate("work %s (%s) has %d tasks that did not come to an end or start: %q", id, work.Tag, open,
 			final.GetWaitingReason())
 	}
 	if bad := final.GetFailed() + final.GetCancelled(); bad > 0 {
