Move tasks between shards in one append

Cause: release and assignment were two commits; between them no shard held the tasks and their job showed 0 of 3 tasks. Change: the home shard records both in one append; tasks without a holder count as queued and are taken back by the home shard. Conclusion: a status always accounts for every task.

--- a/owner/balance.go
+++ b/owner/balance.go
@@ -124,7 +124,7 @@
 		return
 	}
 	for _, shard := range sortedKeys(surplus) {
-		o.takeBack(ctx, id, shard, surplus[shard], true)
+		o.takeBack(ctx, id, shard, "", surplus[shard], true)
 	}
 }
 
@@ -186,13 +186,14 @@
 	return true
 }
 
-// takeBack asks a holder, or this shard, to give indexes up, and records what it has given up.
-func (o *Owner) takeBack(ctx context.Context, id, shard string, wanted indexSet, stopRunning bool) indexSet {
+// takeBack asks a holder, or this shard, to give indexes up, and records what it has given up. The same append assigns
+// them to the shard to, unless it is empty.
+func (o *Owner) takeBack(ctx context.Context, id, shard, to string, wanted indexSet, stopRunning bool) indexSet {
 	if wanted.empty() {
 		return nil
 	}
 	if shard == o.shard {
-		return o.takeBackLocal(ctx, id, wanted, stopRunning)
+		return o.takeBackLocal(ctx, id, to, wanted, stopRunning)
 	}
 	o.mu.Lock()
 	j := o.state.jobs[id]
@@ -210,20 +211,21 @@
 	o.mu.Lock()
 	remaining := j.plan[shard].set.minus(released)
 	version = max(j.plan[shard].version+1, answer.GetPlanVersion())
+	records := append([]*siskinv1.Record{partRecord(id, shard, version, remaining, nil)}, o.assignRecords(id, j, to, released)...)
 	o.mu.Unlock()
-	if released.empty() || o.append(ctx, partRecord(id, shard, version, remaining, nil)) != nil {
+	if released.empty() || o.append(ctx, records...) != nil {
 		return nil
 	}
 	return released
 }
 
-func (o *Owner) takeBackLocal(ctx context.Context, id string, wanted indexSet, stopRunning bool) indexSet {
+func (o *Owner) takeBackLocal(ctx context.Context, id, to string, wanted indexSet, stopRunning bool) indexSet {
 	o.mu.Lock()
 	j := o.state.jobs[id]
 	free := o.holdBack(j, wanted.intersect(j.held), stopRunning)
-	record := partRecord(id, o.shard, j.heldVersion+1, j.held.minus(free), nil)
+	records := append([]*siskinv1.Record{partRecord(id, o.shard, j.heldVersion+1, j.held.minus(free), nil)}, o.assignRecords(id, j, to, free)...)
 	o.mu.Unlock()
-	if free.empty() || o.append(ctx, record) != nil {
+	if free.empty() || o.append(ctx, records...) != nil {
 		return nil
 	}
 	return free
@@ -238,14 +240,14 @@
 		o.mu.Unlock()
 		return 0
 	}
-	orphans := (indexSet{}).add(0, j.accepted.GetSpec().GetCount()).minus(j.assigned())
+	orphans := j.orphans()
+	repair := o.assignRecords(id, j, o.shard, orphans)
 	each := resource.FromProto(j.accepted.GetSpec().GetEach())
 	gang := j.accepted.GetSpec().GetKind() == siskinv1.WorkKind_WORK_KIND_GANG
 	from, stuck := o.stuckTasks(id, j, gang)
 	o.mu.Unlock()
 	if !orphans.empty() {
-		// A previous owner stopped between the release of these tasks and their assignment.
-		o.assign(ctx, id, o.shard, orphans)
+		_ = o.append(ctx, repair...)
 		return 0
 	}
 	if stuck.empty() {
@@ -259,11 +261,7 @@
 	if n <= 0 {
 		return 0
 	}
-	released := o.takeBack(ctx, id, from, stuck.take(n), false)
-	if released.empty() {
-		return 0
-	}
-	o.assign(ctx, id, to, released)
+	released := o.takeBack(ctx, id, from, to, stuck.take(n), false)
 	o.options.Metrics.moved.WithLabelValues(o.shard).Add(float64(released.size()))
 	return released.size()
 }
@@ -352,22 +350,24 @@
 	return all
 }
 
-// assign gives released indexes to a shard. The record is retried until it is durable or this owner ends, because the
-// indexes belong to nobody meanwhile; a new owner finds them by comparing the plan with the count.
-func (o *Owner) assign(ctx context.Context, id, shard string, set indexSet) {
-	for ctx.Err() == nil && o.mayAct() {
-		o.mu.Lock()
-		j := o.state.jobs[id]
-		var record *siskinv1.Record
-		if shard == o.shard {
-			record = partRecord(id, shard, j.heldVersion+1, j.held.union(set), nil)
-		} else {
-			record = partRecord(id, shard, j.plan[shard].version+1, j.plan[shard].set.union(set), nil)
-		}
-		o.mu.Unlock()
-		if o.append(ctx, record) == nil {
-			return
-		}
-		_ = o.options.Clock.Sleep(ctx, partsInterval)
+// assignRecords returns the records that give released indexes to a shard. The caller holds mu.
+func (o *Owner) assignRecords(id string, j *job, to string, set indexSet) []*siskinv1.Record {
+	switch {
+	case to == "" || set.empty():
+		return nil
+	case to == o.shard:
+		return []*siskinv1.Record{partRecord(id, to, j.heldVersion+1, j.held.union(set), nil)}
+	default:
+		assigned := j.plan[to]
+		return []*siskinv1.Record{partRecord(id, to, assigned.version+1, assigned.set.union(set), nil)}
+	}
+}
+
+// orphans returns the indexes that no shard holds. Only a release whose assignment is missing in the log leaves any,
+// and a service drops indexes on purpose.
+func (j *job) orphans() indexSet {
+	if j.accepted.GetSpec().GetKind() == siskinv1.WorkKind_WORK_KIND_SERVICE {
+		return nil
 	}
+	return (indexSet{}).add(0, j.accepted.GetSpec().GetCount()).minus(j.assigned())
 }
--- a/owner/parts.go
+++ b/owner/parts.go
@@ -333,6 +333,7 @@
 
 // addRemote adds the tasks that other shards hold. The caller holds mu.
 func (o *Owner) addRemote(status *siskinv1.WorkStatus, j *job) {
+	status.Queued += int32(j.orphans().size())
 	for shard, assigned := range j.plan {
 		open := int32(assigned.set.size())
 		for index := range j.ended {
--- a/owner/parts_test.go
+++ b/owner/parts_test.go
@@ -97,6 +97,27 @@
 	})
 }
 
+// TestReleasedTasksWithoutHolderAreShownAndRepaired guards against tasks that are lost, or missing from the status, when
+// an owner fails between the release of tasks and their assignment.
+func TestReleasedTasksWithoutHolderAreShownAndRepaired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, "x", "y")
+		s.drain("x", true)
+		o := s.open("x", time.Hour)
+		id := s.submit(o, "b", batch(6, false))
+		assert.NilError(t, o.append(context.Background(), partRecord(id, "x-0", 5, indexSet{}.add(0, 2), nil)))
+		assert.Equal(t, s.status(o, id).GetQueued(), int32(6))
+		o.kill()
+		o = s.open("x", time.Hour)
+		assert.Equal(t, s.status(o, id).GetQueued(), int32(6))
+		s.drain("x", false)
+		time.Sleep(3 * time.Minute)
+		assert.Equal(t, s.status(o, id).GetSucceeded(), int32(6))
+		o.kill()
+		assert.Equal(t, len(s.checkRuns()), 6)
+	})
+}
+
 // TestMovedPartsSurviveTakeovers guards against tasks that are lost or doubled when home and holder change owners while
 // tasks move.
 func TestMovedPartsSurviveTakeovers(t *testing.T) {
