Make the hostile endpoint a stand-in

Cause: an endpoint with faulty answers is of use beyond one test. Change: it moves from the test into standin/server, with the faults as constants; a quarter of its answers is faulty.

--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -1,13 +1,10 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,87 +15,38 @@
 	"siskinstack.example/siskinstack/platform/httpplatform"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/server"
 )
 
-// hostile is an endpoint that writes its answers by hand: late, for another request, cut short or twice.
-type hostile struct {
-	requests atomic.Int64
-	previous atomic.Value
-	// behave chooses what the nth request gets.
-	behave func(n int64) string
+// serveHostile puts a hostile endpoint in the place of an endpoint.
+func (c *cluster) serveHostile(i int, fault func(n int64) server.Fault) *server.Hostile {
+	h := server.NewHostile(fault)
+	listener := listen(c.t)
+	c.t.Cleanup(func() { _ = listener.Close() })
+	go h.Serve(listener)
+	c.listed[i].Address = listener.Addr().String()
+	return h
 }
 
-func (h *hostile) start(t *testing.T) string {
-	listener := listen(t)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go h.serve(connection)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-func (h *hostile) serve(connection net.Conn) {
-	defer func() { _ = connection.Close() }()
-	reader := bufio.NewReader(connection)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, _ := io.ReadAll(request.Body)
-		if request.URL.Path == httpplatform.PathLoad {
-			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"in_flight\":{}}")
-			continue
-		}
-		id := request.Header.Get(httpplatform.HeaderRequestID)
-		answer := message(id, "done "+string(body))
-		other, _ := h.previous.Swap(answer).(string)
-		switch h.behave(h.requests.Add(1)) {
-		case "late":
-			time.Sleep(300 * time.Millisecond)
-			_, _ = io.WriteString(connection, answer)
-		case "other request's":
-			_, _ = io.WriteString(connection, other)
-		case "cut":
-			_, _ = io.WriteString(connection, answer[:len(answer)-3])
-			return
-		case "twice":
-			_, _ = io.WriteString(connection, answer+answer)
-		case "busy for another":
-			_, _ = io.WriteString(connection, strings.Replace(message("x", ""), "\r\n", "\r\nPlatform-Error: endpoint_busy\r\n", 1))
-		case "no length":
-			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\ndone half", id)
-			return
-		case "silent":
-			return
-		default:
-			_, _ = io.WriteString(connection, answer)
-		}
-	}
-}
-
-func message(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
-}
+func silent(int64) server.Fault { return server.FaultSilent }
 
 // TestAnswersAreNeverSwapped guards against an answer that reaches another caller, or only in part, whatever an endpoint
 // sends: late, reordered, truncated, duplicated answers and refusals.
 func TestAnswersAreNeverSwapped(t *testing.T) {
 	// Most answers are good: an endpoint that only fails is ejected, and the test would see little.
-	kinds := []string{
-		"", "", "twice", "", "", "", "other request's", "", "", "", "late", "", "", "", "cut", "", "", "", "no length",
-		"", "", "", "busy for another", "", "", "",
+	faults := []server.Fault{
+		server.FaultTwice, server.FaultSwapped, server.FaultLate, server.FaultCut, server.FaultNoLength, server.FaultForeignRefusal,
+	}
+	// Three of four answers are good: an endpoint that only fails is ejected, and the test would see little.
+	fault := func(n int64) server.Fault {
+		if n%4 != 0 {
+			return server.FaultNone
+		}
+		return faults[(n/4)%int64(len(faults))]
 	}
 	c := prepareCluster(t, workFor(0), 0, 0, 0, 1, 1, 1)
 	for i := range c.listed {
-		h := &hostile{behave: func(n int64) string { return kinds[n%int64(len(kinds))] }}
-		c.listed[i].Address = h.start(t)
+		c.serveHostile(i, fault)
 	}
 	c.start(2)
 	answered := 0
@@ -118,25 +66,23 @@
 // connection after it has got the request, and against a "not run" for it.
 func TestOnceAfterCut(t *testing.T) {
 	c := prepareCluster(t, workFor(0), 0)
-	h := &hostile{behave: func(int64) string { return "silent" }}
-	c.listed[0].Address = h.start(t)
+	h := c.serveHostile(0, silent)
 	c.start(2)
 	got := c.send(c.vms[0], "reindex", HeaderRequestKey, "k1")
 	assert.Equal(t, got.refusal.Reason, string(refusal.EndpointFailed))
 	assert.Assert(t, !got.refusal.NotRun)
 	again := c.send(c.vms[1], "reindex", HeaderRequestKey, "k1")
 	assert.Equal(t, again.refusal.Reason, string(refusal.OutcomeUnknown))
-	assert.Equal(t, h.requests.Load(), int64(1))
+	assert.Equal(t, h.Requests(), int64(1))
 	withoutKey := c.send(c.vms[0], "booking")
 	assert.Equal(t, withoutKey.refusal.Reason, string(refusal.EndpointFailed))
-	assert.Equal(t, h.requests.Load(), int64(2))
+	assert.Equal(t, h.Requests(), int64(2))
 }
 
 // TestIdempotentIsRetriedElsewhere guards against giving up a request that another endpoint can answer.
 func TestIdempotentIsRetriedElsewhere(t *testing.T) {
 	c := prepareCluster(t, workFor(0), 0, 0)
-	h := &hostile{behave: func(int64) string { return "silent" }}
-	c.listed[0].Address = h.start(t)
+	c.serveHostile(0, silent)
 	c.start(1)
 	for i := range 8 {
 		got := c.send(c.vms[0], fmt.Sprint(i), HeaderIdempotent, "true")
--- /dev/null
+++ b/standin/server/hostile.go
@@ -0,0 +1,115 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"siskinstack.example/siskinstack/platform/httpplatform"
+)
+
+// Fault is what a hostile endpoint does to one answer.
+type Fault int
+
+// The faults.
+const (
+	FaultNone Fault = iota
+	// FaultLate answers after lateAnswer.
+	FaultLate
+	// FaultSwapped sends the answer to the previous request, which may have come over another connection.
+	FaultSwapped
+	// FaultCut closes the connection before the last bytes.
+	FaultCut
+	// FaultTwice sends the answer twice.
+	FaultTwice
+	// FaultForeignRefusal refuses another request as busy.
+	FaultForeignRefusal
+	// FaultNoLength sends half the answer with no length and closes the connection.
+	FaultNoLength
+	// FaultSilent closes the connection without an answer.
+	FaultSilent
+)
+
+const lateAnswer = 300 * time.Millisecond
+
+// Hostile is an endpoint that writes its answers by hand, with faults that no HTTP server makes.
+type Hostile struct {
+	requests atomic.Int64
+	previous atomic.Value
+	fault    func(request int64) Fault
+}
+
+// NewHostile returns an endpoint; fault chooses what the nth request gets, from 1.
+func NewHostile(fault func(request int64) Fault) *Hostile { return &Hostile{fault: fault} }
+
+// Requests returns how many requests have arrived.
+func (h *Hostile) Requests() int64 { return h.requests.Load() }
+
+// Serve answers until the listener is closed.
+func (h *Hostile) Serve(listener net.Listener) {
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go h.serve(connection)
+	}
+}
+
+// serve ends with its connection.
+func (h *Hostile) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		if request.URL.Path == httpplatform.PathLoad {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"in_flight\":{}}")
+			continue
+		}
+		if !h.answer(connection, request.Header.Get(httpplatform.HeaderRequestID), string(body)) {
+			return
+		}
+	}
+}
+
+// answer reports whether the connection stays open.
+func (h *Hostile) answer(w io.Writer, id, body string) bool {
+	whole := rawAnswer(id, "done "+body)
+	previous, _ := h.previous.Swap(whole).(string)
+	fault := h.fault(h.requests.Add(1))
+	switch fault {
+	case FaultLate:
+		time.Sleep(lateAnswer)
+	case FaultSwapped:
+		whole = previous
+	case FaultCut:
+		whole = whole[:len(whole)-3]
+	case FaultTwice:
+		whole += whole
+	case FaultForeignRefusal:
+		whole = strings.Replace(rawAnswer("another", ""), "\r\n", "\r\n"+httpplatform.HeaderError+": endpoint_busy\r\n", 1)
+	case FaultNoLength:
+		whole = "HTTP/1.1 200 OK\r\n" + httpplatform.HeaderRequestID + ": " + id + "\r\n\r\ndone half"
+	case FaultSilent:
+		whole = ""
+	case FaultNone:
+	}
+	_, err := io.WriteString(w, whole)
+	return err == nil && fault != FaultCut && fault != FaultNoLength && fault != FaultSilent
+}
+
+func rawAnswer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", httpplatform.HeaderRequestID, id, len(body), body)
+}
