--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -4,12 +4,8 @@
 	"sort"
 
 	"siskinstack.example/siskinstack/resource"
-	"siskinstack.example/siskinstack/scheduler/policy/reserve"
 )
 
-// largePart is the part of the largest worker, as a divisor, from which a single task may have a worker kept for it.
-const largePart = 3
-
 // gangScratch is reused by the searches for gang jobs.
 type gangScratch struct {
 	fits  []int32 // by worker
@@ -25,14 +21,6 @@
 }
 
 // reservation keeps workers for one gang job or large task at a time, so that two gang jobs never hold parts of what the other needs.
-type reservation struct {
-	job     *job
-	workers []int32
-	since   Time
-	// until is when the work on the workers is expected to have ended; 0 if not known.
-	until Time
-}
-
 // tryGang starts all waiting tasks of a gang job or none.
 func (c *Cell) tryGang(j *job, plan *Plan) bool {
 	n := j.counts.Queued
@@ -200,161 +188,13 @@
 }
 
 // startReservedGang tries the gang job that workers are kept for before any other work.
-func (c *Cell) startReservedGang(plan *Plan, maxStarts int) {
-	r := c.reservation
-	if r == nil || r.job.Kind != Gang || maxStarts <= 0 || !c.rampAllows() {
-		return
-	}
-	if r.job.parked != WaitNone || c.now-r.since > 2*c.options.ReserveAfter {
-		// The choice may be out of date: another set of workers may be free sooner.
-		c.dropReservation(r.job)
-	}
-	c.refreshShape(r.job.shape, r.job.team)
-	c.tryGang(r.job, plan)
-}
-
 // startReservedTask starts the large task that a worker is kept for once there is room. It comes after the other work,
 // so that urgent work goes first.
-func (c *Cell) startReservedTask(plan *Plan, maxStarts int) {
-	r := c.reservation
-	if r == nil || r.job.Kind == Gang || len(plan.Starts) >= maxStarts || !c.rampAllows() {
-		return
-	}
-	j := r.job
-	c.refreshShape(j.shape, j.team)
-	slot, ok := j.nextQueued()
-	if !ok || !c.permits(j.team, j.shape.need) {
-		c.dropReservation(j)
-		return
-	}
-	for _, id := range r.workers {
-		w := c.workers[id]
-		if w == nil || w.reserved != j || !w.takesWork() {
-			continue
-		}
-		if need := c.needOn(j, w); need.Fits(c.index.free[id]) {
-			c.dropReservation(j)
-			plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, w, need))
-			return
-		}
-	}
-}
-
 // yieldReservation gives the worker kept for a large task to urgent work that found no room elsewhere.
-func (c *Cell) yieldReservation(t *team) bool {
-	r := c.reservation
-	if r == nil || r.job.Kind == Gang || r.job.lane == laneUrgent || !t.goesFirst() {
-		return false
-	}
-	c.dropReservation(r.job)
-	return true
-}
-
 // isLarge reports whether a task needs so much of a worker that smaller tasks could starve it.
-func (c *Cell) isLarge(need resource.Vector) bool {
-	scale := c.index.scale
-	return largePart*need.MilliCPU >= scale.MilliCPU && need.MilliCPU > 0 ||
-		largePart*need.MemoryBytes >= scale.MemoryBytes && need.MemoryBytes > 0 ||
-		largePart*need.Accelerators >= scale.Accelerators && need.Accelerators > 0
-}
-
 // reserveFor keeps workers for n tasks of a job that has waited too long, unless another one has that already.
-func (c *Cell) reserveFor(j *job, n int) {
-	if c.reservation != nil || j.parked != WaitNone || c.now-j.Accepted < c.options.ReserveAfter {
-		return
-	}
-	var candidates []reserve.Candidate
-	onlyRack := c.gangRack(j)
-	for _, w := range c.workers {
-		if w == nil || !w.takesWork() || (onlyRack >= 0 && w.rack != onlyRack) {
-			continue
-		}
-		need := c.needOn(j, w)
-		candidates = append(candidates, reserve.Candidate{
-			Worker: w.id, Rack: w.rack,
-			Now: copies(need, c.index.free[w.id], n), Later: copies(need, w.Room.Sub(w.lasting()), n),
-		})
-	}
-	chosen := c.options.Policies.Reserve.Reserve(candidates, n, j.SameRack)
-	if chosen == nil {
-		return
-	}
-	r := &reservation{job: j, workers: chosen, since: c.now}
-	c.reservation = r
-	for _, id := range chosen {
-		w := c.workers[id]
-		w.reserved = j
-		r.until = max(r.until, c.endOfWork(w))
-		c.reindex(w)
-	}
-}
-
 // Reservation returns the job that workers are kept for, and the workers; empty if there is none.
-func (c *Cell) Reservation() (id string, workers []string) {
-	if c.reservation == nil {
-		return "", nil
-	}
-	for _, worker := range c.reservation.workers {
-		if w := c.workers[worker]; w != nil && w.reserved == c.reservation.job {
-			workers = append(workers, w.Name)
-		}
-	}
-	return c.reservation.job.ID, workers
-}
-
 // lasting returns the room of the tasks on a worker that do not end by themselves.
-func (w *worker) lasting() resource.Vector {
-	var room resource.Vector
-	for _, ref := range w.tasks {
-		if ref.job.Kind == Service {
-			room = room.Add(ref.room())
-		}
-	}
-	return room
-}
-
 // endOfWork returns when the tasks on a worker are expected to have ended.
-func (c *Cell) endOfWork(w *worker) Time {
-	end := c.now
-	for _, ref := range w.tasks {
-		if ref.job.Kind != Service {
-			end = max(end, ref.task().started+ref.job.estimate(feasibleQuantile))
-		}
-	}
-	return end
-}
-
 // dropReservation gives the workers that are kept for j back.
-func (c *Cell) dropReservation(j *job) {
-	r := c.reservation
-	if j == nil || r == nil || r.job != j {
-		return
-	}
-	c.reservation = nil
-	c.released++
-	for _, id := range r.workers {
-		if w := c.workers[id]; w != nil && w.reserved == j {
-			w.reserved = nil
-			c.reindex(w)
-		}
-	}
-}
-
 // pickBackfill returns a reserved worker for a task that is expected to end before the reservation needs the room.
-func (c *Cell) pickBackfill(j *job) (*worker, resource.Vector) {
-	r := c.reservation
-	estimate := j.estimate(raiseQuantile)
-	if r == nil || j.Kind != Batch || estimate == 0 || c.now+estimate > r.until {
-		return nil, resource.Vector{}
-	}
-	for _, id := range r.workers {
-		w := c.workers[id]
-		if w == nil || w.reserved != r.job || !w.takesWork() {
-			continue
-		}
-		if need := c.needOn(j, w); need.Fits(c.index.free[id]) {
-			return w, need
-		}
-	}
-	return nil, resource.Vector{}
-}
