--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -20,7 +20,6 @@
 	fit  int
 }
 
-// reservation keeps workers for one gang job or large task at a time, so that two gang jobs never hold parts of what the other needs.
 // tryGang starts all waiting tasks of a gang job or none.
 func (c *Cell) tryGang(j *job, plan *Plan) bool {
 	n := j.counts.Queued
@@ -186,15 +185,3 @@
 		}
 	}
 }
-
-// startReservedGang tries the gang job that workers are kept for before any other work.
-// startReservedTask starts the large task that a worker is kept for once there is room. It comes after the other work,
-// so that urgent work goes first.
-// yieldReservation gives the worker kept for a large task to urgent work that found no room elsewhere.
-// isLarge reports whether a task needs so much of a worker that smaller tasks could starve it.
-// reserveFor keeps workers for n tasks of a job that has waited too long, unless another one has that already.
-// Reservation returns the job that workers are kept for, and the workers; empty if there is none.
-// lasting returns the room of the tasks on a worker that do not end by themselves.
-// endOfWork returns when the tasks on a worker are expected to have ended.
-// dropReservation gives the workers that are kept for j back.
-// pickBackfill returns a reserved worker for a task that is expected to end before the reservation needs the room.
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -8,6 +8,8 @@
 // largePart is the part of the largest worker, as a divisor, from which a single task may have a worker kept for it.
 const largePart = 3
 
+// reservation keeps workers for one gang job or large task at a time, so that two gang jobs never hold parts of what
+// the other one needs.
 type reservation struct {
 	job     *job
 	workers []int32
@@ -16,6 +18,7 @@
 	until Time
 }
 
+// startReservedGang tries the gang job that workers are kept for before any other work.
 func (c *Cell) startReservedGang(plan *Plan, maxStarts int) {
 	r := c.reservation
 	if r == nil || r.job.Kind != Gang || maxStarts <= 0 || !c.rampAllows() {
@@ -29,6 +32,8 @@
 	c.tryGang(r.job, plan)
 }
 
+// startReservedTask starts the large task that a worker is kept for once there is room. It comes after the other work,
+// so that urgent work goes first.
 func (c *Cell) startReservedTask(plan *Plan, maxStarts int) {
 	r := c.reservation
 	if r == nil || r.job.Kind == Gang || len(plan.Starts) >= maxStarts || !c.rampAllows() {
@@ -54,6 +59,7 @@
 	}
 }
 
+// yieldReservation gives the worker kept for a large task to urgent work that found no room elsewhere.
 func (c *Cell) yieldReservation(t *team) bool {
 	r := c.reservation
 	if r == nil || r.job.Kind == Gang || r.job.lane == laneUrgent || !t.goesFirst() {
@@ -63,6 +69,7 @@
 	return true
 }
 
+// isLarge reports whether a task needs so much of a worker that smaller tasks could starve it.
 func (c *Cell) isLarge(need resource.Vector) bool {
 	scale := c.index.scale
 	return largePart*need.MilliCPU >= scale.MilliCPU && need.MilliCPU > 0 ||
@@ -70,6 +77,7 @@
 		largePart*need.Accelerators >= scale.Accelerators && need.Accelerators > 0
 }
 
+// reserveFor keeps workers for n tasks of a job that has waited too long, unless another one has that already.
 func (c *Cell) reserveFor(j *job, n int) {
 	if c.reservation != nil || j.parked != WaitNone || c.now-j.Accepted < c.options.ReserveAfter {
 		return
@@ -100,6 +108,7 @@
 	}
 }
 
+// Reservation returns the job that workers are kept for, and the workers; empty if there is none.
 func (c *Cell) Reservation() (id string, workers []string) {
 	if c.reservation == nil {
 		return "", nil
@@ -112,6 +121,7 @@
 	return c.reservation.job.ID, workers
 }
 
+// lasting returns the room of the tasks on a worker that do not end by themselves.
 func (w *worker) lasting() resource.Vector {
 	var room resource.Vector
 	for _, ref := range w.tasks {
@@ -122,6 +132,7 @@
 	return room
 }
 
+// endOfWork returns when the tasks on a worker are expected to have ended.
 func (c *Cell) endOfWork(w *worker) Time {
 	end := c.now
 	for _, ref := range w.tasks {
@@ -132,6 +143,7 @@
 	return end
 }
 
+// dropReservation gives the workers that are kept for j back.
 func (c *Cell) dropReservation(j *job) {
 	r := c.reservation
 	if j == nil || r == nil || r.job != j {
@@ -147,6 +159,7 @@
 	}
 }
 
+// pickBackfill returns a reserved worker for a task that is expected to end before the reservation needs the room.
 func (c *Cell) pickBackfill(j *job) (*worker, resource.Vector) {
 	r := c.reservation
 	estimate := j.estimate(raiseQuantile)
