Use the claim service in the owner

Cause: the owner repeated the claim logic without waits for writes in flight. Change: claim.Service over the shard's log. Conclusion: one place decides on claims.

--- a/owner/claims.go
+++ b/owner/claims.go
@@ -5,34 +5,31 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/claim"
 	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/shardlog"
 )
 
 // sweepInterval is the time between two looks for claims whose entry VM is gone.
 const sweepInterval = 2 * time.Second
 
+// claimLog writes claims to the shard's log under the owner's right.
+type claimLog struct{ owner *Owner }
+
+// Append implements claim.Log.
+func (l claimLog) Append(ctx context.Context, record *siskinv1.Record) (mayBeWritten bool, err error) {
+	if err := l.owner.options.Right.Check(); err != nil {
+		return false, err
+	}
+	err = l.owner.append(ctx, record)
+	return err != nil && !shardlog.IsNotDurable(err), err
+}
+
 // Claim decides on a request that runs at most once. A grant is durable before it is answered.
 func (o *Owner) Claim(ctx context.Context, request *siskinv1.ClaimRequest) (*siskinv1.ClaimResponse, error) {
 	if !o.mayAct() {
 		return nil, refusal.New(refusal.ShardUnavailable, "shard %q is changing its owner", o.shard)
 	}
-	o.mu.Lock()
-	decision := o.state.claims.Check(request.GetClaim())
-	o.mu.Unlock()
-	if decision.Verdict != claim.Grant {
-		return decision.Response(), nil
-	}
-	if err := o.append(ctx, decision.Record); err != nil {
-		refused := refuseAppend(err)
-		if refusal.From(refused).NotRun() {
-			o.mu.Lock()
-			o.state.claims.Abandon(request.GetClaim())
-			o.mu.Unlock()
-		}
-		return nil, refused
-	}
-	return decision.Response(), nil
+	return o.claims.Claim(ctx, request)
 }
 
 // FinishClaim records the end of a claimed request.
@@ -40,22 +37,11 @@
 	if !o.mayAct() {
 		return nil, refusal.New(refusal.ShardUnavailable, "shard %q is changing its owner", o.shard)
 	}
-	o.mu.Lock()
-	record := o.state.claims.CheckFinish(request.GetFinished())
-	o.mu.Unlock()
-	if record == nil {
-		return &siskinv1.FinishClaimResponse{}, nil
-	}
-	if err := o.append(ctx, record); err != nil {
-		return nil, refuseAppend(err)
-	}
-	return &siskinv1.FinishClaimResponse{}, nil
+	return o.claims.FinishClaim(ctx, request)
 }
 
 // sweepClaims ends the claims whose entry VM is gone: their outcome cannot be known any more.
 func (o *Owner) sweepClaims(ctx context.Context) {
-	o.mu.Lock()
-	records := o.state.claims.Sweep(o.options.Clock.Now(), o.options.Fleet.EntryAlive)
-	o.mu.Unlock()
-	_ = o.append(ctx, records...)
+	// What cannot be written now is found again by the next sweep.
+	_ = o.claims.Sweep(ctx, o.options.Clock.Now(), o.options.Fleet.EntryAlive)
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/claim"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/ownership"
 	"siskinstack.example/siskinstack/platform"
@@ -110,6 +111,7 @@
 	options Options
 	shard   string
 	log     *shardlog.Log
+	claims  *claim.Service
 	calls   chan struct{} // one token for each call to a worker in flight
 	tasks   sync.WaitGroup
 
@@ -168,6 +170,7 @@
 		return nil, err
 	}
 	o.log = log
+	o.claims = claim.NewService(o.state.claims, claimLog{o})
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.live = true
