--- a/demo/naive_test.go
+++ b/demo/naive_test.go
@@ -69,6 +69,8 @@
 	defer shards.stop()
 	go func() {
 		<-ctx.Done()
+		// A request that was sent just before the stop may still be on its way; Shutdown would close its connection.
+		pause(context.Background(), 100*time.Millisecond)
 		_ = v.server.Shutdown(context.Background())
 	}()
 	return v.server.ListenAndServe()
@@ -150,6 +152,13 @@
 		reply(w, apiclient.ZoneStatus{})
 	})
 	handle("POST /v1/work", v.accept)
+	handle("GET /v1/work", func(w http.ResponseWriter, r *http.Request, _ []byte) {
+		if _, reason := v.team(r); reason != "" {
+			refuse(w, reason)
+			return
+		}
+		reply(w, map[string]any{"work": []any{}})
+	})
 	handle("GET /v1/work/{id}", func(w http.ResponseWriter, r *http.Request, _ []byte) {
 		for _, job := range v.jobs {
 			if job.status.GetId() == r.PathValue("id") {
