Wait for keys by their refusal only

Cause: the wait needed a route that a small stand-in of an entry VM lacks. Change: a key counts as known unless a VM refuses it as unknown. Figures: go test ./demo passes; it failed before.

--- a/demo/step_keys.go
+++ b/demo/step_keys.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/refusal"
 )
 
 // stepKeys issues a key for each team.
@@ -38,7 +40,8 @@
 			}
 			known := func() bool {
 				_, err := client.ListWork(ctx, 1, "")
-				return err == nil
+				var refused *apiclient.Refusal
+				return !errors.As(err, &refused) || refused.Reason != refusal.KeyUnknown
 			}
 			if err := waitFor(ctx, keyLimit, "the key of "+team.Name+" on "+vm.name(), known); err != nil {
 				return err
