--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -17,6 +17,7 @@
 	"siskinstack.example/siskinstack/faultstore"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
+	_ "siskinstack.example/siskinstack/testseed"
 )
 
 const team = "lab"
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	_ "siskinstack.example/siskinstack/testseed"
 )
 
 const (
--- a/configview/machine_test.go
+++ b/configview/machine_test.go
@@ -22,6 +22,7 @@
 	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/standin"
 	"siskinstack.example/siskinstack/teamkey"
+	_ "siskinstack.example/siskinstack/testseed"
 )
 
 var errFault = errors.New("ordered fault")
--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -14,6 +14,7 @@
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/faultstore"
 	"siskinstack.example/siskinstack/standin"
+	_ "siskinstack.example/siskinstack/testseed"
 )
 
 // world is a store and several VMs on one time line.
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -5,6 +5,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "siskinstack.example/siskinstack/testseed"
 )
 
 // TestRetriesStayWithinShare guards against retries that exceed a tenth of the requests plus the burst.
--- a/router/slots_test.go
+++ b/router/slots_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"siskinstack.example/siskinstack/platform"
+	_ "siskinstack.example/siskinstack/testseed"
 )
 
 // TestAllowancesAddUp guards against a split that gives away more or fewer slots than the endpoint has.
--- a/scheduler/differential_test.go
+++ b/scheduler/differential_test.go
@@ -11,6 +11,7 @@
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/scheduler"
 	"siskinstack.example/siskinstack/scheduler/naive"
+	_ "siskinstack.example/siskinstack/testseed"
 )
 
 // endEvent is a report of the end of an attempt, kept so that it can be delivered again.
--- a/shardlog/model_test.go
+++ b/shardlog/model_test.go
@@ -15,6 +15,7 @@
 	"siskinstack.example/siskinstack/faultstore"
 	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/standin"
+	_ "siskinstack.example/siskinstack/testseed"
 )
 
 const testShard = "taichung-1-0"
