Share the making of metrics and the ranking of peers

Cause: five packages repeated the registration of counters, and ownership had its own rendezvous hashing beside package rendezvous. Conclusion: no change of behaviour, except which VM a shard prefers.

--- a/allowance/metrics.go
+++ b/allowance/metrics.go
@@ -19,22 +19,14 @@
 
 // NewMetrics returns counters, registered with registerer unless it is nil.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
-	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "allowance", Name: name, Help: help,
-		})
-		if registerer != nil {
-			registerer.MustRegister(c)
-		}
-		return c
-	}
+	meter := telemetry.NewMeter(registerer, "allowance")
 	return &Metrics{
-		written:    counter("writes_total", "Splits written."),
-		conflicts:  counter("conflicts_total", "Writes that found a split changed by another shard."),
-		unknown:    counter("unknown_answers_total", "Writes without a known outcome at first."),
-		failed:     counter("failed_reads_total", "Splits that could not be read."),
-		unreadable: counter("unreadable_total", "Splits that are corrupt or of a newer format."),
-		asked:      counter("asked_total", "Rounds of requests to other shards."),
-		givenBack:  counter("given_back_total", "Requests of other shards answered with allowance."),
+		written:    meter.Counter("writes_total", "Splits written."),
+		conflicts:  meter.Counter("conflicts_total", "Writes that found a split changed by another shard."),
+		unknown:    meter.Counter("unknown_answers_total", "Writes without a known outcome at first."),
+		failed:     meter.Counter("failed_reads_total", "Splits that could not be read."),
+		unreadable: meter.Counter("unreadable_total", "Splits that are corrupt or of a newer format."),
+		asked:      meter.Counter("asked_total", "Rounds of requests to other shards."),
+		givenBack:  meter.Counter("given_back_total", "Requests of other shards answered with allowance."),
 	}
 }
--- a/membership/metrics.go
+++ b/membership/metrics.go
@@ -18,22 +18,13 @@
 
 // NewMetrics returns counters, registered with registerer unless it is nil.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
-	options := func(name, help string) prometheus.CounterOpts {
-		return prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "membership", Name: name, Help: help,
-		}
+	meter := telemetry.NewMeter(registerer, "membership")
+	return &Metrics{
+		sent:          meter.Counter("heartbeats_total", "Heartbeats sent."),
+		failed:        meter.Counter("failed_heartbeats_total", "Heartbeats without a response."),
+		rejected:      meter.Counter("rejected_heartbeats_total", "Heartbeats of unknown or replaced VMs."),
+		sentBytes:     meter.Counter("sent_bytes_total", "Encoded size of heartbeats sent."),
+		receivedBytes: meter.Counter("received_bytes_total", "Encoded size of heartbeats received."),
+		changes:       meter.Counters("status_changes_total", "Changes of a peer's status, by the new status.", "status"),
 	}
-	m := &Metrics{
-		sent:          prometheus.NewCounter(options("heartbeats_total", "Heartbeats sent.")),
-		failed:        prometheus.NewCounter(options("failed_heartbeats_total", "Heartbeats without a response.")),
-		rejected:      prometheus.NewCounter(options("rejected_heartbeats_total", "Heartbeats of unknown or replaced VMs.")),
-		sentBytes:     prometheus.NewCounter(options("sent_bytes_total", "Encoded size of heartbeats sent.")),
-		receivedBytes: prometheus.NewCounter(options("received_bytes_total", "Encoded size of heartbeats received.")),
-		changes: prometheus.NewCounterVec(
-			options("status_changes_total", "Changes of a peer's status, by the new status."), []string{"status"}),
-	}
-	if registerer != nil {
-		registerer.MustRegister(m.sent, m.failed, m.rejected, m.sentBytes, m.receivedBytes, m.changes)
-	}
-	return m
 }
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -24,12 +24,9 @@
 
 // NewMetrics registers the counters.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	meter := telemetry.NewMeter(registerer, "owner")
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		vec := prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "owner", Name: name, Help: help,
-		}, append([]string{"shard"}, labels...))
-		registerer.MustRegister(vec)
-		return vec
+		return meter.Counters(name, help, append([]string{"shard"}, labels...)...)
 	}
 	return &Metrics{
 		takeovers: counter("takeovers_total", "Times that this VM has taken the shard over."),
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -1,16 +1,14 @@
 package ownership
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/rendezvous"
 	"siskinstack.example/siskinstack/storeclient"
 )
 
@@ -130,29 +128,26 @@
 // ranking orders the peers that are alive: those of the shard's zone first, then by rendezvous hashing, so that the
 // shards of a zone spread over its VMs and few move when a VM leaves.
 func ranking(shard Shard, peers []Peer, alive func(string) bool) []Peer {
-	var ranked []Peer
+	var names []string
+	byName := map[string]Peer{}
 	for _, peer := range peers {
 		if alive(peer.VM) {
-			ranked = append(ranked, peer)
+			names = append(names, peer.VM)
+			byName[peer.VM] = peer
 		}
 	}
-	slices.SortFunc(ranked, func(a, b Peer) int {
-		if aHome, bHome := a.Zone == shard.Zone, b.Zone == shard.Zone; aHome != bHome {
-			if aHome {
-				return -1
-			}
-			return 1
+	var home, others []Peer
+	for _, name := range rendezvous.Order(shard.Name, names) {
+		peer := byName[name]
+		if peer.Zone == shard.Zone {
+			home = append(home, peer)
+		} else {
+			others = append(others, peer)
 		}
-		if c := cmp.Compare(weight(b.VM, shard.Name), weight(a.VM, shard.Name)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.VM, b.VM)
-	})
-	return ranked
+	}
+	return append(home, others...)
 }
 
-func weight(vm, shard string) uint64 { return xxhash.Sum64String(vm + "\x00" + shard) }
-
 // rank returns how many peers of the same standing, in or outside the shard's zone, come before a VM.
 func rank(vm string, shard Shard, peers []Peer, alive func(string) bool) int {
 	before := map[bool]int{}
--- a/ownership/metrics.go
+++ b/ownership/metrics.go
@@ -21,30 +21,16 @@
 
 // NewMetrics returns counters, registered with registerer unless it is nil.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
-	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "ownership", Name: name, Help: help,
-		})
-		if registerer != nil {
-			registerer.MustRegister(c)
-		}
-		return c
+	meter := telemetry.NewMeter(registerer, "ownership")
+	return &Metrics{
+		held:            meter.Gauge("held_shards", "Shards owned by this VM."),
+		acquired:        meter.Counter("acquired_total", "Shards acquired."),
+		lost:            meter.Counter("lost_total", "Shards lost or given up."),
+		declined:        meter.Counter("declined_total", "Shards given up because they could not be opened."),
+		unknown:         meter.Counter("unknown_answers_total", "Acquisitions without a known outcome at first."),
+		renewalsFailed:  meter.Counter("failed_renewals_total", "Lease renewals that the store did not answer."),
+		extended:        meter.Counter("promise_extensions_total", "Rights extended by promises of all peers."),
+		promisesGiven:   meter.Counter("promises_given_total", "Promises given to peers."),
+		promisesRefused: meter.Counter("promises_refused_total", "Promises refused to peers."),
 	}
-	m := &Metrics{
-		acquired:        counter("acquired_total", "Shards acquired."),
-		lost:            counter("lost_total", "Shards lost or given up."),
-		declined:        counter("declined_total", "Shards given up because they could not be opened."),
-		unknown:         counter("unknown_answers_total", "Acquisitions without a known outcome at first."),
-		renewalsFailed:  counter("failed_renewals_total", "Lease renewals that the store did not answer."),
-		extended:        counter("promise_extensions_total", "Rights extended by promises of all peers."),
-		promisesGiven:   counter("promises_given_total", "Promises given to peers."),
-		promisesRefused: counter("promises_refused_total", "Promises refused to peers."),
-	}
-	m.held = prometheus.NewGauge(prometheus.GaugeOpts{
-		Namespace: telemetry.Namespace, Subsystem: "ownership", Name: "held_shards", Help: "Shards owned by this VM.",
-	})
-	if registerer != nil {
-		registerer.MustRegister(m.held)
-	}
-	return m
 }
--- a/sharding/sharding.go
+++ b/sharding/sharding.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,18 +33,3 @@
 	shard, _, ok := strings.Cut(id, ".")
 	return shard, ok && shard != ""
 }
-
-// Rank orders candidates by rendezvous hashing for a key: the first is the same on every VM, and few keys move when a
-// candidate comes or goes.
-func Rank(key string, candidates []string) []string {
-	ranked := append([]string(nil), candidates...)
-	weight := func(candidate string) uint64 { return xxhash.Sum64String(candidate + "\x00" + key) }
-	sort.Slice(ranked, func(i, j int) bool {
-		a, b := weight(ranked[i]), weight(ranked[j])
-		if a != b {
-			return a > b
-		}
-		return ranked[i] < ranked[j]
-	})
-	return ranked
-}
--- a/shardlog/metrics.go
+++ b/shardlog/metrics.go
@@ -25,35 +25,20 @@
 
 // NewMetrics returns counters, registered with registerer unless it is nil.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
-	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: telemetry.Namespace, Subsystem: "log", Name: name, Help: help,
-		})
-		if registerer != nil {
-			registerer.MustRegister(c)
-		}
-		return c
+	meter := telemetry.NewMeter(registerer, "log")
+	return &Metrics{
+		seconds:        meter.Histogram("commit_seconds", "Duration of group commits.", prometheus.ExponentialBuckets(0.001, 2, 14)),
+		commits:        meter.Counter("commits_total", "Group commits that succeeded."),
+		records:        meter.Counter("records_total", "Records made durable."),
+		unknown:        meter.Counter("unknown_answers_total", "Writes of entries without a known outcome at first."),
+		resolved:       meter.Counter("resolved_answers_total", "Own entries found by reading back."),
+		fenced:         meter.Counter("fenced_total", "Appends that found the entry of another owner."),
+		refused:        meter.Counter("refused_appends_total", "Appends refused because too many records wait."),
+		corrupt:        meter.Counter("corrupt_values_total", "Logs that were not opened because of a corrupt or newer value."),
+		snapshots:      meter.Counter("snapshots_total", "Snapshots written."),
+		snapshotFailed: meter.Counter("failed_snapshots_total", "Snapshots that were given up."),
+		deleted:        meter.Counter("deleted_keys_total", "Entries and chunks deleted after a snapshot."),
 	}
-	m := &Metrics{
-		commits:        counter("commits_total", "Group commits that succeeded."),
-		records:        counter("records_total", "Records made durable."),
-		unknown:        counter("unknown_answers_total", "Writes of entries without a known outcome at first."),
-		resolved:       counter("resolved_answers_total", "Own entries found by reading back."),
-		fenced:         counter("fenced_total", "Appends that found the entry of another owner."),
-		refused:        counter("refused_appends_total", "Appends refused because too many records wait."),
-		corrupt:        counter("corrupt_values_total", "Logs that were not opened because of a corrupt or newer value."),
-		snapshots:      counter("snapshots_total", "Snapshots written."),
-		snapshotFailed: counter("failed_snapshots_total", "Snapshots that were given up."),
-		deleted:        counter("deleted_keys_total", "Entries and chunks deleted after a snapshot."),
-	}
-	m.seconds = prometheus.NewHistogram(prometheus.HistogramOpts{
-		Namespace: telemetry.Namespace, Subsystem: "log", Name: "commit_seconds",
-		Help: "Duration of group commits.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
-	})
-	if registerer != nil {
-		registerer.MustRegister(m.seconds)
-	}
-	return m
 }
 
 func (m *Metrics) committed(records int, took time.Duration) {
