Let a failed task wait for another worker

Cause: a task that failed on a worker only preferred another one. When all others were full, it started where it had failed until its attempts were used up, so one bad worker failed good jobs for good. Change: such a task waits up to 1 minute for another worker, as long as another one in use is large enough. Other tasks of the job and of the same shape are not held up by it. The naive core has the same rule and checks it in every start and in every pass of the differential test. Identifiers of workers are used again only after that minute. Conclusion: the attempts of good jobs survive a bad worker. Tasks of gang jobs still only prefer another worker.

--- a/owner/parts_test.go
+++ b/owner/parts_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/standin"
 )
 
 func service(count int32) *siskinv1.WorkSpec {
@@ -198,3 +199,24 @@
 		o.kill()
 	})
 }
+
+// TestWorkerThatFailsAllTasksKeepsWorkGoing guards against a bad worker that uses up the attempts of good jobs.
+func TestWorkerThatFailsAllTasksKeepsWorkGoing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4, "z")
+		s.runFor = 5 * time.Second
+		o := s.open("z", time.Hour)
+		s.workers.SetFaults("z-w1", standin.WorkerFaults{FailTasks: true})
+		for i := range 20 {
+			s.submit(o, string(rune('a'+i)), batch(4, false))
+		}
+		time.Sleep(5 * time.Minute)
+		succeeded := int32(0)
+		for i := range 20 {
+			succeeded += s.status(o, "z-0."+string(rune('a'+i))).GetSucceeded()
+		}
+		assert.Equal(t, succeeded, int32(80))
+		o.kill()
+		s.checkRuns()
+	})
+}
--- /dev/null
+++ b/scheduler/avoid.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import "siskinstack.example/siskinstack/resource"
+
+// choice is a task of a job with the worker that it starts on and the room that it takes there.
+type choice struct {
+	slot   int32
+	worker *worker
+	need   resource.Vector
+	// avoided is true if there is room, but only on workers on which every waiting task of the job has failed.
+	avoided bool
+}
+
+// avoidFailed makes a task that has failed wait for another worker. Without it, a worker that fails every task is always
+// free and uses up the attempts of good jobs while all other workers are full.
+func (c *Cell) avoidFailed(ref taskRef, w *worker) {
+	t := ref.task()
+	t.avoid = w.id + 1
+	if ref.job.Kind == Gang || c.options.AvoidFor <= 0 {
+		return
+	}
+	t.flags |= flagFailedThere
+	t.started = c.now // of a task that does not run: since when it waits for another worker
+	end := c.now + c.options.AvoidFor
+	if n := len(c.avoidEnds); n == 0 || c.avoidEnds[n-1] != end {
+		c.avoidEnds = append(c.avoidEnds, end)
+	}
+}
+
+// endAvoidance makes tasks candidates again whose wait for another worker has ended.
+func (c *Cell) endAvoidance() {
+	ended := 0
+	for ended < len(c.avoidEnds) && c.avoidEnds[ended] <= c.now {
+		ended++
+	}
+	if ended > 0 {
+		c.avoidEnds = c.avoidEnds[ended:]
+		c.capacity++
+	}
+}
+
+// waitsForOther reports whether a task must not start on w because it failed there and another worker can take it.
+func (c *Cell) waitsForOther(j *job, slot int32, w *worker) bool {
+	t := &j.tasks[slot]
+	if t.flags&flagFailedThere == 0 || t.avoid != w.id+1 || c.now >= t.started+c.options.AvoidFor {
+		return false
+	}
+	return c.othersFor(j, w)
+}
+
+// othersFor reports whether a worker other than w is in use and large enough for a task of j.
+func (c *Cell) othersFor(j *job, w *worker) bool {
+	fit := 0
+	for room, n := range c.roomKinds {
+		if j.Each.Fits(room) {
+			fit += n
+		}
+	}
+	for _, out := range [...][]*worker{c.suspended, c.probing} {
+		for _, other := range out {
+			if other != w && other.present && !other.Leaving && j.Each.Fits(other.Room) {
+				fit--
+			}
+		}
+	}
+	if w.present && !w.Leaving && j.Each.Fits(w.Room) {
+		fit--
+	}
+	return fit > 0
+}
+
+// slotFor returns the first waiting task of j that may start on w.
+func (c *Cell) slotFor(j *job, w *worker) (int32, bool) {
+	first, ok := j.nextQueued()
+	if !ok || !c.waitsForOther(j, first, w) {
+		return first, ok
+	}
+	for slot := first + 1; int(slot) < len(j.tasks); slot++ {
+		t := &j.tasks[slot]
+		if t.state == taskQueued && t.flags&flagHeld == 0 && !c.waitsForOther(j, slot, w) {
+			return slot, true
+		}
+	}
+	return 0, false
+}
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -26,6 +26,9 @@
 	EvacuationGrace Time
 	// RampTime is how long a returned zone takes to fill. Starts at full speed would meet cold caches all at once.
 	RampTime Time
+	// AvoidFor bounds how long a task that failed on a worker waits for another one: the others may be full of services,
+	// which never end.
+	AvoidFor Time
 }
 
 // Option changes one of the options of a cell.
@@ -46,6 +49,7 @@
 		EvacuationsPerSecond: 100,
 		EvacuationGrace:      5 * time.Minute,
 		RampTime:             10 * time.Second,
+		AvoidFor:             time.Minute,
 	}
 }
 
@@ -56,7 +60,7 @@
 
 	workers   []*worker // by identifier; nil if the identifier is free
 	workerIDs map[string]int32
-	freeIDs   []int32
+	freeIDs   []freeID
 	racks     [][]int32 // worker identifiers by rack
 	rackIDs   map[string]int32
 	roomKinds map[resource.Vector]int // workers by total room
@@ -102,6 +106,8 @@
 	rampSince     Time
 	ramping       bool
 	rampFrom      float64
+
+	avoidEnds []Time // when tasks no longer wait for another worker than the one they failed on, ascending
 }
 
 // NewCell returns an empty cell.
--- a/scheduler/differential_test.go
+++ b/scheduler/differential_test.go
@@ -204,8 +204,10 @@
 }
 
 func (m *machine) end(event endEvent) {
+	worker := ""
 	for i, start := range m.running {
 		if start.Task == event.task && start.Attempt == event.attempt {
+			worker = start.Worker
 			m.running = append(m.running[:i], m.running[i+1:]...)
 			break
 		}
@@ -213,6 +215,9 @@
 	atMostOnce := m.find(event.task.Job).AtMostOnce
 	assert.NilError(m.t, m.core.Ended(event.task, event.attempt, event.outcome, m.now))
 	m.naive.Ended(event.task, event.attempt, event.outcome == scheduler.Succeeded || atMostOnce)
+	if event.outcome == scheduler.Failed {
+		m.naive.Failed(event.task, worker, m.now+scheduler.DefaultOptions().AvoidFor)
+	}
 	m.ended = append(m.ended, event)
 	delete(m.stopping, endEvent{task: event.task, attempt: event.attempt})
 }
@@ -344,6 +349,8 @@
 		assert.NilError(t, err)
 		before[job.ID] = counts.Queued
 	}
+	m.naive.Advance(m.now)
+	m.noteHealth()
 	plan := m.core.Plan(m.now, maxStarts)
 	m.noteStops(plan.Stops)
 	started := map[string]int{}
@@ -361,6 +368,14 @@
 	m.lastStarts = plan.Starts
 }
 
+// noteHealth tells the naive core which workers the fast core has taken out of use.
+func (m *machine) noteHealth() {
+	for _, w := range m.workers {
+		health := m.core.Health(w.Name)
+		m.naive.SetSuspended(w.Name, health.Suspended || health.Probing)
+	}
+}
+
 // FailStart reports that a start of the last plan was not carried out.
 func (m *machine) FailStart(t *rapid.T) {
 	if len(m.lastStarts) == 0 {
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -12,6 +12,7 @@
 	WaitHeld:        "wait until the earlier run of the task has certainly ended",
 	WaitUnknownTeam: "ask the operators to add the team to the bundle",
 	WaitStarting:    "the next pass starts it",
+	WaitOtherWorker: "wait until a worker has room on which the tasks have not failed",
 	WaitReturning:   "wait: the availability zone fills gradually after its return",
 }
 
@@ -46,6 +47,8 @@
 		return WaitCeiling
 	case !c.rampAllows():
 		return WaitReturning
+	case j.avoidBlockedAt == c.capacity:
+		return WaitOtherWorker
 	case j.shape.blockedAt == c.capacity || j.gangBlockedAt == c.capacity:
 		if c.dominantWith(t, j.shape.need) > t.owed {
 			return WaitShare
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -59,7 +59,7 @@
 		c.workerSucceeded(w)
 	case Failed:
 		c.failureRate += (1 - c.failureRate) * failureWeight
-		t.avoid = w.id + 1
+		c.avoidFailed(ref, w)
 		c.workerFailed(w, ref)
 	}
 }
@@ -162,6 +162,7 @@
 	h.backoff = min(max(2*h.backoff, firstSuspension), longestSuspension)
 	h.suspended, h.limit, h.until = true, 0, c.now+h.backoff
 	c.suspended = append(c.suspended, w)
+	c.capacity++ // tasks that wait for this worker may start where they failed before
 	c.dropReservation(w.reserved)
 	c.reindex(w)
 }
@@ -183,22 +184,22 @@
 	c.suspended = kept
 }
 
-// pickProbe returns a worker to be probed with a task of j, or nil. A probe is a batch task that may run again.
-func (c *Cell) pickProbe(j *job) *worker {
+// pickProbe returns a worker to be probed with a task of j. A probe is a batch task that may run again.
+func (c *Cell) pickProbe(j *job) choice {
 	if len(c.probing) == 0 || j.Kind != Batch || j.AtMostOnce || j.blamed {
-		return nil
+		return choice{}
 	}
 	for _, w := range c.probing {
 		if w.health.probe.job != nil || !w.present || w.Leaving {
 			continue
 		}
-		if c.needOn(j, w).Fits(c.index.free[w.id]) {
-			slot, _ := j.nextQueued()
+		slot, ok := c.slotFor(j, w)
+		if need := c.needOn(j, w); ok && need.Fits(c.index.free[w.id]) {
 			w.health.probe = taskRef{j, slot}
-			return w
+			return choice{slot: slot, worker: w, need: need}
 		}
 	}
-	return nil
+	return choice{}
 }
 
 // endProbe lets a worker be probed again after a probe that showed nothing.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -40,6 +40,8 @@
 	gangBlockedAt uint64
 	examined      uint64
 	failedOn      []int32
+	// avoidBlockedAt is the capacity count at which there was room only where the job's waiting tasks have failed.
+	avoidBlockedAt uint64
 	// claims is the number of tasks for which room is being freed.
 	claims int
 	// stopping is the number of running tasks that were ordered to stop.
--- a/scheduler/naive/cell.go
+++ b/scheduler/naive/cell.go
@@ -22,11 +22,14 @@
 	teams    []*team
 	jobs     []*job
 	draining bool
+	now      scheduler.Time
 }
 
 type worker struct {
 	scheduler.Worker
-	used resource.Vector
+	used      resource.Vector
+	suspended bool
+	removed   bool
 }
 
 type team struct {
@@ -49,6 +52,9 @@
 	room    resource.Vector
 	held    bool
 	done    bool
+	// failedOn is the worker on which the task has failed; it waits for another one until avoidUntil.
+	failedOn   *worker
+	avoidUntil scheduler.Time
 }
 
 // New returns an empty cell.
@@ -60,7 +66,7 @@
 	defer c.mu.Unlock()
 	for _, known := range c.workers {
 		if known.Name == w.Name {
-			known.Worker = w
+			known.Worker, known.removed = w, false
 			return
 		}
 	}
@@ -73,9 +79,21 @@
 	defer c.mu.Unlock()
 	for _, w := range c.workers {
 		if w.Name == name {
-			w.Leaving = true
+			w.Leaving, w.removed = true, true
 		}
 	}
+	c.dropRemoved()
+}
+
+// dropRemoved forgets removed workers on which nothing runs.
+func (c *Cell) dropRemoved() {
+	kept := c.workers[:0]
+	for _, w := range c.workers {
+		if !w.removed || !w.used.IsZero() {
+			kept = append(kept, w)
+		}
+	}
+	c.workers = kept
 }
 
 // SetTeam adds or changes a team.
@@ -197,6 +215,7 @@
 		owner.running = owner.running.Sub(t.room)
 	}
 	t.worker = nil
+	c.dropRemoved()
 	t.done = done
 	if !done {
 		c.job(id.Job).left++
@@ -243,12 +262,14 @@
 		return eris.Wrapf(ErrBroken, "%v: worker over its room", start)
 	case !owner.running.Add(start.Room).Fits(owner.Limit):
 		return eris.Wrapf(ErrBroken, "%v: team over its limit", start)
+	case c.waitsForOther(j, t, w):
+		return eris.Wrapf(ErrBroken, "%v: failed on this worker, and another one can take it", start)
 	}
 	return nil
 }
 
 func place(t *task, w *worker, owner *team, room resource.Vector) {
-	t.worker, t.room = w, room
+	t.worker, t.room, t.failedOn = w, room, nil
 	w.used = w.used.Add(room)
 	owner.running = owner.running.Add(room)
 }
--- a/scheduler/naive/plan.go
+++ b/scheduler/naive/plan.go
@@ -60,11 +60,13 @@
 func (c *Cell) startJob(j *job, owner *team, excluded func(string) bool) []scheduler.Start {
 	waiting := j.waiting()
 	if j.Kind != scheduler.Gang {
-		if waiting == nil {
-			return nil
-		}
-		if start, ok := c.startTask(j, waiting[0], owner, excluded, ""); ok {
-			return []scheduler.Start{start}
+		for _, t := range waiting {
+			if start, ok := c.startTask(j, t, owner, excluded, ""); ok {
+				return []scheduler.Start{start}
+			}
+			if t.failedOn == nil {
+				return nil // the other tasks fit nowhere either, unless this one avoids a worker
+			}
 		}
 		return nil
 	}
@@ -148,7 +150,7 @@
 	var bestRoom resource.Vector
 	bestLeft := 0.0
 	for _, w := range c.workers {
-		if w.Leaving || (rack != "" && w.Rack != rack) || (excluded != nil && excluded(w.Name)) {
+		if w.Leaving || (rack != "" && w.Rack != rack) || (excluded != nil && excluded(w.Name)) || c.waitsForOther(j, t, w) {
 			continue
 		}
 		room := j.Each.Max(j.learned().Min(w.Room))
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -21,24 +21,30 @@
 	return Start{Task: ref.job.id(ref.slot), Attempt: t.attempt, Worker: w.Name, Room: need, Team: ref.job.Team}
 }
 
-// pick returns the worker for a task and the room that the task takes there, or nil.
-func (c *Cell) pick(j *job, slot int32) (*worker, resource.Vector) {
-	s := j.shape
-	if w := c.pickProbe(j); w != nil {
-		return w, c.needOn(j, w)
+// pick returns the next task of j that can start, with its worker; the worker is nil if no task can.
+func (c *Cell) pick(j *job) choice {
+	if chosen := c.pickProbe(j); chosen.worker != nil {
+		return chosen
+	}
+	slot, ok := j.nextQueued()
+	if !ok {
+		return choice{}
 	}
 	avoid := j.tasks[slot].avoid - 1
-	id, need := c.findBest(s, j.team, avoid)
+	id, need := c.findBest(j.shape, j.team, avoid)
 	if id < 0 && avoid >= 0 {
-		id, need = c.findBest(s, j.team, -1)
+		id, need = c.findBest(j.shape, j.team, -1)
 	}
 	if id < 0 {
 		return c.pickBackfill(j)
 	}
-	if s.service {
-		id, need = c.findSpread(j, avoid, id, need)
+	if slot, ok = c.slotFor(j, c.workers[id]); !ok {
+		return choice{avoided: true}
+	}
+	if j.shape.service {
+		id, need = c.findSpread(j, j.tasks[slot].avoid-1, id, need)
 	}
-	return c.workers[id], need
+	return choice{slot: slot, worker: c.workers[id], need: need}
 }
 
 // needOn returns the room that a task of j takes on w.
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -11,6 +11,7 @@
 // reports StartFailed for those that it did not carry out.
 func (c *Cell) Plan(now Time, maxStarts int) Plan {
 	c.advance(now)
+	c.endAvoidance()
 	var plan Plan
 	c.examineParked()
 	c.raiseDeadlines()
@@ -101,7 +102,7 @@
 }
 
 // startSmaller starts a task on a worker so small that its accounted room stays within the team's limit.
-func (c *Cell) startSmaller(j *job, slot int32, plan *Plan) bool {
+func (c *Cell) startSmaller(j *job, plan *Plan) bool {
 	if j.shape.need == j.shape.declared || !c.permits(j.team, j.shape.declared) {
 		return false
 	}
@@ -109,10 +110,27 @@
 	if id < 0 {
 		return false
 	}
+	slot, ok := c.slotFor(j, c.workers[id])
+	if !ok {
+		return c.startSmallerElsewhere(j, id, plan)
+	}
 	plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, c.workers[id], need))
 	return true
 }
 
+// startSmallerElsewhere starts a task on another small worker than the one on which all waiting tasks have failed.
+func (c *Cell) startSmallerElsewhere(j *job, failed int32, plan *Plan) bool {
+	id, need := c.findSmaller(j.shape, j.team, failed)
+	if id < 0 {
+		return false
+	}
+	slot, ok := c.slotFor(j, c.workers[id])
+	if ok {
+		plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, c.workers[id], need))
+	}
+	return ok
+}
+
 // tryCandidate starts one task of a team's candidate, or the whole of it if it is a gang job.
 func (c *Cell) tryCandidate(t *team, plan *Plan) bool {
 	j := t.candidate
@@ -120,25 +138,33 @@
 	if j.Kind == Gang {
 		return c.tryGang(j, plan)
 	}
-	slot, ok := j.nextQueued()
-	if !ok {
+	if _, ok := j.nextQueued(); !ok {
 		return false
 	}
 	if !c.permits(t, j.shape.need) {
-		return c.startSmaller(j, slot, plan)
+		return c.startSmaller(j, plan)
 	}
-	w, need := c.pick(j, slot)
-	if w == nil && c.yieldReservation(t) {
-		w, need = c.pick(j, slot)
+	chosen := c.pick(j)
+	if chosen.worker == nil && c.yieldReservation(t) {
+		chosen = c.pick(j)
 	}
-	if w == nil {
-		j.shape.blockedAt = c.capacity
-		c.examine(j)
-		if c.isLarge(j.shape.need) {
-			c.reserveFor(j, 1)
-		}
+	if chosen.worker == nil {
+		c.noteBlocked(j, chosen)
 		return false
 	}
-	plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, w, need))
+	plan.Starts = append(plan.Starts, c.start(taskRef{j, chosen.slot}, chosen.worker, chosen.need))
 	return true
 }
+
+// noteBlocked keeps a job that found no worker from being tried again before that can have changed.
+func (c *Cell) noteBlocked(j *job, chosen choice) {
+	if chosen.avoided {
+		j.avoidBlockedAt = c.capacity
+		return
+	}
+	j.shape.blockedAt = c.capacity
+	c.examine(j)
+	if c.isLarge(j.shape.need) {
+		c.reserveFor(j, 1)
+	}
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -30,6 +30,7 @@
 
 // enqueue puts a job with waiting tasks into its team's queue, unless it is there already.
 func (c *Cell) enqueue(j *job) {
+	j.avoidBlockedAt = 0
 	if j.inLane || j.parked != WaitNone || j.cancelled || j.counts.Queued == 0 {
 		return
 	}
@@ -103,7 +104,7 @@
 func (l *lane) next(capacity uint64) *entry {
 	for ; l.cursor < len(l.entries); l.cursor++ {
 		e := &l.entries[l.cursor]
-		if e.shape.blockedAt == capacity || e.job.token != e.token {
+		if e.shape.blockedAt == capacity || e.job.token != e.token || e.job.avoidBlockedAt == capacity {
 			continue
 		}
 		if e.job.counts.Queued == 0 {
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -41,8 +41,7 @@
 	}
 	j := r.job
 	c.refreshShape(j.shape, j.team)
-	slot, ok := j.nextQueued()
-	if !ok || !c.permits(j.team, j.shape.need) {
+	if _, ok := j.nextQueued(); !ok || !c.permits(j.team, j.shape.need) {
 		c.dropReservation(j)
 		return
 	}
@@ -51,7 +50,8 @@
 		if w == nil || w.reserved != j || !w.takesWork() {
 			continue
 		}
-		if need := c.needOn(j, w); need.Fits(c.index.free[id]) {
+		slot, ok := c.slotFor(j, w)
+		if need := c.needOn(j, w); ok && need.Fits(c.index.free[id]) {
 			c.dropReservation(j)
 			plan.Starts = append(plan.Starts, c.start(taskRef{j, slot}, w, need))
 			return
@@ -160,20 +160,21 @@
 }
 
 // pickBackfill returns a reserved worker for a task that is expected to end before the reservation needs the room.
-func (c *Cell) pickBackfill(j *job) (*worker, resource.Vector) {
+func (c *Cell) pickBackfill(j *job) choice {
 	r := c.reservation
 	estimate := j.estimate(raiseQuantile)
 	if r == nil || j.Kind != Batch || estimate == 0 || c.now+estimate > r.until {
-		return nil, resource.Vector{}
+		return choice{}
 	}
 	for _, id := range r.workers {
 		w := c.workers[id]
 		if w == nil || w.reserved != r.job || !w.takesWork() {
 			continue
 		}
-		if need := c.needOn(j, w); need.Fits(c.index.free[id]) {
-			return w, need
+		slot, ok := c.slotFor(j, w)
+		if need := c.needOn(j, w); ok && need.Fits(c.index.free[id]) {
+			return choice{slot: slot, worker: w, need: need}
 		}
 	}
-	return nil, resource.Vector{}
+	return choice{}
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -26,6 +26,8 @@
 	flagOld
 	// flagLeaving tasks leave the shard when they end.
 	flagLeaving
+	// flagFailedThere tasks have failed on the worker that they avoid, and wait for another one.
+	flagFailedThere
 )
 
 // task is kept small, because a shard holds one for each queued and each running task.
@@ -57,6 +59,7 @@
 	c.waitMore(j, -1)
 	j.counts.Running++
 	t.state = taskRunning
+	t.flags &^= flagFailedThere
 	t.worker = w.id + 1
 	t.pos = int32(len(w.tasks))
 	t.room = j.internRoom(room)
@@ -216,6 +219,7 @@
 		return
 	}
 	j.held--
+	j.avoidBlockedAt = 0
 	j.hint = min(j.hint, ref.slot)
 }
 
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -147,6 +147,7 @@
 	WaitUnknownTeam WaitReason = "unknown_team"
 	WaitStarting    WaitReason = "next_pass"
 	WaitReturning   WaitReason = "zone_returning"
+	WaitOtherWorker WaitReason = "failed_where_room_is"
 )
 
 // Waiting explains why a job's tasks wait and what would have to change.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -15,6 +15,12 @@
 	health   health
 }
 
+// freeID is an identifier of a worker that is gone. It is not used again while tasks avoid that worker.
+type freeID struct {
+	id   int32
+	from Time
+}
+
 // taskRef names a task by its place in its job.
 type taskRef struct {
 	job  *job
@@ -61,9 +67,9 @@
 
 func (c *Cell) newWorker(w Worker) int32 {
 	id := int32(len(c.workers))
-	if n := len(c.freeIDs); n > 0 {
-		id = c.freeIDs[n-1]
-		c.freeIDs = c.freeIDs[:n-1]
+	if len(c.freeIDs) > 0 && c.now >= c.freeIDs[0].from {
+		id = c.freeIDs[0].id
+		c.freeIDs = c.freeIDs[1:]
 	} else {
 		c.workers = append(c.workers, nil)
 		c.index.grow(len(c.workers))
@@ -145,6 +151,7 @@
 	c.withdrawRoom(w)
 	w.present = false
 	c.topology++
+	c.capacity++ // tasks that waited for this worker may start where they failed before
 	c.reindex(w)
 	c.releaseID(w)
 }
@@ -159,7 +166,7 @@
 	c.dropHealth(w)
 	delete(c.workerIDs, w.Name)
 	c.workers[w.id] = nil
-	c.freeIDs = append(c.freeIDs, w.id)
+	c.freeIDs = append(c.freeIDs, freeID{w.id, c.now + c.options.AvoidFor})
 }
 
 // takesWork reports whether any task may be placed on w, apart from room.
