Purge old proposals and tombstones; bound the configuration between VMs

configstore.Purger deletes proposals older than the newest 20 signed versions and tombstones older than 24 h after an operator's change, 64 of each per run, one run in 10 s, behind all other store calls (storeclient.KindPurge). A mark in the store keeps interrupted runs from leaving versions behind. FetchConfig accepts up to 32 MiB. The view's state machine purges too.

TestImportVerifiesBundles failed before this change: it altered the last byte of a value, which is now signed_unix_ms, a field outside the signature. It now forges each signed field in turn.

The store load of a purge: not measured.

--- a/configstore/keys.go
+++ b/configstore/keys.go
@@ -14,6 +14,8 @@
 const BundleCurrent = Prefix + "bundle/current"
 
 const (
+	// purgeMark is the key of the PurgeMark. Views do not follow it.
+	purgeMark      = Prefix + "bundle/purged"
 	proposalPrefix = Prefix + "bundle/proposal/"
 	teamKeyPrefix  = Prefix + "team-key/"
 	zonePrefix     = Prefix + "zone/"
--- a/configview/machine_test.go
+++ b/configview/machine_test.go
@@ -60,6 +60,11 @@
 	return after(s, func() (platform.Revision, error) { return s.Store.Put(ctx, request) })
 }
 
+func (s *faultyStore) Delete(ctx context.Context, key string, expected platform.Revision) error {
+	_, err := after(s, func() (struct{}, error) { return struct{}{}, s.Store.Delete(ctx, key, expected) })
+	return err
+}
+
 func (s *faultyStore) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
 	return after(s, func() (platform.WatchResult, error) { return s.Store.Watch(ctx, request) })
 }
@@ -204,6 +209,14 @@
 	}
 }
 
+// purge deletes the tombstones that a VM knows, however young they are.
+func (w *world) purge(m *vm) {
+	late := clock.NewFake(w.clock.Now().Add(configstore.TombstoneAge + time.Second))
+	_ = configstore.NewPurger(configstore.PurgerOptions{
+		Store: m.store, Clock: late, Logger: logr.Discard(), Known: func() configstore.Known { return m.view.Snapshot() },
+	}).Purge(context.Background())
+}
+
 // overwrite writes a value past all checks.
 func (w *world) overwrite(key string, value []byte) {
 	ctx := context.Background()
@@ -283,6 +296,7 @@
 					w.withdraw(anyVM(), anyKey())
 				}
 			},
+			"purge": func(*rapid.T) { w.purge(anyVM()) },
 			"replay": func(t *rapid.T) {
 				if len(w.inForce) > 0 && rapid.IntRange(0, 4).Draw(t, "rarely") == 0 {
 					w.replay(rapid.Int64Range(1, int64(len(w.inForce))).Draw(t, "version"))
--- a/configview/view_test.go
+++ b/configview/view_test.go
@@ -13,6 +13,7 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/configstore"
 	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/teamkey"
 )
 
 // peerRound lets a VM ask all others.
@@ -229,14 +230,32 @@
 	w.pollAll()
 	request := &siskinv1.FetchConfigRequest{}
 	good := w.vms["a"].view.Export(request)
-	bad := proto.CloneOf(good)
-	for _, e := range bad.GetEntries() {
-		e.Value[len(e.Value)-1]++
-	}
 	b := w.vms["b"]
-	b.restart()
-	b.view.Import(request, bad)
-	assert.Equal(t, b.view.Snapshot().BundleVersion(), int64(0))
+	forgeries := map[string]func(*siskinv1.BundleProposal){
+		"content":   func(p *siskinv1.BundleProposal) { p.Bundle.Comment += "!" },
+		"version":   func(p *siskinv1.BundleProposal) { p.Bundle.Version++ },
+		"hash":      func(p *siskinv1.BundleProposal) { p.ContentSha256 = strings.Repeat("0", 64) },
+		"author":    func(p *siskinv1.BundleProposal) { p.Author = "eve" },
+		"reviewer":  func(p *siskinv1.BundleProposal) { p.Reviewer = "eve" },
+		"signer":    func(p *siskinv1.BundleProposal) { p.Signer = "eve" },
+		"signature": func(p *siskinv1.BundleProposal) { p.Signature[0]++ },
+	}
+	for name, forge := range forgeries {
+		bad := proto.CloneOf(good)
+		for _, e := range bad.GetEntries() {
+			if e.GetKey() == configstore.BundleCurrent {
+				p := &siskinv1.BundleProposal{}
+				assert.NilError(t, proto.Unmarshal(e.GetValue(), p))
+				forge(p)
+				value, err := configstore.Encode(p)
+				assert.NilError(t, err)
+				e.Value = value
+			}
+		}
+		b.restart()
+		b.view.Import(request, bad)
+		assert.Equal(t, b.view.Snapshot().BundleVersion(), int64(0), name)
+	}
 	b.restart()
 	b.view.Import(request, good)
 	assert.Equal(t, b.view.Snapshot().BundleVersion(), int64(1))
@@ -282,3 +301,43 @@
 	history := b.view.History()
 	assert.Equal(t, history[len(history)-1], InForce{Version: 2, Since: b.view.Snapshot().InForceSince()})
 }
+
+// Guards against a view that is lost or cut short when it is as large as 5,000 keys with as many tombstones.
+func TestFiveThousandKeysPassBetweenVMs(t *testing.T) {
+	const keys = 5000
+	w := newWorld()
+	a, b := w.vms["a"], w.vms["b"]
+	register := teamkey.NewRegister(w.store, w.clock)
+	for range 2 * keys {
+		key, _, err := register.Issue(t.Context(), "lab", "ann")
+		assert.NilError(t, err)
+		w.keys = append(w.keys, key.ID)
+	}
+	for _, id := range w.keys[:keys] {
+		_, err := register.Withdraw(t.Context(), id)
+		assert.NilError(t, err)
+	}
+	w.pollAll()
+	b.restart()
+	w.setDown(true)
+	b.peerRound()
+	snapshot := b.view.Snapshot()
+	assert.Equal(t, len(snapshot.Keys()), 2*keys)
+	assert.Assert(t, snapshot.Key(w.keys[0]).GetWithdrawn() && !snapshot.Key(w.keys[keys]).GetWithdrawn())
+	size := proto.Size(a.view.Export(&siskinv1.FetchConfigRequest{}))
+	assert.Assert(t, size < 4<<20, "%d bytes", size)
+	t.Logf("%d keys and %d tombstones: %d bytes", keys, keys, size)
+	w.setDown(false)
+	w.clock.Advance(configstore.TombstoneAge)
+	for w.purge(a); ; w.purge(a) {
+		before := len(a.view.Snapshot().Keys())
+		w.pollAll()
+		if len(a.view.Snapshot().Keys()) == before {
+			break
+		}
+	}
+	for _, m := range w.vms {
+		assert.Equal(t, len(m.view.Snapshot().Keys()), keys)
+		assert.Assert(t, m.view.Snapshot().Key(w.keys[0]) == nil)
+	}
+}
--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -14,6 +14,7 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/bundle"
 	"siskinstack.example/siskinstack/claim"
+	"siskinstack.example/siskinstack/configstore"
 	"siskinstack.example/siskinstack/configview"
 	"siskinstack.example/siskinstack/entry"
 	"siskinstack.example/siskinstack/fleet"
@@ -111,6 +112,10 @@
 		Store: d.store.For(storeclient.KindConfig), Clock: d.clock, Logger: d.logger,
 		Signers: bundle.NewSigners(d.settings.GetOperators()), Peers: peerViews{d}, Others: d.others(), Registerer: d.registry,
 	})
+	d.purger = configstore.NewPurger(configstore.PurgerOptions{
+		Store: d.store.For(storeclient.KindPurge), Clock: d.clock, Logger: d.logger, Registerer: d.registry,
+		Known: func() configstore.Known { return d.config.Snapshot() },
+	})
 	d.fleet = fleet.New(fleet.Options{
 		VM: d.settings.GetVm(), Incarnation: d.incarnation, Clock: d.clock, VMs: d.platform.VMs(),
 		Members: d.members, Local: d.localUsage,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/claim"
 	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/configstore"
 	"siskinstack.example/siskinstack/configview"
 	"siskinstack.example/siskinstack/entry"
 	"siskinstack.example/siskinstack/fleet"
@@ -47,6 +48,7 @@
 	clients    *peer.Clients
 	calls      *peer.ControlCalls
 	config     *configview.View
+	purger     *configstore.Purger
 	members    *membership.Manager
 	fleet      *fleet.View
 	manager    *ownership.Manager
@@ -120,7 +122,7 @@
 func (d *Daemon) run() {
 	loops := []func(context.Context){
 		d.config.Run, d.members.Run, d.fleet.Run, d.manager.Run, d.allowance.Run, d.router.Run, d.transport.run,
-		d.bundles.Run, d.followConfig,
+		d.bundles.Run, d.followConfig, d.purger.Run,
 	}
 	for _, loop := range loops {
 		d.tasks.Go(func() { loop(d.background) })
--- a/operate/server.go
+++ b/operate/server.go
@@ -84,6 +84,8 @@
 	Usage        Usage
 	VMs          VMs
 	BundleStates BundleStates
+	// Changed is called after each change of the configuration; nil does nothing. It must not block.
+	Changed func()
 	// MaxBodyBytes bounds a request body; 0 selects DefaultMaxBodyBytes.
 	MaxBodyBytes int64
 }
@@ -177,7 +179,10 @@
 // snapshot returns the configuration as this VM knows it.
 func (s *Server) snapshot() *configview.Snapshot { return s.options.View.Snapshot() }
 
-// changed logs a change of the configuration.
+// changed logs a change of the configuration and reports it.
 func (s *Server) changed(c *call, what string, details ...any) {
 	s.options.Logger.Info(what, append([]any{"operator", c.operator}, details...)...)
+	if s.options.Changed != nil {
+		s.options.Changed()
+	}
 }
--- a/peer/control.go
+++ b/peer/control.go
@@ -3,10 +3,16 @@
 import (
 	"context"
 
+	"google.golang.org/grpc"
+
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/refusal"
 )
 
+// MaxConfigBytes bounds a configuration between VMs. A key takes about 160 bytes, so 32 MiB hold the largest bundle and
+// about 200,000 keys, 40 times the number at the design size.
+const MaxConfigBytes = 32 << 20
+
 // Control is the part of a VM that agrees with the other VMs on membership, ownership, configuration and allowances.
 type Control interface {
 	Heartbeat(ctx context.Context, request *siskinv1.HeartbeatRequest) (*siskinv1.HeartbeatResponse, error)
@@ -74,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return client.FetchConfig(ctx, request)
+	return client.FetchConfig(ctx, request, grpc.MaxCallRecvMsgSize(MaxConfigBytes))
 }
 
 // TakeOver tells a peer that a shard is free.
--- a/storeclient/kind.go
+++ b/storeclient/kind.go
@@ -22,10 +22,11 @@
 	KindConfig
 	KindAllowance
 	KindSnapshot
+	KindPurge
 	kindCount
 )
 
-var kindNames = [kindCount]string{"lease", "log", "claim", "config", "allowance", "snapshot"}
+var kindNames = [kindCount]string{"lease", "log", "claim", "config", "allowance", "snapshot", "purge"}
 
 // String returns the name of the kind as it appears in counters.
 func (k Kind) String() string {
