Log a remedy for rejected values and a store that goes back once

A rejected configuration value was logged without what to do about it, a deleted bundle was logged at each listing, and a store whose revision goes back was only part of a failure counter.

Rejected values carry a remedy, a missing bundle is reported once until a good one returns, and a store that goes back is counted in siskin_config_store_revision_regressions_total and logged once until it confirms the view again.

--- a/configview/apply.go
+++ b/configview/apply.go
@@ -37,6 +37,9 @@
 		v.reject(key, revision, err)
 		return
 	}
+	if key == configstore.BundleCurrent {
+		v.bundleDeleted = false
+	}
 	decoded.value, decoded.revision = value, revision
 	v.entries[key] = decoded
 	v.unpublished = true
@@ -46,7 +49,23 @@
 func (v *View) reject(key string, revision platform.Revision, err error) {
 	v.rejected[key] = revision
 	v.counters.rejected.Inc()
-	v.options.Logger.Error(err, "configuration value rejected, the last good one stays in force", "key", key, "revision", int64(revision))
+	v.options.Logger.Error(err, "configuration value rejected, the last good one stays in force",
+		"key", key, "revision", int64(revision), "remedy", remedy(key))
+}
+
+// remedy tells an operator what to do about a value that is not good.
+func remedy(key string) string {
+	if id, ok := configstore.TeamKeyID(key); ok {
+		return "withdraw key " + id + " (POST /v1/keys/" + id + "/withdraw) and issue a new one to its team"
+	}
+	if zone, ok := configstore.ZoneName(key); ok {
+		return "set the state of the zone again with POST /v1/zones/" + zone + "/drain or /return"
+	}
+	if key == configstore.BundleCurrent {
+		return "compare sign_off_key of the operators in the settings of all entry VMs, then find out who wrote the value past " +
+			"the operators' routes; see docs/operations/bundles.md"
+	}
+	return "find out which release or program writes this key"
 }
 
 // remove takes a deleted key out. A bundle in force stays in force. The caller holds mu.
@@ -56,10 +75,15 @@
 		return
 	}
 	if key == configstore.BundleCurrent {
-		v.reject(key, revision, eris.New("the bundle in force was deleted"))
+		// Every later listing misses the key too.
+		if !v.bundleDeleted {
+			v.bundleDeleted = true
+			v.reject(key, revision, eris.New("the bundle in force was deleted"))
+		}
 		return
 	}
 	delete(v.entries, key)
+	delete(v.rejected, key)
 	v.unpublished = true
 }
 
--- a/configview/follow.go
+++ b/configview/follow.go
@@ -31,6 +31,10 @@
 
 var errWentBack = eris.New("store went back to an earlier revision")
 
+// remedyWentBack tells an operator what to do about a store that went back.
+const remedyWentBack = "ask the platform's operators whether the store was restored from a backup; until it is ahead again, " +
+	"no VM takes changes from it; see docs/operations/store-outage.md"
+
 // Run follows the configuration until ctx ends.
 func (v *View) Run(ctx context.Context) {
 	var loops sync.WaitGroup
@@ -111,9 +115,22 @@
 
 func (v *View) wentBack(revision, earlier platform.Revision) error {
 	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.reportWentBack(revision, earlier)
+}
+
+// reportWentBack counts a lower revision than an earlier one, and logs the first until the store confirms the view again.
+// The caller holds mu.
+func (v *View) reportWentBack(revision, earlier platform.Revision) error {
 	v.mustList = true
-	v.mu.Unlock()
-	return eris.Wrapf(errWentBack, "revision %d after %d", revision, earlier)
+	v.counters.wentBack.Inc()
+	err := eris.Wrapf(errWentBack, "revision %d after %d", revision, earlier)
+	if !v.behind {
+		v.behind = true
+		v.options.Logger.Error(err, "store is not followed until it reaches the earlier revision again",
+			"revision", int64(revision), "earlier", int64(earlier), "remedy", remedyWentBack)
+	}
+	return err
 }
 
 // replace makes the entries of a prefix equal to a listing. The caller holds mu.
@@ -133,6 +150,7 @@
 // confirm records that the view is complete up to a revision, as a call sent at a time has shown. The caller holds mu.
 func (v *View) confirm(revision platform.Revision, sent time.Time) {
 	v.complete = max(v.complete, revision)
+	v.behind = false
 	v.publish()
 	if sent.After(v.storeConfirmed) {
 		v.storeConfirmed = sent
@@ -150,6 +168,8 @@
 		return err
 	case err != nil:
 		return err
+	case result.Revision < after:
+		return v.reportWentBack(result.Revision, after)
 	case hasGap(result, after):
 		v.mustList = true
 		return eris.Wrapf(errWentBack, "watch after %d", after)
--- a/configview/view.go
+++ b/configview/view.go
@@ -55,6 +55,10 @@
 	entries map[string]entry
 	// rejected holds the revision of the last value of a key that was not good, so that it is reported once.
 	rejected map[string]platform.Revision
+	// bundleDeleted is true after a report that the bundle in force is missing in the store.
+	bundleDeleted bool
+	// behind is true after a report that the store went back, until it confirms this view again.
+	behind bool
 	// complete is the revision up to which all changes are in entries.
 	complete platform.Revision
 	// listed is true once the store has been listed since the start of the process.
