Update services in place

Cause: a service handed in again with a higher update_version was refused as request_key_reused, so that no running service could be changed. One shard at a time replaces its tasks one at a time, with one task more than the count while there is room. Attempts are numbered apart by version, so that a new owner tells old tasks from new ones. The same version again is a repeated submission, a lower one is a conflict that does not claim not run, as it may have run before; refusals carry that now. Conclusion: services change size, command and count without going below their count where there is room.

--- a/owner/balance.go
+++ b/owner/balance.go
@@ -69,7 +69,7 @@
 			if !j.home || j.cancelled || j.allEnded() {
 				continue
 			}
-			if j.accepted.GetSpec().GetKind() == siskinv1.WorkKind_WORK_KIND_SERVICE {
+			if j.spec().GetKind() == siskinv1.WorkKind_WORK_KIND_SERVICE {
 				services = append(services, id)
 			} else {
 				others = append(others, id)
@@ -108,7 +108,8 @@
 		return
 	}
 	held := o.heldByShard(j)
-	targets := serviceTargets(int(j.accepted.GetSpec().GetCount()), inService)
+	targets := serviceTargets(int(j.spec().GetCount()), inService)
+	o.advanceRollout(id, j, held, targets)
 	grow := o.growRecords(id, j, held, targets, inService)
 	surplus := map[string]indexSet{}
 	if len(grow) == 0 && o.allRunning(id, j, held, targets) {
@@ -242,8 +243,8 @@
 	}
 	orphans := j.orphans()
 	repair := o.assignRecords(id, j, o.shard, orphans)
-	each := resource.FromProto(j.accepted.GetSpec().GetEach())
-	gang := j.accepted.GetSpec().GetKind() == siskinv1.WorkKind_WORK_KIND_GANG
+	each := resource.FromProto(j.spec().GetEach())
+	gang := j.spec().GetKind() == siskinv1.WorkKind_WORK_KIND_GANG
 	from, stuck := o.stuckTasks(id, j, gang)
 	o.mu.Unlock()
 	if !orphans.empty() {
@@ -366,8 +367,8 @@
 // orphans returns the indexes that no shard holds. Only a release whose assignment is missing in the log leaves any,
 // and a service drops indexes on purpose.
 func (j *job) orphans() indexSet {
-	if j.accepted.GetSpec().GetKind() == siskinv1.WorkKind_WORK_KIND_SERVICE {
+	if j.spec().GetKind() == siskinv1.WorkKind_WORK_KIND_SERVICE {
 		return nil
 	}
-	return (indexSet{}).add(0, j.accepted.GetSpec().GetCount()).minus(j.assigned())
+	return (indexSet{}).add(0, j.spec().GetCount()).minus(j.assigned())
 }
--- a/owner/convert.go
+++ b/owner/convert.go
@@ -10,7 +10,7 @@
 )
 
 func coreJob(j *job, now scheduler.Time) scheduler.Job {
-	spec := j.accepted.GetSpec()
+	spec := j.spec()
 	out := scheduler.Job{
 		ID:            j.accepted.GetId(),
 		Team:          j.accepted.GetTeam(),
@@ -26,6 +26,7 @@
 		SameRack:      spec.GetSameRack(),
 		MaxAttempts:   spec.GetMaxAttempts(),
 		UpdateVersion: spec.GetUpdateVersion(),
+		OldAttempts:   j.oldAttempts(),
 	}
 	if out.AtMostOnce {
 		out.MaxAttempts = 1
--- a/owner/parts.go
+++ b/owner/parts.go
@@ -37,6 +37,7 @@
 	reported map[int32]bool
 	lastSent time.Time
 	last     *siskinv1.ReportPartRequest
+	rollout  rollout
 }
 
 // holder is the home shard's view of another shard that holds a part.
@@ -48,6 +49,9 @@
 	reason, remedy string
 	atRisk         bool
 	reported       bool
+	updateVersion  int64
+	outdated       int32
+	replacing      bool
 }
 
 func (o *Owner) remoteOf(job string) *remoteParts {
@@ -96,12 +100,14 @@
 		}
 		for shard, assigned := range j.plan {
 			h := o.remoteOf(id).holder(shard)
-			if h.taken >= assigned.version && h.knowsCancelled == j.cancelled {
+			if h.taken >= assigned.version && h.knowsCancelled == j.cancelled && o.knowsUpdate(id, j, shard) {
 				continue
 			}
 			offers = append(offers, &siskinv1.OfferPartRequest{
-				Part:      partRecord(id, shard, assigned.version, assigned.set, j.accepted).GetPartChanged(),
+				Part:      partRecord(id, shard, assigned.version, assigned.set, j.current()).GetPartChanged(),
 				Cancelled: j.cancelled,
+				Update:    j.updated,
+				Replace:   o.remoteOf(id).rollout.mayReplace(shard),
 			})
 		}
 	}
@@ -123,6 +129,8 @@
 		return
 	}
 	h := o.remoteOf(part.GetJob()).holder(part.GetHolder())
+	h.updateVersion = max(h.updateVersion, request.GetUpdate().GetSpec().GetUpdateVersion())
+	h.replacing = request.GetReplace()
 	if answer.GetTaken() {
 		h.taken = part.GetPlanVersion()
 		h.knowsCancelled = request.GetCancelled()
@@ -153,6 +161,9 @@
 	if part.GetPlanVersion() > version {
 		records = append(records, &siskinv1.Record{Change: &siskinv1.Record_PartChanged{PartChanged: part}})
 	}
+	if update := request.GetUpdate(); j != nil && update.GetSpec().GetUpdateVersion() > j.spec().GetUpdateVersion() {
+		records = append(records, updatedRecord(update))
+	}
 	if request.GetCancelled() && (j == nil || !j.cancelled) {
 		records = append(records, cancelRecord(part.GetJob()))
 	}
@@ -160,6 +171,9 @@
 	if err := o.append(ctx, records...); err != nil {
 		return nil, refuseAppend(err)
 	}
+	o.mu.Lock()
+	_ = o.cell.HoldUpdate(part.GetJob(), !request.GetReplace())
+	o.mu.Unlock()
 	return &siskinv1.OfferPartResponse{PlanVersion: max(version, part.GetPlanVersion()), Taken: taken}, nil
 }
 
@@ -264,6 +278,8 @@
 		WaitingReason: string(waiting.Reason), WaitingRemedy: waiting.Remedy,
 	}
 	report.ReadyByAtRisk, _ = o.cell.AtRisk(id)
+	update := o.updateState(id, o.shard)
+	report.UpdateVersion, report.Outdated, report.Replacing = update.Version, int32(update.Outdated), !update.Held
 	for index, state := range j.ended {
 		if r.reported[index] {
 			continue
@@ -278,7 +294,8 @@
 
 func sameReport(a, b *siskinv1.ReportPartRequest) bool {
 	return b != nil && a.GetRunning() == b.GetRunning() && a.GetQueued() == b.GetQueued() &&
-		a.GetWaitingReason() == b.GetWaitingReason() && a.GetReadyByAtRisk() == b.GetReadyByAtRisk()
+		a.GetWaitingReason() == b.GetWaitingReason() && a.GetReadyByAtRisk() == b.GetReadyByAtRisk() &&
+		a.GetUpdateVersion() == b.GetUpdateVersion() && a.GetOutdated() == b.GetOutdated() && a.GetReplacing() == b.GetReplacing()
 }
 
 func (o *Owner) report(ctx context.Context, request *siskinv1.ReportPartRequest) {
@@ -327,6 +344,7 @@
 	h.running, h.queued = request.GetRunning(), request.GetQueued()
 	h.reason, h.remedy = request.GetWaitingReason(), request.GetWaitingRemedy()
 	h.atRisk = request.GetReadyByAtRisk()
+	h.updateVersion, h.outdated, h.replacing = request.GetUpdateVersion(), request.GetOutdated(), request.GetReplacing()
 	h.reported = true
 	return &siskinv1.ReportPartResponse{}, nil
 }
@@ -344,6 +362,7 @@
 		h := o.remoteOf(j.accepted.GetId()).holder(shard)
 		running := min(h.running, open)
 		status.Running += running
+		status.Outdated += h.outdated
 		if j.cancelled {
 			status.Cancelled += open - running
 		} else {
--- a/owner/recovery.go
+++ b/owner/recovery.go
@@ -58,7 +58,7 @@
 	}
 	p := &placement{
 		ref: task.Task, worker: worker, settled: o.options.Clock.Now(),
-		atMostOnce: j.accepted.GetSpec().GetAtMostOnce(),
+		atMostOnce: j.spec().GetAtMostOnce(),
 	}
 	o.placed[id] = p
 	o.worker(worker).placed[id] = p
@@ -75,8 +75,8 @@
 	if _, ended := j.ended[id.Index]; ended {
 		return
 	}
-	outcome := outcomeOfPhase(task.Phase, j.accepted.GetSpec().GetAtMostOnce())
-	if outcome == scheduler.Succeeded || outcome == scheduler.Unknown || j.accepted.GetSpec().GetAtMostOnce() {
+	outcome := outcomeOfPhase(task.Phase, j.spec().GetAtMostOnce())
+	if outcome == scheduler.Succeeded || outcome == scheduler.Unknown || j.spec().GetAtMostOnce() {
 		_ = o.cell.Resolve(id, outcome)
 		o.noteFinal(id)
 	}
--- a/owner/start.go
+++ b/owner/start.go
@@ -94,7 +94,7 @@
 
 // prepare notes the placement of a start. The caller holds mu.
 func (o *Owner) prepare(start scheduler.Start) plannedStart {
-	spec := o.state.jobs[start.Task.Job].accepted.GetSpec()
+	spec := o.state.jobs[start.Task.Job].spec()
 	ref := platform.TaskRef{Job: start.Task.Job, Index: start.Task.Index, Attempt: start.Attempt}
 	p := &placement{ref: ref, worker: start.Worker, atMostOnce: spec.GetAtMostOnce()}
 	o.placed[start.Task] = p
--- a/owner/state.go
+++ b/owner/state.go
@@ -20,7 +20,9 @@
 
 // job is one job of which the shard is the home or holds a part.
 type job struct {
-	accepted  *siskinv1.JobAccepted
+	accepted *siskinv1.JobAccepted
+	// updated is the newest version of a service; nil if it was not updated.
+	updated   *siskinv1.JobUpdated
 	home      bool
 	cancelled bool
 	// held are the task indexes that this shard holds, as of heldVersion.
@@ -57,6 +59,8 @@
 		if j, ok := s.jobs[change.JobCancelled.GetId()]; ok {
 			j.cancelled = true
 		}
+	case *siskinv1.Record_JobUpdated:
+		s.applyUpdated(change.JobUpdated)
 	case *siskinv1.Record_TaskClaimed:
 		if j, ok := s.jobs[change.TaskClaimed.GetJob()]; ok {
 			j.claims[change.TaskClaimed.GetIndex()] = change.TaskClaimed
@@ -161,6 +165,9 @@
 	for _, holder := range sortedKeys(j.plan) {
 		records = append(records, partRecord(id, holder, j.plan[holder].version, j.plan[holder].set, nil))
 	}
+	if j.updated != nil {
+		records = append(records, updatedRecord(j.updated))
+	}
 	if j.cancelled {
 		records = append(records, cancelRecord(id))
 	}
@@ -175,7 +182,7 @@
 
 // sameSpec reports whether a repeated submission carries the same content.
 func (j *job) sameSpec(hash []byte) bool {
-	return bytes.Equal(j.accepted.GetSpecSha256(), hash)
+	return bytes.Equal(j.current().GetSpecSha256(), hash)
 }
 
 // allEnded reports whether every task of the job has ended, wherever it is held.
@@ -238,6 +245,8 @@
 		o.submitToCore(change.JobAccepted.GetId())
 	case *siskinv1.Record_JobCancelled:
 		o.cancelInCore(change.JobCancelled.GetId())
+	case *siskinv1.Record_JobUpdated:
+		o.updateInCore(change.JobUpdated.GetId())
 	case *siskinv1.Record_PartChanged:
 		o.partInCore(change.PartChanged, before)
 	case *siskinv1.Record_JobForgotten:
@@ -260,6 +269,7 @@
 	if err := o.cell.Restore(o.coreJob(j)); err != nil {
 		return
 	}
+	_ = o.cell.HoldUpdate(id, true)
 	if j.cancelled {
 		o.cancelInCore(id)
 	}
@@ -318,7 +328,7 @@
 func (o *Owner) coreJob(j *job) scheduler.Job {
 	now := o.now()
 	out := coreJob(j, now)
-	if readyBy := j.accepted.GetSpec().GetReadyByUnixMs(); readyBy > 0 {
+	if readyBy := j.spec().GetReadyByUnixMs(); readyBy > 0 {
 		out.ReadyBy = max(1, now+time.UnixMilli(readyBy).Sub(o.options.Clock.Now()))
 	}
 	return out
--- a/owner/state_test.go
+++ b/owner/state_test.go
@@ -62,7 +62,7 @@
 		id := rapid.SampledFrom([]string{"z-0.a", "z-0.b", "y-0.c"}).Draw(t, "job")
 		index := rapid.Int32Range(0, 9).Draw(t, "index")
 		accepted := &siskinv1.JobAccepted{Id: id, Team: "t", Spec: &siskinv1.WorkSpec{Count: 10}}
-		switch rapid.IntRange(0, 5).Draw(t, "kind") {
+		switch rapid.IntRange(0, 6).Draw(t, "kind") {
 		case 0:
 			if id == "y-0.c" {
 				return partRecord(id, "z-0", 1, indexSet{}.add(0, index), accepted)
@@ -77,6 +77,11 @@
 		case 4:
 			holder := rapid.SampledFrom([]string{"z-0", "x-0"}).Draw(t, "holder")
 			return partRecord(id, holder, rapid.Int64Range(1, 9).Draw(t, "version"), indexSet{}.add(index, index+3), nil)
+		case 5:
+			version := rapid.Int32Range(1, 4).Draw(t, "update version")
+			return updatedRecord(&siskinv1.JobUpdated{
+				Id: id, Revision: version, Spec: &siskinv1.WorkSpec{Count: 10 + version, UpdateVersion: int64(version)},
+			})
 		default:
 			return workerUsedRecord("w")
 		}
--- a/owner/work.go
+++ b/owner/work.go
@@ -35,11 +35,14 @@
 	if err != nil {
 		return nil, err
 	}
-	done, repeated, err := o.beginSubmit(ctx, request, hash)
-	if err != nil || repeated {
-		return &siskinv1.SubmitWorkResponse{Id: request.GetId(), Repeated: repeated}, err
+	begun, err := o.beginSubmit(ctx, request, hash)
+	if err != nil || begun.repeated {
+		return &siskinv1.SubmitWorkResponse{Id: request.GetId(), Repeated: begun.repeated}, err
+	}
+	defer begun.done()
+	if begun.update != nil {
+		return o.acceptUpdate(ctx, begun.update)
 	}
-	defer done()
 	job := &siskinv1.JobAccepted{
 		Id: request.GetId(), Team: request.GetTeam(), Spec: request.GetSpec(), RequestKey: request.GetRequestKey(),
 		AcceptedUnixMs: o.options.Clock.Now().UnixMilli(), SpecSha256: hash,
@@ -61,36 +64,62 @@
 	return hash[:], nil
 }
 
+// submission is a submission whose identifier is reserved until done is called.
+type submission struct {
+	done     func()
+	repeated bool // the job is known as it is; nothing is reserved
+	// update is the new version of a known service; nil for a new job.
+	update *siskinv1.JobUpdated
+}
+
 // beginSubmit finds an earlier submission of the same job, durable or on its way to the store, or reserves the
-// identifier. The returned function ends the reservation.
-func (o *Owner) beginSubmit(ctx context.Context, request *siskinv1.SubmitWorkRequest, hash []byte) (func(), bool, error) {
+// identifier.
+func (o *Owner) beginSubmit(ctx context.Context, request *siskinv1.SubmitWorkRequest, hash []byte) (submission, error) {
 	id := request.GetId()
 	for {
 		if !o.mayAct() {
-			return nil, false, refusal.New(refusal.ShardUnavailable, "shard %q is changing its owner", o.shard)
+			return submission{}, refusal.New(refusal.ShardUnavailable, "shard %q is changing its owner", o.shard)
 		}
 		o.mu.Lock()
-		if j, ok := o.state.jobs[id]; ok {
-			o.mu.Unlock()
-			return nil, true, o.checkRepeated(j, hash)
-		}
 		pending, ok := o.pending[id]
 		if !ok {
-			err := o.checkRoomToQueue(request.GetSpec())
-			done := make(chan struct{})
-			if err == nil {
-				o.pending[id] = done
-			}
+			begun, err := o.reserve(request, hash)
 			o.mu.Unlock()
-			return func() { o.endSubmit(id, done) }, false, err
+			return begun, err
 		}
 		o.mu.Unlock()
 		select {
 		case <-pending:
 		case <-ctx.Done():
-			return nil, false, refusal.New(refusal.AcceptanceUnknown, "an earlier submission of %q is on its way", id)
+			return submission{}, refusal.New(refusal.AcceptanceUnknown, "an earlier submission of %q is on its way", id)
+		}
+	}
+}
+
+// reserve reserves the identifier of a new job or of an update. The caller holds mu.
+func (o *Owner) reserve(request *siskinv1.SubmitWorkRequest, hash []byte) (submission, error) {
+	id := request.GetId()
+	var begun submission
+	more := request.GetSpec().GetCount()
+	if j, ok := o.state.jobs[id]; ok {
+		update, err := o.updateOf(j, request, hash)
+		if err != nil {
+			return begun, err
 		}
+		if update == nil {
+			o.options.Metrics.accepted.WithLabelValues(o.shard, "repeated").Inc()
+			return submission{repeated: true}, nil
+		}
+		begun.update = update
+		more = max(0, more-j.spec().GetCount())
+	}
+	if err := o.checkRoomToQueue(int(more)); err != nil {
+		return submission{}, err
 	}
+	done := make(chan struct{})
+	o.pending[id] = done
+	begun.done = func() { o.endSubmit(id, done) }
+	return begun, nil
 }
 
 func (o *Owner) endSubmit(id string, done chan struct{}) {
@@ -100,14 +129,6 @@
 	close(done)
 }
 
-func (o *Owner) checkRepeated(j *job, hash []byte) error {
-	if !j.sameSpec(hash) {
-		return refusal.New(refusal.RequestKeyReused, "the request key was used for other work, %q", j.accepted.GetId())
-	}
-	o.options.Metrics.accepted.WithLabelValues(o.shard, "repeated").Inc()
-	return nil
-}
-
 func (o *Owner) maxQueued() int {
 	if o.options.MaxQueuedTasks > 0 {
 		return int(o.options.MaxQueuedTasks)
@@ -116,8 +137,8 @@
 }
 
 // checkRoomToQueue refuses work over the bound of the queue. The caller holds mu.
-func (o *Owner) checkRoomToQueue(spec *siskinv1.WorkSpec) error {
-	if err := o.cell.Admit(int(spec.GetCount())); err != nil {
+func (o *Owner) checkRoomToQueue(tasks int) error {
+	if err := o.cell.Admit(tasks); err != nil {
 		refused := refusal.New(refusal.QueueFull, "shard %q: %v", o.shard, err)
 		refused.RetryAfter = retryWhenFull
 		return refused
@@ -158,12 +179,13 @@
 	}
 	waiting, _ := o.cell.Explain(id)
 	status := &siskinv1.WorkStatus{
-		Id: id, Team: j.accepted.GetTeam(), Spec: j.accepted.GetSpec(),
+		Id: id, Team: j.accepted.GetTeam(), Spec: j.spec(),
 		Queued: int32(counts.Queued), Running: int32(counts.Running),
 		WaitingReason: string(waiting.Reason), WaitingRemedy: waiting.Remedy,
 		CancelRequested: j.cancelled, AcceptedUnixMs: j.accepted.GetAcceptedUnixMs(),
 	}
 	status.ReadyByAtRisk, _ = o.cell.AtRisk(id)
+	status.Outdated = int32(o.updateState(id, o.shard).Outdated)
 	o.addRemote(status, j)
 	addEnded(status, j, counts)
 	return status, nil
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -103,6 +103,8 @@
 	Reason     Reason
 	Message    string
 	RetryAfter time.Duration
+	// MayHaveRun is true if something may have run although the reason alone says that nothing has.
+	MayHaveRun bool
 }
 
 // New returns a refusal with a message in the manner of fmt.Sprintf.
@@ -114,7 +116,7 @@
 func (e *Error) Error() string { return string(e.Reason) + ": " + e.Message }
 
 // NotRun reports whether nothing has run.
-func (e *Error) NotRun() bool { return e.Reason.NotRun() }
+func (e *Error) NotRun() bool { return e.Reason.NotRun() && !e.MayHaveRun }
 
 // Proto converts e for another VM.
 func (e *Error) Proto() *siskinv1.Refused {
@@ -135,6 +137,7 @@
 		Reason:     Reason(r.GetReason()),
 		Message:    r.GetMessage(),
 		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		MayHaveRun: !r.GetNotRun(),
 	}
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -34,7 +34,9 @@
 	raised   bool
 	raisedAt Time
 	updating bool
-	blamed   bool
+	// updateHeld keeps the tasks of earlier versions from being replaced.
+	updateHeld bool
+	blamed     bool
 	// gangBlockedAt is the capacity count at which a gang job found no room; examined the topology at which it was
 	// checked whether the job can ever run.
 	gangBlockedAt uint64
--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -93,7 +93,7 @@
 	c := newCell(t, 2, vector(8, 8, 0))
 	submit(t, c, tasks("s", scheduler.Service, vector(1, 1, 0), 3))
 	c.Plan(time.Second, 100)
-	assert.NilError(t, c.Update("s", 2, vector(2, 2, 0)))
+	assert.NilError(t, c.Update("s", scheduler.ServiceUpdate{Version: 2, Each: vector(2, 2, 0), OldAttempts: 10}))
 	for i := range 3 {
 		now := time.Duration(i+1) * time.Minute
 		stops := c.Plan(now, 100).Stops
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -16,7 +16,7 @@
 // start reserves the room for a task and returns the order to start it.
 func (c *Cell) start(ref taskRef, w *worker, need resource.Vector) Start {
 	t := ref.task()
-	t.attempt++
+	t.attempt = max(t.attempt, ref.job.OldAttempts) + 1
 	c.place(ref, w, need)
 	return Start{Task: ref.job.id(ref.slot), Attempt: t.attempt, Worker: w.Name, Room: need, Team: ref.job.Team}
 }
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -177,6 +177,9 @@
 	c.revive(ref)
 	t.attempt = attempt
 	c.place(ref, c.workers[worker], room)
+	if ref.job.Kind == Service && attempt <= ref.job.OldAttempts {
+		c.markOld(ref)
+	}
 	if ref.job.cancelled {
 		c.stopSoon(ref, StopCancelled)
 	}
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -58,6 +58,8 @@
 	UpdateVersion int64
 	// FirstAttempt is the highest attempt that earlier holders of the tasks have used.
 	FirstAttempt int32
+	// OldAttempts is the highest attempt of tasks that may run an earlier version of the service.
+	OldAttempts int32
 }
 
 // Worker is a VM that runs tasks.
--- a/scheduler/update.go
+++ b/scheduler/update.go
@@ -1,37 +1,93 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/rotisserie/eris"
 
 	"siskinstack.example/siskinstack/resource"
 )
 
+// updateSettle is how long a started task runs before the update of its service goes on, so that a start that fails at
+// once does not take the next task with it.
+const updateSettle = time.Second
+
+// ServiceUpdate is a new version of a service.
+type ServiceUpdate struct {
+	Version int64
+	Each    resource.Vector
+	// OldAttempts is the highest attempt that may run an earlier version; starts of this version use higher ones.
+	OldAttempts int32
+}
+
 // Update gives a service a new version, whose tasks replace the running ones one at a time in the order of their slots.
-func (c *Cell) Update(id string, version int64, each resource.Vector) error {
+func (c *Cell) Update(id string, update ServiceUpdate) error {
 	j, ok := c.jobs[id]
 	if !ok {
 		return ErrUnknownJob
 	}
-	if j.Kind != Service || each.IsNegative() {
+	if j.Kind != Service || update.Each.IsNegative() {
 		return eris.Wrapf(ErrBadJob, "job %q cannot be updated", id)
 	}
-	if version <= j.UpdateVersion {
+	if update.Version <= j.UpdateVersion {
 		return nil
 	}
-	j.UpdateVersion = version
-	c.resize(j, each)
+	j.UpdateVersion, j.OldAttempts = update.Version, max(j.OldAttempts, update.OldAttempts)
+	c.resize(j, update.Each)
 	for slot := range j.tasks {
 		if t := &j.tasks[slot]; t.state == taskRunning {
-			t.flags |= flagOld
+			c.markOld(taskRef{j, int32(slot)})
 		}
 	}
-	if !j.updating {
-		j.updating = true
-		c.updating = append(c.updating, j)
+	return nil
+}
+
+// markOld notes that a running task runs an earlier version of its service.
+func (c *Cell) markOld(ref taskRef) {
+	ref.task().flags |= flagOld
+	if !ref.job.updating {
+		ref.job.updating = true
+		c.updating = append(c.updating, ref.job)
+	}
+}
+
+// HoldUpdate keeps the tasks of earlier versions of a service running, or lets them be replaced again.
+func (c *Cell) HoldUpdate(id string, held bool) error {
+	j, ok := c.jobs[id]
+	if !ok {
+		return ErrUnknownJob
 	}
+	j.updateHeld = held
 	return nil
 }
 
+// UpdateState is how far the update of a service has come.
+type UpdateState struct {
+	Version int64
+	// Outdated is the number of running tasks of earlier versions.
+	Outdated int
+	// Held is true if these are not replaced now.
+	Held bool
+}
+
+// UpdateState returns how far the update of a service has come.
+func (c *Cell) UpdateState(id string) (UpdateState, error) {
+	j, ok := c.jobs[id]
+	if !ok {
+		return UpdateState{}, ErrUnknownJob
+	}
+	state := UpdateState{Version: j.UpdateVersion, Held: j.updateHeld}
+	if !j.updating {
+		return state, nil
+	}
+	for slot := range j.tasks {
+		if t := &j.tasks[slot]; t.state == taskRunning && t.flags&flagOld != 0 {
+			state.Outdated++
+		}
+	}
+	return state, nil
+}
+
 // resize changes the declared room of a job's waiting tasks.
 func (c *Cell) resize(j *job, each resource.Vector) {
 	if each == j.Each {
@@ -77,7 +133,7 @@
 	if next < 0 {
 		return false
 	}
-	if j.stopping == 0 && j.counts.Queued == 0 {
+	if !j.updateHeld && j.stopping == 0 && j.counts.Queued == 0 && c.now-j.lastStart >= updateSettle {
 		plan.Stops = append(plan.Stops, c.stop(taskRef{j, next}, StopReplaced, nil))
 	}
 	return true
