Measure a shard owner beside a stand-in platform in another process

Cause: CAPACITY.md needs the cost of an owner without that of the stand-ins. Change: benchmarks of package capacity, with the platform in a child of the test program.

--- /dev/null
+++ b/capacity/child_test.go
@@ -0,0 +1,85 @@
+package capacity_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/server"
+)
+
+// standinVariable makes the test program serve a stand-in platform with as many workers, so that the processor time of
+// the platform is not counted as that of the part under measurement.
+const standinVariable = "SISKIN_CAPACITY_WORKERS"
+
+func TestMain(m *testing.M) {
+	if text := os.Getenv(standinVariable); text != "" {
+		workers, _ := strconv.Atoi(text)
+		serveStandin(workers)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	benchZone = "zone-1"
+	gib       = 1 << 30
+)
+
+// fleetOf returns workers of a zone.
+func fleetOf(zone string, workers int) []platform.VM {
+	vms := make([]platform.VM, workers)
+	for i := range vms {
+		vms[i] = platform.VM{
+			Name: fmt.Sprintf("%s-worker-%d", zone, i), Role: platform.RoleWorker, Zone: zone,
+			Rack: fmt.Sprintf("%s-rack-%d", zone, i/8), Address: "10.0.0.1:7000",
+			Room: resource.Vector{MilliCPU: 64_000, MemoryBytes: 128 * gib},
+		}
+	}
+	return vms
+}
+
+// serveStandin serves until its standard input ends.
+func serveStandin(workers int) {
+	vms := fleetOf(benchZone, workers)
+	handler := server.New(standin.NewStore(clock.Real{}), standin.NewVMList(clock.Real{}, 0, vms),
+		standin.NewWorkers(clock.Real{}, vms, standin.CommandPlan))
+	listener := listen(&testing.T{})
+	fmt.Println(listener.Addr())
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.Serve(listener) }()
+	_, _ = io.Copy(io.Discard, os.Stdin)
+	_ = s.Close()
+}
+
+// startStandin starts a stand-in platform in a process of its own and returns its URL.
+func startStandin(t testing.TB, workers int) string {
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), fmt.Sprintf("%s=%d", standinVariable, workers))
+	command.Stderr = os.Stderr
+	input, err := command.StdinPipe()
+	assert.NilError(t, err)
+	output, err := command.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, command.Start())
+	t.Cleanup(func() {
+		_ = input.Close()
+		_ = command.Wait()
+	})
+	address, err := bufio.NewReader(output).ReadString('\n')
+	assert.NilError(t, err)
+	return "http://" + strings.TrimSpace(address)
+}
