--- /dev/null
+++ b/capacity/protocol_test.go
@@ -0,0 +1,272 @@
+package capacity_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/bundle"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/configview"
+	"siskinstack.example/siskinstack/membership"
+	"siskinstack.example/siskinstack/peer"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/server"
+	"siskinstack.example/siskinstack/teamkey"
+)
+
+// receiver serves heartbeats only.
+type receiver struct {
+	peer.Control
+	members *membership.Manager
+}
+
+func (r receiver) Heartbeat(_ context.Context, request *siskinv1.HeartbeatRequest) (*siskinv1.HeartbeatResponse, error) {
+	return r.members.Receive(request)
+}
+
+// reports returns the load of shards and the usage of as many teams in each.
+func reports(shards, teams int) membership.Local {
+	local := membership.Local{ConfigRevision: 5_000_000, ConfigAge: 300 * time.Millisecond, BundleVersion: 4_500, StoreReachable: true}
+	amount := &siskinv1.Resources{MilliCpu: 12_345_000, MemoryBytes: 23 << 40, Accelerators: 120}
+	for i := range shards {
+		name := fmt.Sprintf("taichung-%d-0", i+1)
+		local.Shards = append(local.Shards, &siskinv1.ShardLoad{
+			Shard: name, Epoch: 4_000_000, Free: amount, Total: amount, QueuedTasks: 12_000, RunningTasks: 10_000,
+		})
+		for team := range teams {
+			local.Usage = append(local.Usage, &siskinv1.TeamUsage{Team: teamName(team), Shard: name, Running: amount, Queued: amount})
+		}
+	}
+	return local
+}
+
+// BenchmarkHeartbeat measures a heartbeat between two entry VMs over gRPC, by what it reports.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, size := range []struct{ shards, teams int }{{1, 0}, {1, 6}, {1, 45}, {2, 45}} {
+		b.Run(fmt.Sprintf("shards=%d/teams=%d", size.shards, size.teams), func(b *testing.B) { measureHeartbeat(b, reports(size.shards, size.teams)) })
+	}
+}
+
+func measureHeartbeat(b *testing.B, local membership.Local) {
+	listener := listen(b)
+	to := membership.NewManager(membership.Options{
+		VM: "entry-1", Incarnation: 1_700_000_000_000, Clock: clock.Real{}, Peers: []membership.Peer{{VM: "entry-0"}},
+		Local: func() membership.Local { return local },
+	})
+	serving := grpc.NewServer()
+	siskinv1.RegisterPeerServiceServer(serving, &peer.Server{LocalControl: receiver{members: to}})
+	go func() { _ = serving.Serve(listener) }()
+	defer serving.Stop()
+	var wire traffic
+	dial := func(ctx context.Context, address string) (net.Conn, error) { return wire.dial(ctx, "tcp", address) }
+	clients := peer.NewClients(map[string]string{"entry-1": listener.Addr().String()}, insecure.NewCredentials(), grpc.WithContextDialer(dial))
+	defer clients.Close()
+	now := clock.NewFake(time.Now())
+	from := membership.NewManager(membership.Options{
+		VM: "entry-0", Incarnation: 1_700_000_000_000, Clock: now, Peers: []membership.Peer{{VM: "entry-1"}},
+		Sender: &peer.ControlCalls{Clients: clients}, Local: func() membership.Local { return local },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		from.Run(ctx)
+	}()
+	before := processorTime()
+	for b.Loop() {
+		beat(now, from)
+	}
+	processor := processorTime() - before
+	cancel()
+	<-ended
+	sent := from.Stats()
+	n := float64(sent.Sent)
+	b.ReportMetric(float64(sent.SentBytes)/n, "message-B")
+	b.ReportMetric(float64(wire.out.Load())/n, "wire-out-B")
+	b.ReportMetric(float64(wire.in.Load())/n, "wire-in-B")
+	b.ReportMetric(float64(processor.Microseconds())/n, "both-ends-µs")
+}
+
+// beat lets one round happen: the manager waits for the next one, and no call is in flight.
+func beat(now *clock.Fake, manager *membership.Manager) {
+	before := manager.Stats().Sent
+	for manager.Stats().Sent == before {
+		now.Advance(membership.Interval)
+		time.Sleep(200 * time.Microsecond)
+	}
+}
+
+// BenchmarkRenewal measures the bytes of a renewal by the number of tasks on the worker.
+func BenchmarkRenewal(b *testing.B) {
+	for _, tasks := range []int{0, 1, 7, 28} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			vms := fleetOf(benchZone, 1)
+			vms[0].Room = resource.Vector{MilliCPU: 64_000, MemoryBytes: 128 * gib}
+			var wire traffic
+			client := httpplatform.NewWithDialer(startStandin(b, 1), wire.dial)
+			defer client.Close()
+			authority := platform.Authority{Shard: benchShard, Epoch: 4_000_000}
+			for i := range tasks {
+				assert.NilError(b, client.Start(b.Context(), platform.StartRequest{
+					Authority: authority, Worker: vms[0].Name, Team: "stitching", Lease: time.Hour, Command: []string{"serve", "-"},
+					Task: platform.TaskRef{Job: fmt.Sprintf("%s.%064d", benchShard, i), Attempt: 1},
+					Room: resource.Vector{MilliCPU: 2000, MemoryBytes: 4 * gib},
+				}))
+			}
+			in, out, before, n := wire.in.Load(), wire.out.Load(), processorTime(), 0
+			for b.Loop() {
+				report, err := client.Renew(b.Context(), platform.RenewRequest{Authority: authority, Worker: vms[0].Name, Lease: time.Hour})
+				assert.NilError(b, err)
+				assert.Equal(b, len(report.Tasks), tasks)
+				n++
+			}
+			b.ReportMetric(float64(wire.in.Load()-in)/float64(n), "in-B")
+			b.ReportMetric(float64(wire.out.Load()-out)/float64(n), "out-B")
+			b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(n), "owner-µs")
+		})
+	}
+}
+
+// BenchmarkVMList measures one read of the platform's list of VMs by the size of the fleet.
+func BenchmarkVMList(b *testing.B) {
+	for _, workers := range []int{50, 1400, 9800} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			var wire traffic
+			client := httpplatform.NewWithDialer(startStandin(b, workers), wire.dial)
+			defer client.Close()
+			before, empty, n := processorTime(), heap(), 0
+			var list platform.VMs
+			for b.Loop() {
+				var err error
+				list, err = client.VMs().List(b.Context())
+				assert.NilError(b, err)
+				n++
+			}
+			processor := processorTime() - before
+			b.ReportMetric(float64(wire.in.Load())/float64(n), "in-B")
+			b.ReportMetric(float64(processor.Microseconds())/float64(n), "reader-µs")
+			b.ReportMetric(heap()-empty, "heap-B")
+			assert.Equal(b, len(list.VMs), workers)
+		})
+	}
+}
+
+// BenchmarkLoadQuestion measures the question for an endpoint's load, at the endpoint's side of the connection.
+func BenchmarkLoadQuestion(b *testing.B) {
+	for _, inFlight := range []int{0, 8} {
+		b.Run(fmt.Sprintf("in-flight=%d", inFlight), func(b *testing.B) {
+			var wire traffic
+			vm := platform.VM{Name: "endpoint-0", Role: platform.RoleEndpoint, Zone: benchZone, Service: "orders"}
+			endpoints := standin.NewEndpoints(clock.Real{}, []platform.VM{vm}, standin.EndpointOptions{
+				Slots: 8, Connections: 60, Work: func(string, []byte) time.Duration { return time.Hour },
+			})
+			serving := &http.Server{Handler: server.NewEndpoint(vm.Name, endpoints), ReadHeaderTimeout: time.Second}
+			listener := listen(b)
+			go func() { _ = serving.Serve(meteredListener{listener, &wire}) }()
+			defer func() { _ = serving.Close() }()
+			ctx, cancel := context.WithCancel(b.Context())
+			defer cancel()
+			for i := range inFlight {
+				go func() {
+					_, _ = endpoints.Call(ctx, platform.EndpointRequest{Endpoint: vm.Name, RequestID: fmt.Sprintf("%032d", i), From: fmt.Sprintf("entry-%d@1700000000000", i%2)})
+				}()
+			}
+			for endpoints.Running() < inFlight {
+				time.Sleep(time.Millisecond)
+			}
+			client := httpplatform.NewEndpoints(30)
+			defer client.Close()
+			n := 0
+			for b.Loop() {
+				_, err := client.Load(b.Context(), vm.Name, listener.Addr().String())
+				assert.NilError(b, err)
+				n++
+			}
+			b.ReportMetric(float64(wire.in.Load())/float64(n), "in-B")
+			b.ReportMetric(float64(wire.out.Load())/float64(n), "out-B")
+		})
+	}
+}
+
+type noPeers struct{}
+
+func (noPeers) States() []configview.PeerState { return nil }
+func (noPeers) FetchConfig(context.Context, string, *siskinv1.FetchConfigRequest) (*siskinv1.FetchConfigResponse, error) {
+	return nil, platform.ErrNotSent
+}
+
+// BenchmarkConfigChange measures what a change of the configuration costs an entry VM, by the number of keys.
+func BenchmarkConfigChange(b *testing.B) {
+	for _, keys := range []int{200, 2000} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) { measureConfig(b, keys) })
+	}
+}
+
+func measureConfig(b *testing.B, keys int) {
+	var wire traffic
+	url := startStandin(b, 1)
+	client := httpplatform.NewWithDialer(url, wire.dial)
+	defer client.Close()
+	writer := httpplatform.New(url)
+	defer writer.Close()
+	register := teamkey.NewRegister(writer, clock.Real{})
+	for i := range keys {
+		_, _, err := register.Issue(b.Context(), teamName(i%benchTeams), "alice")
+		assert.NilError(b, err)
+	}
+	empty := heap()
+	view := configview.New(configview.Options{Store: client, Clock: clock.Real{}, Logger: logr.Discard(), Signers: bundle.NewSigners(nil), Peers: noPeers{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	before := processorTime()
+	go func() {
+		defer close(ended)
+		view.Run(ctx)
+	}()
+	for len(view.Snapshot().Keys()) < keys {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportMetric(float64(wire.in.Load()), "relist-B")
+	b.ReportMetric(float64((processorTime()-before).Microseconds()), "relist-µs")
+	b.ReportMetric((heap()-empty)/float64(keys), "heap-B/key")
+	time.Sleep(time.Second)
+	idleFrom, in, out := processorTime(), wire.in.Load(), wire.out.Load()
+	time.Sleep(3 * time.Second)
+	b.ReportMetric(float64((processorTime()-idleFrom).Microseconds())/3, "idle-µs/s")
+	b.ReportMetric(float64(wire.in.Load()-in)/3, "idle-in-B/s")
+	b.ReportMetric(float64(wire.out.Load()-out)/3, "idle-out-B/s")
+	in, out = wire.in.Load(), wire.out.Load()
+	var waited time.Duration
+	n := 0
+	processor := processorTime()
+	for b.Loop() {
+		key, _, err := register.Issue(b.Context(), teamName(n%benchTeams), "alice")
+		assert.NilError(b, err)
+		began := time.Now()
+		for view.Snapshot().Key(key.ID) == nil {
+			time.Sleep(100 * time.Microsecond)
+		}
+		waited += time.Since(began)
+		n++
+		time.Sleep(5 * time.Millisecond)
+	}
+	b.ReportMetric(float64((processorTime()-processor).Microseconds())/float64(n), "change-µs")
+	b.ReportMetric(float64(wire.in.Load()-in)/float64(n), "change-in-B")
+	b.ReportMetric(float64(wire.out.Load()-out)/float64(n), "change-out-B")
+	b.ReportMetric(float64(waited.Microseconds())/float64(n), "seen-after-µs")
+	cancel()
+	<-ended
+}
