--- a/capacity/allowance_test.go
+++ b/capacity/allowance_test.go
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/allowance"
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
@@ -57,7 +57,9 @@
 }
 
 // SetLimit implements allowance.Limiter.
-func (f *allowanceFleet) SetLimit(string, string, resource.Vector) resource.Vector { return resource.Vector{} }
+func (f *allowanceFleet) SetLimit(string, string, resource.Vector) resource.Vector {
+	return resource.Vector{}
+}
 
 // step sets every demand and serves it for a second.
 func (f *allowanceFleet) step(ctx context.Context, demand int64) {
--- /dev/null
+++ b/capacity/log_test.go
@@ -0,0 +1,202 @@
+package capacity_test
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/shardlog"
+	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/storeclient"
+)
+
+func jobID(i int) string { return fmt.Sprintf("%s.%064d", benchShard, i) }
+
+func acceptedRecord(i, tasks int) *siskinv1.Record {
+	return &siskinv1.Record{Change: &siskinv1.Record_JobAccepted{JobAccepted: &siskinv1.JobAccepted{
+		Id: jobID(i), Team: teamName(i % benchTeams), AcceptedUnixMs: 1_700_000_000_000, SpecSha256: bytes.Repeat([]byte{7}, 32),
+		RequestKey: fmt.Sprintf("%032d", i),
+		Spec: &siskinv1.WorkSpec{
+			Name: "stitch", Kind: siskinv1.WorkKind_WORK_KIND_BATCH, Queue: teamName(i % benchTeams), Count: int32(tasks),
+			Command: []string{"stitch", "--slide", "s3-000123456", "--level", "full"}, Urgency: siskinv1.Urgency_URGENCY_NORMAL,
+			Each: &siskinv1.Resources{MilliCpu: 8000, MemoryBytes: 15 * gib},
+		},
+	}}}
+}
+
+func endRecord(job, index int) *siskinv1.Record {
+	return &siskinv1.Record{Change: &siskinv1.Record_TaskEnded{TaskEnded: &siskinv1.TaskEnded{
+		Job: jobID(job), Index: int32(index), State: siskinv1.TaskState_TASK_STATE_SUCCEEDED, Attempt: 1,
+	}}}
+}
+
+// recordsOf returns the records of a shard with as many tasks, in jobs of jobTasks of which as many have ended.
+func recordsOf(tasks, ended, workers int) []*siskinv1.Record {
+	var records []*siskinv1.Record
+	for job := range tasks / jobTasks {
+		records = append(records, acceptedRecord(job, jobTasks))
+		for index := range ended {
+			records = append(records, endRecord(job, index))
+		}
+	}
+	for _, vm := range fleetOf(benchZone, workers) {
+		records = append(records, &siskinv1.Record{Change: &siskinv1.Record_WorkerUsed{WorkerUsed: &siskinv1.WorkerUsed{Worker: vm.Name}}})
+	}
+	return records
+}
+
+// appendInParts writes records in entries as large as a busy shard's.
+func appendInParts(b *testing.B, log *shardlog.Log, records []*siskinv1.Record) {
+	const perEntry = 2000
+	for first := 0; first < len(records); first += perEntry {
+		assert.NilError(b, log.Append(b.Context(), records[first:min(first+perEntry, len(records))]...))
+	}
+}
+
+// bytesUnder returns the size and the number of the values with a prefix.
+func bytesUnder(b *testing.B, store platform.Store, prefix string) (size, values float64) {
+	listing, err := store.List(context.Background(), prefix)
+	assert.NilError(b, err)
+	for _, kv := range listing.Entries {
+		size += float64(len(kv.Value))
+	}
+	return size, float64(len(listing.Entries))
+}
+
+// BenchmarkLog measures the log and the snapshot of a shard by its number of tasks, half of which have ended.
+func BenchmarkLog(b *testing.B) {
+	for _, tasks := range []int{1000, 10_000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				measureLog(b, tasks)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func measureLog(b *testing.B, tasks int) {
+	store := standin.NewStore(clock.Real{})
+	records := recordsOf(tasks, jobTasks/2, 0)
+	options := shardlog.Options{
+		Store: store, Clock: clock.Real{}, Shard: benchShard, Writer: "vm@1", Owner: "vm", Epoch: 1,
+		Apply: func(*siskinv1.Record) {}, Snapshot: func() []*siskinv1.Record { return records },
+		SnapshotEntries: 1 << 20, SnapshotBytes: 1 << 40,
+	}
+	log, err := shardlog.Open(b.Context(), options)
+	assert.NilError(b, err)
+	appendInParts(b, log, records)
+	size, entries := bytesUnder(b, store, shardlog.Prefix(benchShard))
+	b.ReportMetric(size/float64(len(records)), "log-B/record")
+	b.ReportMetric(entries, "log-entries")
+	log.Close()
+	options.SnapshotEntries, options.Epoch, options.Writer = 1, 2, "vm@2"
+	log, err = shardlog.Open(b.Context(), options)
+	assert.NilError(b, err)
+	before := store.Counts().Writes
+	assert.NilError(b, log.Append(b.Context(), acceptedRecord(0, 1)))
+	for {
+		if _, err := store.Get(b.Context(), shardlog.HeadKey(benchShard)); err == nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportMetric(float64(store.Counts().Writes-before), "snapshot-writes")
+	log.Close()
+	size, chunks := bytesUnder(b, store, shardlog.SnapshotPrefix(benchShard))
+	b.ReportMetric(size/float64(tasks), "snapshot-B/task")
+	b.ReportMetric(size, "snapshot-B")
+	b.ReportMetric(chunks, "snapshot-chunks")
+}
+
+// BenchmarkTakeover measures owner.Open over the HTTP adapter by the number of tasks of the shard, and the time until
+// every worker has been asked.
+func BenchmarkTakeover(b *testing.B) {
+	for _, tasks := range []int{1000, 10_000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				measureTakeover(b, tasks, jobTasks/2, tasks/7)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkRetention measures owner.Open by the number of ended tasks that the shard keeps for a day. The calls to the
+// store have the deadline that they have in the daemon.
+func BenchmarkRetention(b *testing.B) {
+	for _, tasks := range []int{20_000, 200_000, 600_000} {
+		b.Run(fmt.Sprintf("ended=%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				measureTakeover(b, tasks, jobTasks, 100)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func measureTakeover(b *testing.B, tasks, ended, workers int) {
+	s := &bench{b: b, around: newSurroundings(workers)}
+	client := httpplatform.NewWithDialer(startStandin(b, workers), s.traffic.dial)
+	defer client.Close()
+	log, err := shardlog.Open(b.Context(), shardlog.Options{
+		Store: client, Clock: clock.Real{}, Shard: benchShard, Writer: "vm@1", Owner: "vm", Epoch: 1, Apply: func(*siskinv1.Record) {},
+	})
+	assert.NilError(b, err)
+	appendInParts(b, log, recordsOf(tasks, ended, workers))
+	log.Close()
+	s.workers = &countedWorkers{Workers: client}
+	empty := heap()
+	store := storeclient.New(client, storeclient.Options{})
+	defer store.Close()
+	opened := s.during(func() { s.open(store.For(storeclient.KindLog), 2) })
+	b.ReportMetric(float64(opened.took.Milliseconds()), "open-ms")
+	b.ReportMetric(float64(opened.processor.Milliseconds()), "open-processor-ms")
+	b.ReportMetric(opened.in, "open-in-B")
+	b.ReportMetric((heap()-empty)/float64(tasks), "heap-B/task")
+	ctx, cancel := context.WithCancel(b.Context())
+	done := make(chan struct{})
+	asked := s.during(func() {
+		go func() {
+			defer close(done)
+			s.owner.Run(ctx)
+		}()
+		for s.workers.renewals.Load() < int64(workers) {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	b.ReportMetric(float64(asked.took.Milliseconds()), "ask-all-ms")
+	b.ReportMetric(float64(asked.processor.Milliseconds()), "ask-all-processor-ms")
+	cancel()
+	<-done
+}
+
+// BenchmarkVMListCompressed measures how small the list would be with the compression of the HTTP standard.
+func BenchmarkVMListCompressed(b *testing.B) {
+	for _, workers := range []int{1400, 9800} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			text, err := json.Marshal(platform.VMs{VMs: fleetOf(benchZone, workers)})
+			assert.NilError(b, err)
+			var out bytes.Buffer
+			for b.Loop() {
+				out.Reset()
+				zip := gzip.NewWriter(&out)
+				_, _ = strings.NewReader(string(text)).WriteTo(zip)
+				assert.NilError(b, zip.Close())
+			}
+			b.ReportMetric(float64(len(text)), "plain-B")
+			b.ReportMetric(float64(out.Len()), "gzip-B")
+		})
+	}
+}
--- a/capacity/owner_test.go
+++ b/capacity/owner_test.go
@@ -121,10 +121,10 @@
 	return s
 }
 
-func (s *bench) open(client *httpplatform.Client, epoch int64) {
+func (s *bench) open(store platform.Store, epoch int64) {
 	o, err := owner.Open(context.Background(), owner.Options{
 		Right: ownership.NewRight(clock.Real{}, benchShard, epoch, time.Now().Add(time.Hour)),
-		Store: client, Workers: s.workers, VMs: s.around, Clock: clock.Real{}, Logger: logr.Discard(),
+		Store: store, Workers: s.workers, VMs: s.around, Clock: clock.Real{}, Logger: logr.Discard(),
 		Tracer: noop.NewTracerProvider().Tracer(""), Metrics: owner.NewMetrics(prometheus.NewRegistry()),
 		Config: s.around, Demand: s.around, Fleet: s.around, Parts: owner.NewSet(), VM: "vm", Zone: benchZone,
 		Writer: fmt.Sprintf("vm@%d", epoch),
--- a/capacity/protocol_test.go
+++ b/capacity/protocol_test.go
@@ -239,15 +239,11 @@
 	for len(view.Snapshot().Keys()) < keys {
 		time.Sleep(time.Millisecond)
 	}
-	b.ReportMetric(float64(wire.in.Load()), "relist-B")
-	b.ReportMetric(float64((processorTime()-before).Microseconds()), "relist-µs")
-	b.ReportMetric((heap()-empty)/float64(keys), "heap-B/key")
+	listed, listing, perKey := float64(wire.in.Load()), processorTime()-before, (heap()-empty)/float64(keys)
 	time.Sleep(time.Second)
 	idleFrom, in, out := processorTime(), wire.in.Load(), wire.out.Load()
 	time.Sleep(3 * time.Second)
-	b.ReportMetric(float64((processorTime()-idleFrom).Microseconds())/3, "idle-µs/s")
-	b.ReportMetric(float64(wire.in.Load()-in)/3, "idle-in-B/s")
-	b.ReportMetric(float64(wire.out.Load()-out)/3, "idle-out-B/s")
+	idle, idleIn, idleOut := processorTime()-idleFrom, float64(wire.in.Load()-in), float64(wire.out.Load()-out)
 	in, out = wire.in.Load(), wire.out.Load()
 	var waited time.Duration
 	n := 0
@@ -267,6 +263,12 @@
 	b.ReportMetric(float64(wire.in.Load()-in)/float64(n), "change-in-B")
 	b.ReportMetric(float64(wire.out.Load()-out)/float64(n), "change-out-B")
 	b.ReportMetric(float64(waited.Microseconds())/float64(n), "seen-after-µs")
+	b.ReportMetric(listed, "relist-B")
+	b.ReportMetric(float64(listing.Microseconds()), "relist-µs")
+	b.ReportMetric(perKey, "heap-B/key")
+	b.ReportMetric(float64(idle.Microseconds())/3, "idle-µs/s")
+	b.ReportMetric(idleIn/3, "idle-in-B/s")
+	b.ReportMetric(idleOut/3, "idle-out-B/s")
 	cancel()
 	<-ended
 }
