Run seeded fault schedules over whole fleets in fake time

Cause: the parts of an entry VM were each tested alone; faults that meet in several of them were not. Change: package schedules wires the real ownership, allowance, configuration, membership and owner of six VMs in a synctest bubble, draws two to five faults per seed and checks the promises. peer.Connector lets VMs be connected inside one process.

--- a/peer/clients.go
+++ b/peer/clients.go
@@ -10,6 +10,12 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 )
 
+// Connector gives access to the peers. Clients connects over gRPC; tests connect VMs inside one process.
+type Connector interface {
+	// Client returns a client of a peer by VM name.
+	Client(vm string) (siskinv1.PeerServiceClient, error)
+}
+
 // Clients holds one connection to each configured peer.
 type Clients struct {
 	credentials credentials.TransportCredentials
--- a/peer/control.go
+++ b/peer/control.go
@@ -47,7 +47,7 @@
 
 // ControlCalls sends control calls to one peer by VM name.
 type ControlCalls struct {
-	Clients *Clients
+	Clients Connector
 }
 
 // Heartbeat implements membership.Sender.
--- a/peer/requests.go
+++ b/peer/requests.go
@@ -102,7 +102,7 @@
 	VM        string
 	Local     Claims
 	Directory Directory
-	Clients   *Clients
+	Clients   Connector
 }
 
 // Claim implements Claims.
--- a/peer/work.go
+++ b/peer/work.go
@@ -18,7 +18,7 @@
 	VM        string
 	Local     Work
 	Directory Directory
-	Clients   *Clients
+	Clients   Connector
 }
 
 func (r *Router) owner(shard string) (siskinv1.PeerServiceClient, bool, error) {
--- /dev/null
+++ b/schedules/faults_test.go
@@ -0,0 +1,287 @@
+package schedules
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/storeclient"
+)
+
+const (
+	minFaults = 2
+	maxFaults = 5
+	// faultsFrom and faultsWithin are when faults begin. Work is handed in during the same time.
+	faultsFrom   = 6 * time.Second
+	faultsWithin = 30 * time.Second
+	workWithin   = 36 * time.Second
+	jobs         = 16
+)
+
+// fault is one drawn fault: it begins, lasts and ends.
+type fault struct {
+	name  string
+	at    time.Duration
+	lasts time.Duration
+	begin func()
+	end   func()
+}
+
+// faultKinds draws one fault of each kind. A kind sets begin and end, and may set lasts.
+var faultKinds = []func(s *site, random *rand.Rand, f *fault){
+	drawKill, drawPause, drawZoneCut, drawOneWayCut, drawStoreDown, drawStoreSlow, drawStoreLoses, drawWorkerUnreachable,
+	drawWorkerKilled, drawWorkerFails, drawWorkerLate, drawDrain, drawCeiling, drawPeerFaults,
+}
+
+// drawFaults draws the faults of one schedule.
+func drawFaults(s *site, random *rand.Rand) []*fault {
+	var faults []*fault
+	for range minFaults + random.IntN(maxFaults-minFaults+1) {
+		f := &fault{
+			at:    faultsFrom + time.Duration(random.Int64N(int64(faultsWithin))),
+			lasts: time.Second + time.Duration(random.Int64N(int64(29*time.Second))),
+		}
+		faultKinds[random.IntN(len(faultKinds))](s, random, f)
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+func (f *fault) play(s *site) {
+	time.Sleep(f.at)
+	s.note("begin %s for %v", f.name, f.lasts)
+	f.begin()
+	time.Sleep(f.lasts)
+	f.end()
+	s.note("end %s", f.name)
+}
+
+func drawKill(s *site, random *rand.Rand, f *fault) {
+	p := s.peers[random.IntN(len(s.peers))]
+	f.name = "kill " + p.VM
+	var killed *vm
+	f.begin = func() {
+		if v := s.current(p.VM); v.background.Err() == nil {
+			killed = v
+			v.kill()
+		}
+	}
+	f.end = func() {
+		if killed != nil {
+			s.start(p.VM, p.Zone, s.rates[p.VM])
+		}
+	}
+}
+
+func drawPause(s *site, random *rand.Rand, f *fault) {
+	p := s.peers[random.IntN(len(s.peers))]
+	f.name = "pause " + p.VM
+	f.lasts = 500*time.Millisecond + time.Duration(random.Int64N(int64(25*time.Second)))
+	var v *vm
+	f.begin = func() {
+		v = s.current(p.VM)
+		v.process.pause()
+	}
+	f.end = func() { v.process.resume() }
+}
+
+func drawZoneCut(s *site, random *rand.Rand, f *fault) {
+	zone := zoneNames[random.IntN(len(zoneNames))]
+	peers, store := random.IntN(3) != 0, random.IntN(3) != 0
+	peers = peers || !store
+	f.name = fmt.Sprintf("cut %s, peers %v, store %v", zone, peers, store)
+	var heal func()
+	f.begin = func() {
+		heal = s.network.cut(func(from, to node) bool {
+			if from.kind == kindStore || to.kind == kindStore {
+				return store && (from.zone == zone || to.zone == zone)
+			}
+			return peers && (from.zone == zone) != (to.zone == zone)
+		})
+	}
+	f.end = func() { heal() }
+}
+
+func drawOneWayCut(s *site, random *rand.Rand, f *fault) {
+	a := s.peers[random.IntN(len(s.peers))].VM
+	b := s.peers[random.IntN(len(s.peers))].VM
+	f.name = fmt.Sprintf("one-way cut %s to %s", a, b)
+	var heal func()
+	f.begin = func() {
+		heal = s.network.cut(func(from, to node) bool { return from.name == a && to.name == b })
+	}
+	f.end = func() { heal() }
+}
+
+// changeStore changes the faults of the store for all VMs.
+func (s *site) changeStore(change func(*standin.StoreFaults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.history.storeFaults)
+	s.store.SetFaults(s.history.storeFaults)
+}
+
+func drawStoreDown(s *site, _ *rand.Rand, f *fault) {
+	f.name = "store down"
+	f.begin = func() { s.changeStore(func(f *standin.StoreFaults) { f.Down = true }) }
+	f.end = func() { s.changeStore(func(f *standin.StoreFaults) { f.Down = false }) }
+}
+
+func drawStoreSlow(s *site, random *rand.Rand, f *fault) {
+	delay := time.Duration(20+random.IntN(1500)) * time.Millisecond
+	f.name = fmt.Sprintf("store slow by %v", delay)
+	f.begin = func() { s.changeStore(func(f *standin.StoreFaults) { f.Delay = delay }) }
+	f.end = func() { s.changeStore(func(f *standin.StoreFaults) { f.Delay = 0 }) }
+}
+
+func drawStoreLoses(s *site, random *rand.Rand, f *fault) {
+	n := 1 + random.IntN(12)
+	f.name = fmt.Sprintf("store loses %d answers", n)
+	f.begin = func() { s.changeStore(func(f *standin.StoreFaults) { f.LoseAnswers = n }) }
+	f.end = func() { s.changeStore(func(f *standin.StoreFaults) { f.LoseAnswers = 0 }) }
+}
+
+// changeWorker changes the faults of a worker.
+func (s *site) changeWorker(name string, change func(*standin.WorkerFaults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.history.workerFaults == nil {
+		s.history.workerFaults = map[string]standin.WorkerFaults{}
+	}
+	faults := s.history.workerFaults[name]
+	change(&faults)
+	s.history.workerFaults[name] = faults
+	s.workers.SetFaults(name, faults)
+}
+
+func drawWorkerUnreachable(s *site, random *rand.Rand, f *fault) {
+	name := s.workerNames[random.IntN(len(s.workerNames))]
+	f.name = "worker unreachable " + name
+	f.lasts += time.Duration(random.Int64N(int64(15 * time.Second)))
+	f.begin = func() { s.changeWorker(name, func(f *standin.WorkerFaults) { f.Unreachable = true }) }
+	f.end = func() { s.changeWorker(name, func(f *standin.WorkerFaults) { f.Unreachable = false }) }
+}
+
+func drawWorkerKilled(s *site, random *rand.Rand, f *fault) {
+	name := s.workerNames[random.IntN(len(s.workerNames))]
+	f.name = "worker killed " + name
+	f.begin = func() {
+		s.workers.Fail(name)
+		s.history.addKilled(s)
+		s.changeWorker(name, func(f *standin.WorkerFaults) { f.Unreachable = true })
+	}
+	f.end = func() { s.changeWorker(name, func(f *standin.WorkerFaults) { f.Unreachable = false }) }
+}
+
+func drawWorkerFails(s *site, random *rand.Rand, f *fault) {
+	name := s.workerNames[random.IntN(len(s.workerNames))]
+	f.name = "worker fails everything " + name
+	f.begin = func() {
+		s.history.addFailing(s)
+		s.changeWorker(name, func(f *standin.WorkerFaults) { f.FailTasks = true })
+	}
+	f.end = func() { s.changeWorker(name, func(f *standin.WorkerFaults) { f.FailTasks = false }) }
+}
+
+// maxLate is the longest delay of a call in the network. A start that arrives later than the margin of the leases, at a
+// worker that hears of no other owner meanwhile, is outside of what leases can cover.
+const maxLate = 900 * time.Millisecond
+
+func drawWorkerLate(s *site, random *rand.Rand, f *fault) {
+	name := s.workerNames[random.IntN(len(s.workerNames))]
+	late, duplicate, lose := random.IntN(6), random.IntN(6), random.IntN(6)
+	by := time.Duration(random.Int64N(int64(maxLate)))
+	f.name = fmt.Sprintf("worker %s: %d late by %v, %d duplicate, %d answers lost", name, late, by, duplicate, lose)
+	f.begin = func() {
+		s.changeWorker(name, func(f *standin.WorkerFaults) {
+			f.Late, f.LateBy, f.Duplicate, f.LoseAnswers = late, by, duplicate, lose
+		})
+	}
+	f.end = func() {
+		s.changeWorker(name, func(f *standin.WorkerFaults) { f.Late, f.Duplicate, f.LoseAnswers = 0, 0, 0 })
+		s.workers.Deliver()
+	}
+}
+
+func drawDrain(s *site, random *rand.Rand, f *fault) {
+	zone := zoneNames[random.IntN(len(zoneNames))]
+	f.name = "drain " + zone
+	f.begin = func() {
+		if s.operate("drain "+zone, func(v *vm) error {
+			return s.setZone(v, zone, siskinv1.ZoneState_ZONE_STATE_DRAINING)
+		}) {
+			s.history.drain(s, zone)
+		}
+	}
+	f.end = func() {
+		s.history.undrain(s, zone)
+		for !s.operate("return "+zone, func(v *vm) error {
+			return s.setZone(v, zone, siskinv1.ZoneState_ZONE_STATE_IN_SERVICE)
+		}) {
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+func drawCeiling(s *site, random *rand.Rand, f *fault) {
+	team := teamNames[random.IntN(len(teamNames))]
+	lowered := int64(4000 + 1000*random.IntN(6))
+	f.name = fmt.Sprintf("ceiling of %s lowered to %d", team, lowered)
+	f.lasts += 10 * time.Second
+	f.begin = func() { s.changeCeiling(team, lowered, false) }
+	f.end = func() { s.changeCeiling(team, initialCeilings[team], true) }
+}
+
+// changeCeiling signs a new bundle off. Only one change is under way at a time.
+func (s *site) changeCeiling(team string, cores int64, untilDone bool) {
+	s.history.operating.Lock()
+	defer s.history.operating.Unlock()
+	next := s.history.nextCeilings(s, team, cores)
+	s.history.mayRaise(s, next)
+	version := s.history.version(s)
+	for {
+		done := s.operate(fmt.Sprintf("bundle %d", version), func(v *vm) error {
+			return s.putBundle(v.config.Observing(v.store.For(storeclient.KindConfig)), s.bundle(version, next))
+		})
+		if done {
+			s.history.changed(s, next)
+			return
+		}
+		if !untilDone && s.broken.log == nil {
+			time.Sleep(time.Second)
+		}
+	}
+}
+
+// operate makes a change through random VMs until one says that it is done, for a few attempts.
+func (s *site) operate(what string, change func(*vm) error) bool {
+	const attempts = 5
+	for range attempts {
+		v := s.live()
+		err := change(v)
+		s.note("%s: %s: %v", v, what, err)
+		if err == nil || strings.Contains(err.Error(), "already in force") {
+			return true
+		}
+		time.Sleep(time.Second)
+	}
+	return false
+}
+
+func drawPeerFaults(s *site, random *rand.Rand, f *fault) {
+	a := s.peers[random.IntN(len(s.peers))].VM
+	b := s.peers[random.IntN(len(s.peers))].VM
+	delay := time.Duration(random.IntN(800)) * time.Millisecond
+	lose, duplicate := random.IntN(5), random.IntN(20)
+	f.name = fmt.Sprintf("peers %s to %s: delay %v, %d answers lost, %d duplicate", a, b, delay, lose, duplicate)
+	key := [2]string{a, b}
+	f.begin = func() {
+		s.network.set(func(n *network) { n.delay[key], n.lose[key], n.duplicate[key] = delay, lose, duplicate })
+	}
+	f.end = func() {
+		s.network.set(func(n *network) { n.delay[key], n.lose[key], n.duplicate[key] = 0, 0, 0 })
+	}
+}
--- /dev/null
+++ b/schedules/link_test.go
@@ -0,0 +1,125 @@
+package schedules
+
+import (
+	"context"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+)
+
+// links is a peer.Connector that calls the other VMs of a site directly, through the network's faults.
+type links struct{ from *vm }
+
+// Client implements peer.Connector.
+func (l links) Client(name string) (siskinv1.PeerServiceClient, error) {
+	if _, ok := l.from.site.vms[name]; !ok {
+		return nil, eris.Errorf("VM %q is not a configured peer", name)
+	}
+	return siskinv1.NewPeerServiceClient(link{from: l.from, to: name}), nil
+}
+
+// link carries calls from one VM to the current process of another one.
+type link struct {
+	from *vm
+	to   string
+}
+
+// NewStream implements grpc.ClientConnInterface; the peer service has no streams.
+func (l link) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, status.Error(codes.Unimplemented, "no streams")
+}
+
+// Invoke implements grpc.ClientConnInterface.
+func (l link) Invoke(ctx context.Context, method string, args, reply any, _ ...grpc.CallOption) error {
+	to := l.from.site.current(l.to)
+	answer, err := l.await(ctx, to, method, proto.Clone(args.(proto.Message)))
+	if gone := l.from.process.wait(); gone != nil {
+		return gone
+	}
+	if err != nil {
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	proto.Merge(reply.(proto.Message), answer)
+	return nil
+}
+
+type exchanged struct {
+	answer proto.Message
+	err    error
+}
+
+// await returns at the caller's deadline, also if the other VM is paused and goes on with the call later.
+func (l link) await(ctx context.Context, to *vm, method string, args proto.Message) (proto.Message, error) {
+	done := make(chan exchanged, 1)
+	go func() {
+		answer, err := l.exchange(ctx, to, method, args)
+		done <- exchanged{answer, err}
+	}()
+	select {
+	case result := <-done:
+		return result.answer, result.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l link) exchange(ctx context.Context, to *vm, method string, args proto.Message) (proto.Message, error) {
+	net := l.from.site.network
+	from := l.from.node()
+	if err := l.from.process.wait(); err != nil {
+		return nil, err
+	}
+	if err := net.pass(ctx, from, to.node()); err != nil {
+		return nil, err
+	}
+	if delay := net.delayOf(from, to.node()); delay > 0 {
+		if err := l.from.site.clock.Sleep(ctx, delay); err != nil {
+			return nil, err
+		}
+	}
+	answer, err := serve(ctx, to, method, args)
+	if net.take(net.duplicate, from, to.node()) {
+		answer, err = serve(ctx, to, method, args)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if net.take(net.lose, from, to.node()) {
+		return nil, eris.New("answer was lost")
+	}
+	return answer, net.pass(ctx, to.node(), from)
+}
+
+// serve runs one call at a VM.
+func serve(ctx context.Context, to *vm, method string, args proto.Message) (proto.Message, error) {
+	if err := to.process.wait(); err != nil {
+		return nil, err
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	name := method[strings.LastIndexByte(method, '/')+1:]
+	for _, desc := range siskinv1.PeerService_ServiceDesc.Methods {
+		if desc.MethodName != name {
+			continue
+		}
+		answer, err := desc.Handler(to.server, ctx, func(into any) error {
+			proto.Merge(into.(proto.Message), args)
+			return nil
+		}, nil)
+		if gone := to.process.wait(); gone != nil {
+			return nil, gone
+		}
+		if err != nil {
+			return nil, err
+		}
+		return proto.Clone(answer.(proto.Message)), nil
+	}
+	return nil, eris.Errorf("method %q does not exist", method)
+}
