Throttle and move tasks that use more than their room

Cause: usage above the declaration was only learned for later starts; running tasks could use more processors than their worker has, and stay above their memory. Change: a plan holds throttle orders. On a worker that is short, tasks above their room share its spare processors; the limit is lifted when there is room. Checkpointable batch tasks above their memory are moved into a larger room. The state machine test checks that the known usage on no worker exceeds it, and that limits stay within room and worker. Figures: go test ./owner -run 'Overuse|MemoryAbove': 8.0 of 8 cores in use by two tasks that would use 12, 6.0 after one has gone. TestCoreKeepsPromises passes with -rapid.checks=4000. Conclusion: usage stays within workers once it is reported.

--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -31,6 +31,7 @@
 	set     *Set
 	epoch   int64
 	runFor  time.Duration
+	used    resource.Vector // by each task; zero if it is not reported
 
 	mu       sync.Mutex // guards fresh, draining and limits
 	fresh    bool
@@ -59,7 +60,7 @@
 	s.store = standin.NewStore(clock.Real{})
 	s.vms = standin.NewVMList(clock.Real{}, time.Second, vms)
 	s.workers = standin.NewWorkers(clock.Real{}, vms, func(platform.StartRequest) standin.TaskPlan {
-		return standin.TaskPlan{RunFor: s.runFor}
+		return standin.TaskPlan{RunFor: s.runFor, Used: s.used}
 	})
 	return s
 }
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -15,6 +15,7 @@
 	takeovers *prometheus.CounterVec
 	starts    *prometheus.CounterVec
 	stops     *prometheus.CounterVec
+	throttles *prometheus.CounterVec
 	renewals  *prometheus.CounterVec
 	ends      *prometheus.CounterVec
 	staleRuns *prometheus.CounterVec
@@ -35,6 +36,7 @@
 		takeovers: counter("takeovers_total", "Times that this VM has taken the shard over."),
 		starts:    counter("starts_total", "Start calls to workers by result.", "result"),
 		stops:     counter("stops_total", "Stop calls to workers by reason and result.", "reason", "result"),
+		throttles: counter("throttles_total", "Throttle calls to workers by result.", "result"),
 		renewals:  counter("renewals_total", "Renewal calls to workers by result.", "result"),
 		ends:      counter("task_ends_total", "Ends of attempts by outcome.", "outcome"),
 		staleRuns: counter("stale_runs_total", "Running attempts that were stopped because they are not the current one."),
@@ -51,6 +53,10 @@
 	m.stops.WithLabelValues(shard, reason, result(err)).Inc()
 }
 
+func (m *Metrics) throttle(shard string, err error) {
+	m.throttles.WithLabelValues(shard, result(err)).Inc()
+}
+
 func (m *Metrics) renewal(shard string, err error) {
 	m.renewals.WithLabelValues(shard, result(err)).Inc()
 }
--- /dev/null
+++ b/owner/overuse_test.go
@@ -0,0 +1,76 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/standin"
+)
+
+// usedOn returns the processors that the tasks on a worker use, as the worker reports it.
+func (s *site) usedOn(worker string) int64 {
+	s.t.Helper()
+	report, err := s.workers.Renew(context.Background(), platform.RenewRequest{
+		Authority: platform.Authority{Shard: "z-0", Epoch: s.epoch}, Worker: worker,
+	})
+	assert.NilError(s.t, err)
+	used := int64(0)
+	for _, task := range report.Tasks {
+		used += task.Used.MilliCPU
+	}
+	return used
+}
+
+// TestOveruseIsThrottledAndLifted guards against tasks that use more processors than their worker has, also when throttle
+// calls fail or the owner changes, and against limits that stay when there is room again.
+func TestOveruseIsThrottledAndLifted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1, "z")
+		s.runFor = 0
+		s.used = resource.Vector{MilliCPU: 6000, MemoryBytes: 1 << 30}
+		o := s.open("z", time.Hour)
+		first, second := s.submit(o, "a", batch(1, false)), s.submit(o, "b", batch(1, false))
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, s.usedOn("z-w0"), int64(8000))
+		o.kill()
+		s.workers.SetFaults("z-w0", standin.WorkerFaults{LoseAnswers: 2})
+		o = s.open("z", time.Hour)
+		defer o.kill()
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, s.usedOn("z-w0"), int64(8000))
+		_, err := o.Cancel(context.Background(), &siskinv1.CancelWorkRequest{Id: first, Team: testTeam})
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, s.usedOn("z-w0"), int64(6000))
+		assert.Equal(t, s.status(o, second).GetRunning(), int32(1))
+		s.checkRuns()
+	})
+}
+
+// TestMemoryAboveRoomMovesCheckpointableTask guards against a task that stays above its memory, and against work that is
+// lost by the move.
+func TestMemoryAboveRoomMovesCheckpointableTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, "z")
+		s.runFor = time.Minute
+		s.used = resource.Vector{MilliCPU: 500, MemoryBytes: 20 << 30}
+		o := s.open("z", time.Hour)
+		defer o.kill()
+		spec := batch(1, false)
+		spec.Checkpointable = true
+		id := s.submit(o, "a", spec)
+		time.Sleep(90 * time.Second)
+		assert.Equal(t, s.status(o, id).GetSucceeded(), int32(1))
+		runs := s.checkRuns()
+		assert.Equal(t, len(runs), 2)
+		assert.Assert(t, runs[0].Room.MemoryBytes == 1<<30 && runs[1].Room.MemoryBytes >= 20<<30, "%v", runs[1].Room)
+		assert.Equal(t, runs[1].Resumed, runs[0].Progress)
+	})
+}
--- a/owner/start.go
+++ b/owner/start.go
@@ -39,6 +39,9 @@
 	for _, stop := range stops {
 		o.call(ctx, func(ctx context.Context) { o.stop(ctx, stop) })
 	}
+	for _, order := range plan.Throttles {
+		o.call(ctx, func(ctx context.Context) { o.throttle(ctx, order) })
+	}
 }
 
 // mayPlan reports whether the decision core may act now. In a draining zone it only stops tasks. The caller holds mu.
@@ -240,6 +243,24 @@
 	}
 }
 
+// throttle limits the processors of a running task or lifts the limit. What fails is ordered again by a later pass.
+func (o *Owner) throttle(ctx context.Context, order scheduler.Throttle) {
+	err := o.options.Right.Check()
+	if err == nil {
+		err = o.options.Workers.Throttle(ctx, platform.ThrottleRequest{
+			Authority: o.authority(), Worker: order.Worker, MilliCPU: order.MilliCPU,
+			Task: platform.TaskRef{Job: order.Task.Job, Index: order.Task.Index, Attempt: order.Attempt},
+		})
+	}
+	o.options.Metrics.throttle(o.shard, err)
+	if errors.Is(err, platform.ErrStaleEpoch) {
+		o.fence()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cell.Throttled(order, err == nil, o.now())
+}
+
 // stop ends a running task; its end is taken from the worker's next report. A stop that fails is tried again.
 func (o *Owner) stop(ctx context.Context, stop scheduler.Stop) {
 	request := platform.StopRequest{
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -107,6 +107,8 @@
 	ramping       bool
 	rampFrom      float64
 
+	overMarked []*worker
+
 	avoidEnds []Time // when tasks no longer wait for another worker than the one they failed on, ascending
 }
 
--- a/scheduler/differential_test.go
+++ b/scheduler/differential_test.go
@@ -34,6 +34,7 @@
 	workers   []scheduler.Worker
 	limits    map[string]resource.Vector
 	draining  bool
+	limited   map[endEvent]*limited
 	// lastStarts are those of the last plan.
 	lastStarts []scheduler.Start
 }
@@ -174,6 +175,7 @@
 	}
 	used := rapid.SampledFrom(taskRooms).Draw(t, "used")
 	m.core.Usage(start.Task, start.Attempt, used)
+	m.limitedOf(start.Task, start.Attempt).used = used.MilliCPU
 	m.naive.Usage(start.Task, used)
 	m.core.Usage(start.Task, start.Attempt-1, vector(1000, 1000, 1000))
 }
@@ -366,6 +368,8 @@
 		}
 	}
 	m.lastStarts = plan.Starts
+	m.noteThrottles(t, plan.Throttles)
+	m.checkUsage()
 }
 
 // noteHealth tells the naive core which workers the fast core has taken out of use.
--- a/scheduler/learn.go
+++ b/scheduler/learn.go
@@ -64,6 +64,7 @@
 		class.version++
 		c.capacity++
 	}
+	c.noteUsage(ref, used)
 }
 
 // size returns the learned size, rounded up.
--- /dev/null
+++ b/scheduler/overuse.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"time"
+
+	"siskinstack.example/siskinstack/resource"
+)
+
+const (
+	// throttleRetry is how long the core waits before it repeats a throttle order that did not arrive.
+	throttleRetry = time.Second
+	// raiseStep is the part, as a divisor, by which a limit must grow before it is sent again: limits follow the spare
+	// room, which changes with every start and end on the worker.
+	raiseStep = 10
+	// limitSlack is the part, as a divisor, of a limit from which a throttled task counts as using all of it. Its demand
+	// is then unknown and taken to be as before.
+	limitSlack = 20
+)
+
+// Throttle asks for the processors of one running task to be limited. MilliCPU is the worker's whole room when an earlier
+// limit is lifted.
+type Throttle struct {
+	Task     TaskID
+	Attempt  int32
+	Worker   string
+	MilliCPU int64
+}
+
+// overuse is what is known of a task that uses more than its room or that is throttled.
+type overuse struct {
+	demand resource.Vector // last seen; processors of a throttled task as seen before
+	limit  int64           // processors allowed; 0 if not throttled
+	// inFlight orders have been neither carried out nor failed; unsure ones have failed, and are repeated at retry.
+	inFlight, unsure bool
+	retry            Time
+}
+
+// noteUsage compares the usage of a running task with its room. Usage lags behind, so it never frees room that is
+// accounted.
+func (c *Cell) noteUsage(ref taskRef, used resource.Vector) {
+	w, t, room := c.workers[ref.task().worker-1], ref.task(), ref.room()
+	o := w.over[ref]
+	if o == nil {
+		// An earlier owner may have throttled an adopted task that uses its whole room.
+		adopted := t.flags&flagAdopted != 0 && used.MilliCPU > 0
+		if adopted {
+			t.flags &^= flagAdopted
+		}
+		mayBeLimited := adopted && used.MilliCPU >= room.MilliCPU-room.MilliCPU/limitSlack
+		if !mayBeLimited && used.MilliCPU <= room.MilliCPU && used.MemoryBytes <= room.MemoryBytes {
+			return
+		}
+		o = &overuse{}
+		if mayBeLimited {
+			o.limit = used.MilliCPU
+		}
+		if w.over == nil {
+			w.over = map[taskRef]*overuse{}
+		}
+		w.over[ref] = o
+	}
+	if o.limit > 0 && used.MilliCPU >= o.limit-o.limit/limitSlack {
+		used.MilliCPU = max(used.MilliCPU, o.demand.MilliCPU)
+	}
+	o.demand = used
+	c.markOver(w)
+}
+
+// markOver lets the next pass look at the usage on a worker.
+func (c *Cell) markOver(w *worker) {
+	if len(w.over) > 0 && !w.overMarked {
+		w.overMarked = true
+		c.overMarked = append(c.overMarked, w)
+	}
+}
+
+// limitUsage throttles and moves tasks on the workers whose usage or room has changed.
+func (c *Cell) limitUsage(plan *Plan) {
+	marked := c.overMarked
+	c.overMarked = nil
+	for _, w := range marked {
+		w.overMarked = false
+		if w.present && len(w.over) > 0 {
+			c.limitWorker(w, plan)
+		}
+	}
+}
+
+func (c *Cell) limitWorker(w *worker, plan *Plan) {
+	spare := w.Room.Sub(w.used)
+	var excess resource.Vector
+	for ref, o := range w.over {
+		excess = excess.Add(o.excess(ref))
+	}
+	for _, ref := range w.tasks {
+		o := w.over[ref]
+		if o == nil {
+			continue
+		}
+		c.limitTask(w, ref, o, max(spare.MilliCPU, 0), excess.MilliCPU, plan)
+		if o.excess(ref).MemoryBytes > 0 {
+			c.moveForMemory(ref, excess.MemoryBytes > spare.MemoryBytes, plan)
+		}
+		if o.limit == 0 && !o.inFlight && !o.unsure && o.excess(ref).IsZero() {
+			delete(w.over, ref)
+		}
+	}
+}
+
+// excess returns what a task uses above its room.
+func (o *overuse) excess(ref taskRef) resource.Vector {
+	over := o.demand.Sub(ref.room())
+	return resource.Vector{MilliCPU: max(over.MilliCPU, 0), MemoryBytes: max(over.MemoryBytes, 0)}
+}
+
+// limitTask splits the spare processors of a worker over the tasks that use more than their room, in proportion to their
+// excess. The limits and rooms on a worker add up to its room at most. Nothing is limited while all of the excess fits.
+func (c *Cell) limitTask(w *worker, ref taskRef, o *overuse, spare, excess int64, plan *Plan) {
+	if o.inFlight || o.unsure && c.now < o.retry {
+		c.markOver(w)
+		return
+	}
+	wanted := int64(0)
+	if own := o.excess(ref).MilliCPU; excess > spare && (own > 0 || o.limit > 0) {
+		share := float64(spare) * float64(own) / float64(excess)
+		wanted = max(min(ref.room().MilliCPU+int64(share), w.Room.MilliCPU), 1)
+	}
+	raised := wanted > o.limit && wanted < o.limit+o.limit/raiseStep
+	if !o.unsure && (wanted == o.limit || o.limit > 0 && raised) {
+		return
+	}
+	order := Throttle{Task: ref.job.id(ref.slot), Attempt: ref.task().attempt, Worker: w.Name, MilliCPU: wanted}
+	if wanted == 0 {
+		order.MilliCPU = w.Room.MilliCPU
+	}
+	o.limit, o.inFlight, o.unsure = wanted, true, false
+	plan.Throttles = append(plan.Throttles, order)
+}
+
+// Throttled reports whether a throttle order was carried out. Orders that failed are repeated.
+func (c *Cell) Throttled(order Throttle, done bool, now Time) {
+	c.advance(now)
+	ref, err := c.lookup(order.Task)
+	if err != nil || ref.task().state != taskRunning || ref.task().attempt != order.Attempt {
+		return
+	}
+	w := c.workers[ref.task().worker-1]
+	o := w.over[ref]
+	if o == nil {
+		return
+	}
+	o.inFlight, o.unsure, o.retry = false, !done, c.now+throttleRetry
+	c.markOver(w)
+}
+
+// moveForMemory checkpoints and stops a batch task that uses more memory than its room, so that it starts again in the
+// learned, larger room: if its worker is short of memory, or if such a room is free. Other tasks get the larger room at
+// their next attempt.
+func (c *Cell) moveForMemory(ref taskRef, short bool, plan *Plan) {
+	j, t := ref.job, ref.task()
+	if j.Kind != Batch || !j.Checkpoint || j.AtMostOnce || j.cancelled || c.draining || t.flags&flagStopping != 0 {
+		return
+	}
+	c.refreshShape(j.shape, j.team)
+	if j.shape.need.MemoryBytes <= ref.room().MemoryBytes {
+		return // no worker or limit allows a larger room
+	}
+	if !short {
+		if id, need := c.findBest(j.shape, j.team, -1); id < 0 || need.MemoryBytes <= ref.room().MemoryBytes {
+			return
+		}
+	}
+	plan.Stops = append(plan.Stops, c.stop(ref, StopOverRoom, nil))
+}
--- /dev/null
+++ b/scheduler/overuse_test.go
@@ -0,0 +1,148 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler"
+)
+
+// limited is what the machine knows of the processors of a running task.
+type limited struct {
+	used  int64 // last reported
+	limit int64 // last limit that was carried out; 0 if none
+	// failed is true if the last order was not carried out.
+	failed bool
+}
+
+func (m *machine) limitedOf(task scheduler.TaskID, attempt int32) *limited {
+	key := endEvent{task: task, attempt: attempt}
+	if m.limited == nil {
+		m.limited = map[endEvent]*limited{}
+	}
+	if m.limited[key] == nil {
+		m.limited[key] = &limited{}
+	}
+	return m.limited[key]
+}
+
+func (m *machine) roomOf(worker string) (resource.Vector, bool) {
+	for _, w := range m.workers {
+		if w.Name == worker {
+			return w.Room, true
+		}
+	}
+	return resource.Vector{}, false
+}
+
+// noteThrottles carries the throttle orders of a plan out, or lets them fail.
+func (m *machine) noteThrottles(t *rapid.T, orders []scheduler.Throttle) {
+	for _, order := range orders {
+		found := false
+		room, ok := m.roomOf(order.Worker)
+		for _, start := range m.running {
+			found = found || start.Task == order.Task && start.Attempt == order.Attempt && start.Worker == order.Worker &&
+				order.MilliCPU >= min(start.Room.MilliCPU, room.MilliCPU)
+		}
+		assert.Assert(t, found && ok && order.MilliCPU <= room.MilliCPU, "%+v", order)
+		state := m.limitedOf(order.Task, order.Attempt)
+		state.failed = rapid.IntRange(0, 3).Draw(t, "fails") == 0
+		if !state.failed {
+			state.limit = order.MilliCPU
+		}
+		m.core.Throttled(order, !state.failed, m.now)
+	}
+}
+
+// checkUsage verifies that the tasks of no worker may use more processors than it has, as far as their usage is known.
+func (m *machine) checkUsage() {
+	rooms, used, unsure := map[string]int64{}, map[string]int64{}, map[string]bool{}
+	for _, start := range m.running {
+		state := m.limitedOf(start.Task, start.Attempt)
+		allowed := state.used
+		if state.limit > 0 {
+			allowed = min(allowed, state.limit)
+		}
+		rooms[start.Worker] += start.Room.MilliCPU
+		used[start.Worker] += max(allowed, start.Room.MilliCPU)
+		unsure[start.Worker] = unsure[start.Worker] || state.failed
+	}
+	for worker, sum := range used {
+		room, ok := m.roomOf(worker)
+		if !ok || unsure[worker] || rooms[worker] > room.MilliCPU {
+			continue
+		}
+		assert.Assert(m.t, sum <= room.MilliCPU, "worker %s: %d used of %d", worker, sum, room.MilliCPU)
+	}
+}
+
+// TestThrottleFollowsRoomOfWorker guards against usage above a worker's room, against tasks that are throttled while there
+// is room, and against a limit that stays after the room has come back.
+func TestThrottleFollowsRoomOfWorker(t *testing.T) {
+	c := newCell(t, 1, vector(8, 8, 0))
+	submit(t, c, tasks("a", scheduler.Batch, vector(1, 1, 0), 2))
+	starts := c.Plan(0, 10).Starts
+	c.Usage(starts[0].Task, starts[0].Attempt, vector(5, 1, 0))
+	assert.Equal(t, len(c.Plan(time.Second, 10).Throttles), 0)
+	c.Usage(starts[1].Task, starts[1].Attempt, vector(9, 1, 0))
+	orders := c.Plan(2*time.Second, 10).Throttles
+	assert.Equal(t, len(orders), 2)
+	assert.Equal(t, orders[0].MilliCPU, int64(1000+2000))
+	assert.Equal(t, orders[1].MilliCPU, int64(1000+4000))
+	c.Throttled(orders[0], true, 2*time.Second)
+	c.Throttled(orders[1], false, 2*time.Second)
+	assert.Equal(t, len(c.Plan(2*time.Second, 10).Throttles), 0)
+	again := c.Plan(4*time.Second, 10).Throttles
+	assert.DeepEqual(t, again, orders[1:])
+	c.Throttled(again[0], true, 4*time.Second)
+	c.Usage(starts[0].Task, starts[0].Attempt, vector(3, 1, 0))
+	assert.Equal(t, len(c.Plan(5*time.Second, 10).Throttles), 0, "usage at the limit says nothing of the demand")
+	end(t, c, starts[1], scheduler.Succeeded, 6*time.Second)
+	lifted := c.Plan(6*time.Second, 10).Throttles
+	assert.Equal(t, len(lifted), 1)
+	assert.Equal(t, lifted[0].Task, starts[0].Task)
+	assert.Equal(t, lifted[0].MilliCPU, int64(8000))
+}
+
+// TestNewOwnerLiftsLimitOfAdoptedTask guards against a limit that an earlier owner set and nobody lifts.
+func TestNewOwnerLiftsLimitOfAdoptedTask(t *testing.T) {
+	c := newCell(t, 1, vector(8, 8, 0))
+	submit(t, c, tasks("a", scheduler.Batch, vector(1, 1, 0), 2))
+	for index := range int32(2) {
+		assert.NilError(t, c.Adopt(scheduler.TaskID{Job: "a", Index: index}, 1, "a", vector(1, 1, 0)))
+	}
+	c.Usage(scheduler.TaskID{Job: "a", Index: 0}, 1, vector(2, 1, 0))
+	c.Usage(scheduler.TaskID{Job: "a", Index: 1}, 1, resource.Vector{MilliCPU: 500})
+	orders := c.Plan(time.Second, 10).Throttles
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].MilliCPU, int64(8000))
+}
+
+// TestMemoryAboveRoomMovesTask guards against a task that stays above its memory where there is a larger room, and against
+// stops that lose work or lead to no larger room.
+func TestMemoryAboveRoomMovesTask(t *testing.T) {
+	for _, checkpoint := range []bool{true, false} {
+		c := newCell(t, 2, vector(8, 8, 0))
+		job := tasks("a", scheduler.Batch, vector(1, 1, 0), 1)
+		job.Checkpoint = checkpoint
+		submit(t, c, job)
+		start := c.Plan(0, 10).Starts[0]
+		c.Usage(start.Task, start.Attempt, vector(1, 4, 0))
+		stops := c.Plan(time.Second, 10).Stops
+		assert.Equal(t, len(stops) == 1, checkpoint)
+		outcome := scheduler.Failed
+		if checkpoint {
+			assert.Assert(t, stops[0].Checkpoint && stops[0].Reason == scheduler.StopOverRoom)
+			outcome = scheduler.Stopped
+		}
+		end(t, c, start, outcome, 2*time.Second)
+		larger := c.Plan(2*time.Second, 10).Starts[0]
+		assert.Assert(t, larger.Room.MemoryBytes >= 4<<30 && larger.Room.MemoryBytes <= 8<<30, "%v", larger.Room)
+		c.Usage(larger.Task, larger.Attempt, vector(1, 100, 0))
+		c.Plan(3*time.Second, 10)
+	}
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -21,15 +21,20 @@
 	c.enforceLimits(&plan)
 	if c.draining {
 		c.evacuate(&plan)
-		return plan
+	} else {
+		c.planWork(&plan, maxStarts)
 	}
-	c.evacuateLeaving(&plan)
-	c.continueUpdates(&plan)
-	c.startWork(&plan, maxStarts)
+	c.limitUsage(&plan)
+	return plan
+}
+
+func (c *Cell) planWork(plan *Plan, maxStarts int) {
+	c.evacuateLeaving(plan)
+	c.continueUpdates(plan)
+	c.startWork(plan, maxStarts)
 	if len(plan.Starts) < maxStarts && c.rampAllows() {
-		c.reclaim(&plan)
+		c.reclaim(plan)
 	}
-	return plan
 }
 
 // startWork starts tasks in fair order until nothing more fits.
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -28,6 +28,8 @@
 	flagLeaving
 	// flagFailedThere tasks have failed on the worker that they avoid, and wait for another one.
 	flagFailedThere
+	// flagAdopted tasks were found running after a takeover, and have not reported any use of processors since.
+	flagAdopted
 )
 
 // task is kept small, because a shard holds one for each queued and each running task.
@@ -99,7 +101,8 @@
 	c.endProbe(w, ref)
 	t.worker = 0
 	t.state = taskQueued
-	t.flags &^= flagStopping | flagOld
+	t.flags &^= flagStopping | flagOld | flagAdopted
+	delete(w.over, ref)
 	j.counts.Running--
 	c.waitMore(j, 1)
 	j.hint = min(j.hint, ref.slot)
@@ -109,6 +112,7 @@
 
 func (c *Cell) addUsed(w *worker, room resource.Vector) {
 	w.used = w.used.Add(room)
+	c.markOver(w)
 	if w.present {
 		c.used = c.used.Add(room)
 	}
@@ -177,6 +181,7 @@
 	c.revive(ref)
 	t.attempt = attempt
 	c.place(ref, c.workers[worker], room)
+	t.flags |= flagAdopted
 	if ref.job.Kind == Service && attempt <= ref.job.OldAttempts {
 		c.markOld(ref)
 	}
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -124,12 +124,14 @@
 	StopDraining  StopReason = "draining"
 	StopCeiling   StopReason = "over_ceiling"
 	StopReplaced  StopReason = "replaced"
+	StopOverRoom  StopReason = "over_room"
 )
 
 // Plan is the result of one pass.
 type Plan struct {
-	Starts []Start
-	Stops  []Stop
+	Starts    []Start
+	Stops     []Stop
+	Throttles []Throttle
 }
 
 // WaitReason says why a task waits.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -13,6 +13,9 @@
 	// reserved is the job that the worker is kept for.
 	reserved *job
 	health   health
+	// over are the tasks that use more than their room or are throttled; marked workers are looked at by the next pass.
+	over       map[taskRef]*overuse
+	overMarked bool
 }
 
 // freeID is an identifier of a worker that is gone. It is not used again while tasks avoid that worker.
@@ -63,6 +66,7 @@
 	c.capacity++
 	c.rescale(w.Room)
 	c.reindex(state)
+	c.markOver(state)
 }
 
 func (c *Cell) newWorker(w Worker) int32 {
