Count demand in other shards towards what teams are owed

Cause: what a team is owed was computed from its local queue and its usage everywhere. A team that waits in another shard was owed too little, and others kept lending from it. Change: the fleet view gives what teams wait for elsewhere, and the owner feeds it into the core up to the ceiling. Figures: two cells agree exactly with one (TestOwedOfTwoCellsIsThatOfOne, also with -rapid.checks=5000). Effect on a fleet not measured. Conclusion: shares do not depend on how demand is split over shards.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -100,17 +100,29 @@
 
 // UsedElsewhere returns what each team has running in all shards but one that this VM owns.
 func (v *View) UsedElsewhere(shard string) map[string]resource.Vector {
-	used := map[string]resource.Vector{}
+	return v.elsewhere(shard, func(u membership.Usage) resource.Vector { return u.Running }, (*siskinv1.TeamUsage).GetRunning)
+}
+
+// WaitingElsewhere returns what each team waits for in all shards but one that this VM owns.
+func (v *View) WaitingElsewhere(shard string) map[string]resource.Vector {
+	return v.elsewhere(shard, func(u membership.Usage) resource.Vector { return u.Queued }, (*siskinv1.TeamUsage).GetQueued)
+}
+
+// elsewhere takes the part of a shard off the sums over the fleet.
+func (v *View) elsewhere(
+	shard string, sum func(membership.Usage) resource.Vector, own func(*siskinv1.TeamUsage) *siskinv1.Resources,
+) map[string]resource.Vector {
+	rest := map[string]resource.Vector{}
 	for team, usage := range v.members.TeamUsage() {
-		used[team] = usage.Running
+		rest[team] = sum(usage)
 	}
 	for _, report := range v.local() {
 		if report.GetShard() == shard {
 			team := report.GetTeam()
-			used[team] = used[team].Sub(resource.FromProto(report.GetRunning())).Max(resource.Vector{})
+			rest[team] = rest[team].Sub(resource.FromProto(own(report))).Max(resource.Vector{})
 		}
 	}
-	return used
+	return rest
 }
 
 // Loads returns the last reported load of each shard, in the order of their names.
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -95,10 +95,11 @@
 	return shards
 }
 
-func (s *site) SetDemand(string, string, resource.Vector)       {}
-func (s *site) UsedElsewhere(string) map[string]resource.Vector { return nil }
-func (s *site) EntryAlive(string) bool                          { return true }
-func (s *site) Room() resource.Vector                           { return resource.Vector{} }
+func (s *site) SetDemand(string, string, resource.Vector)          {}
+func (s *site) UsedElsewhere(string) map[string]resource.Vector    { return nil }
+func (s *site) WaitingElsewhere(string) map[string]resource.Vector { return nil }
+func (s *site) EntryAlive(string) bool                             { return true }
+func (s *site) Room() resource.Vector                              { return resource.Vector{} }
 
 func (s *site) Loads() []*siskinv1.ShardLoad {
 	var loads []*siskinv1.ShardLoad
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -71,6 +71,8 @@
 type Fleet interface {
 	// UsedElsewhere returns what each team has running in all other shards.
 	UsedElsewhere(shard string) map[string]resource.Vector
+	// WaitingElsewhere returns what each team waits for in all other shards.
+	WaitingElsewhere(shard string) map[string]resource.Vector
 	// Room returns the room of all workers of the fleet.
 	Room() resource.Vector
 	// EntryAlive reports whether an entry VM, named with its incarnation, may still have requests in flight.
@@ -276,17 +278,18 @@
 	// The fleet asks all owners of this VM for their load, so it is read before the lock is taken.
 	room := o.options.Fleet.Room()
 	elsewhere := o.options.Fleet.UsedElsewhere(o.shard)
+	waiting := o.options.Fleet.WaitingElsewhere(o.shard)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.cell.SetFleetRoom(room)
-	o.refreshTeams(elsewhere)
+	o.refreshTeams(elsewhere, waiting)
 	o.cell.SetDraining(o.options.Config.Draining(o.options.Zone))
 	if err == nil {
 		o.refreshWorkers(vms.VMs)
 	}
 }
 
-func (o *Owner) refreshTeams(elsewhere map[string]resource.Vector) {
+func (o *Owner) refreshTeams(elsewhere, waiting map[string]resource.Vector) {
 	shards := int64(max(1, len(o.options.Config.Shards())))
 	for _, team := range o.options.Config.Teams() {
 		name := team.GetName()
@@ -296,9 +299,16 @@
 			o.cell.SetTeam(scheduler.Team{Name: name, Share: team.GetShare(), Limit: limit})
 		}
 		o.cell.SetElsewhere(name, elsewhere[name])
+		o.cell.SetWaitingElsewhere(name, allowedWaiting(team, elsewhere[name], waiting[name]))
 	}
 }
 
+// allowedWaiting returns the part of what a team waits for elsewhere that its ceiling allows it to run there.
+func allowedWaiting(team *siskinv1.Team, used, waiting resource.Vector) resource.Vector {
+	left := resource.FromProto(team.GetCeiling()).Sub(used).Max(resource.Vector{})
+	return waiting.Min(left)
+}
+
 // baseline is the part of a team's ceiling that every shard holds without demand: half of the ceiling is split evenly,
 // so that a shard that is cut off can start work of every team.
 func baseline(team *siskinv1.Team, shards int64) resource.Vector {
--- /dev/null
+++ b/scheduler/owed_test.go
@@ -0,0 +1,62 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/scheduler"
+)
+
+// TestOwedOfTwoCellsIsThatOfOne guards against shares that depend on how demand is split over shards: a team that waits in
+// one shard only would be owed nothing in the others, and teams there would lend from it what it can use. Two cells that
+// know each other's usage and demand must agree with one cell that holds all of it.
+func TestOwedOfTwoCellsIsThatOfOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := scheduler.NewCell()
+		halves := []*scheduler.Cell{scheduler.NewCell(), scheduler.NewCell()}
+		fleet := resource.Vector{}
+		for i := range rapid.IntRange(2, 6).Draw(t, "workers") {
+			w := scheduler.Worker{Name: workerName(i), Rack: "r", Room: rapid.SampledFrom(workerRooms).Draw(t, "room")}
+			fleet = fleet.Add(w.Room)
+			whole.SetWorker(w)
+			halves[i%2].SetWorker(w)
+		}
+		for _, name := range teamNames {
+			team := scheduler.Team{Name: name, Share: rapid.Int64Range(1, 4).Draw(t, "share"), Limit: vector(1<<20, 1<<20, 1<<20)}
+			for _, c := range []*scheduler.Cell{whole, halves[0], halves[1]} {
+				c.SetTeam(team)
+				c.SetFleetRoom(fleet)
+			}
+		}
+		for i := range rapid.IntRange(0, 20).Draw(t, "jobs") {
+			job := tasks(fmt.Sprintf("j%d", i), scheduler.Batch, rapid.SampledFrom(taskRooms[:3]).Draw(t, "each"),
+				rapid.IntRange(1, 12).Draw(t, "count"))
+			job.Team = rapid.SampledFrom(teamNames).Draw(t, "team")
+			assert.NilError(t, whole.Submit(job))
+			assert.NilError(t, halves[rapid.IntRange(0, 1).Draw(t, "half")].Submit(job))
+		}
+		for round := range 3 {
+			now := time.Duration(round) * time.Millisecond
+			for i, c := range halves {
+				for _, name := range teamNames {
+					c.SetElsewhere(name, halves[1-i].TeamRunning(name))
+					c.SetWaitingElsewhere(name, halves[1-i].TeamWaiting(name))
+				}
+				c.Plan(now, 100)
+			}
+			whole.Plan(now, 100)
+			for _, name := range teamNames {
+				owed, _ := whole.Owed(name)
+				first, _ := halves[0].Owed(name)
+				second, _ := halves[1].Owed(name)
+				assert.Equal(t, first, owed, "first cell, team %s, round %d", name, round)
+				assert.Equal(t, second, owed, "second cell, team %s, round %d", name, round)
+			}
+		}
+	})
+}
--- a/scheduler/team.go
+++ b/scheduler/team.go
@@ -13,16 +13,18 @@
 	known     bool
 	running   resource.Vector
 	elsewhere resource.Vector
-	waiting   resource.Vector // declared room of queued tasks that are not parked
-	stopping  resource.Vector // part of running that is being stopped
-	reclaimed resource.Vector // room being freed for this team
-	share     float64         // weighted
-	owed      float64
-	lanes     [lanes]lane
-	candidate *job
-	lane      int
-	lends     bool // has more than it is owed, or less urgent work for its own urgent work
-	exhausted bool // no candidate is left in this pass
+	// waitingElsewhere is what the team wants to run in other shards beyond what it runs there.
+	waitingElsewhere resource.Vector
+	waiting          resource.Vector // declared room of queued tasks that are not parked
+	stopping         resource.Vector // part of running that is being stopped
+	reclaimed        resource.Vector // room being freed for this team
+	share            float64         // weighted
+	owed             float64
+	lanes            [lanes]lane
+	candidate        *job
+	lane             int
+	lends            bool // has more than it is owed, or less urgent work for its own urgent work
+	exhausted        bool // no candidate is left in this pass
 }
 
 // SetTeam adds or changes a team.
@@ -42,6 +44,12 @@
 	c.team(name).elsewhere = used
 }
 
+// SetWaitingElsewhere records what a team wants to run in other shards beyond what it runs there. It counts towards what
+// the team is owed, so that other teams do not lend from it here what it can use elsewhere.
+func (c *Cell) SetWaitingElsewhere(name string, waiting resource.Vector) {
+	c.team(name).waitingElsewhere = waiting
+}
+
 // SetFleetRoom records the room of the whole fleet, over which shares are computed.
 func (c *Cell) SetFleetRoom(room resource.Vector) { c.fleet = room }
 
@@ -98,7 +106,7 @@
 		if t.known {
 			wanted = wanted.Min(t.Limit.Max(t.running))
 		}
-		demands[i] = order.Demand{Weight: t.Share, Wanted: wanted.Add(t.elsewhere).DominantShare(fleet)}
+		demands[i] = order.Demand{Weight: t.Share, Wanted: wanted.Add(t.elsewhere).Add(t.waitingElsewhere).DominantShare(fleet)}
 	}
 	c.options.Policies.Order.Owed(demands, owed)
 	for i, t := range c.teamList {
