--- a/capacity/log_test.go
+++ b/capacity/log_test.go
@@ -165,6 +165,10 @@
 	b.ReportMetric(float64(opened.processor.Milliseconds()), "open-processor-ms")
 	b.ReportMetric(opened.in, "open-in-B")
 	b.ReportMetric((heap()-empty)/float64(tasks), "heap-B/task")
+	b.ReportMetric(float64(s.longestWait().Milliseconds()), "longest-lock-ms")
+	size, chunks := bytesUnder(b, client, shardlog.SnapshotPrefix(benchShard))
+	b.ReportMetric(size, "snapshot-B")
+	b.ReportMetric(chunks, "snapshot-chunks")
 	ctx, cancel := context.WithCancel(b.Context())
 	done := make(chan struct{})
 	asked := s.during(func() {
@@ -182,6 +186,29 @@
 	<-done
 }
 
+// snapshotTime is enough for the first snapshot of the largest measured shard.
+const snapshotTime = 3 * time.Second
+
+// longestWait hands a job in, after which a snapshot is due because the log is large, and returns how long a reader of
+// the owner's state waited at most meanwhile.
+func (s *bench) longestWait() time.Duration {
+	s.jobs = 1_000_000 // beyond the jobs of the log
+	submitted := make(chan struct{})
+	// Submit takes the lock again after the commit, so the reader must not wait for it.
+	go func() {
+		defer close(submitted)
+		s.submit(1, "serve", "-")
+	}()
+	defer func() { <-submitted }()
+	var longest time.Duration
+	for began := time.Now(); time.Since(began) < snapshotTime; time.Sleep(time.Millisecond) {
+		asked := time.Now()
+		_, _ = s.owner.Load()
+		longest = max(longest, time.Since(asked))
+	}
+	return longest
+}
+
 // BenchmarkVMListCompressed measures how small the list would be with the compression of the HTTP standard.
 func BenchmarkVMListCompressed(b *testing.B) {
 	for _, workers := range []int{1400, 9800} {
--- a/demo/capacity_bench_test.go
+++ b/demo/capacity_bench_test.go
@@ -21,6 +21,10 @@
 	measureTime = 12 * time.Second
 	// peakSubmitters hand batches in besides the load of the demo, so that every shard has records to commit all the time.
 	peakSubmitters = 6
+	// deletionTime covers a snapshot, which follows after 1,024 commits of 70 ms, and the deletions after it.
+	deletionTime = 110 * time.Second
+	// deletionSample is the length of the stretches of which the busiest is reported.
+	deletionSample = 5 * time.Second
 )
 
 // BenchmarkStoreLoad measures the calls that the store of a whole site sees a second, without load and with the load of
@@ -31,17 +35,48 @@
 	}
 }
 
+// BenchmarkStoreDeletions measures the writes of the same load over a time that includes the deletions after snapshots:
+// their mean, and the busiest 5 s.
+func BenchmarkStoreDeletions(b *testing.B) {
+	for b.Loop() {
+		ctx, cancel := context.WithTimeout(b.Context(), 3*time.Minute)
+		r := startLoaded(ctx, b, func(*run) {})
+		store := r.cluster.platform.Store
+		pause(ctx, settleTime)
+		first, busiest, began := store.Counts().Writes, int64(0), time.Now()
+		for time.Since(began) < deletionTime {
+			before := store.Counts().Writes
+			pause(ctx, deletionSample)
+			busiest = max(busiest, store.Counts().Writes-before)
+		}
+		after := store.Counts()
+		b.ReportMetric(float64(after.Writes-first)/time.Since(began).Seconds(), "mean-writes/s")
+		b.ReportMetric(float64(busiest)/deletionSample.Seconds(), "busiest-writes/s")
+		b.ReportMetric(float64(after.Kinds[standin.CallDelete]), "deletions")
+		b.ReportMetric(0, "ns/op")
+		cancel()
+		r.close()
+	}
+}
+
 func measureStoreLoad(b *testing.B) {
 	ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
 	defer cancel()
+	r := startLoaded(ctx, b, func(r *run) { reportStore(ctx, b, r, "idle") })
+	defer r.close()
+	reportStore(ctx, b, r, "peak")
+	b.ReportMetric(0, "ns/op")
+}
+
+// startLoaded starts a site, calls idle, and puts it under load.
+func startLoaded(ctx context.Context, b *testing.B, idle func(*run)) *run {
 	r, err := newRun(ctx, site.Jadeleaf(), startDaemon)
 	assert.NilError(b, err)
-	defer r.close()
 	for _, step := range []func(*run, context.Context) (string, error){(*run).stepReady, (*run).stepBundle, (*run).stepKeys} {
 		_, err = step(r, ctx)
 		assert.NilError(b, err)
 	}
-	reportStore(ctx, b, r, "idle")
+	idle(r)
 	for _, step := range []func(*run, context.Context) (string, error){(*run).stepRequests, (*run).stepWork} {
 		_, err = step(r, ctx)
 		assert.NilError(b, err)
@@ -49,8 +84,7 @@
 	for i := range peakSubmitters {
 		r.load = append(r.load, startBackground(ctx, func(ctx context.Context) { r.submitPeak(ctx, i) }))
 	}
-	reportStore(ctx, b, r, "peak")
-	b.ReportMetric(0, "ns/op")
+	return r
 }
 
 // submitPeak hands in batches of one team without pause.
