Wait for a listening address that is in use for a moment

Cause: a VM that is started again, or whose free port was taken by an outgoing connection in between, ended at once with an address in use. Change: up to 20 attempts 100 ms apart. Conclusion: a replaced process starts.

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -24,6 +25,9 @@
 	readHeaderTimeout = 5 * time.Second
 	// defaultShutdownTimeout bounds a planned stop if the settings name no limit.
 	defaultShutdownTimeout = 30 * time.Second
+	// listenAttempts and listenPause bound the wait for an address that is in use.
+	listenAttempts = 20
+	listenPause    = 100 * time.Millisecond
 )
 
 // security holds the TLS files of a VM; without files connections are plain.
@@ -72,12 +76,12 @@
 // serve opens the listeners. A listener that fails later reports to failed.
 func (d *Daemon) serve(failed chan<- error) error {
 	listen := d.settings.GetListen()
-	peers, err := net.Listen("tcp", listen.GetPeers())
+	peers, err := d.listen(listen.GetPeers())
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
 	d.tasks.Go(func() { report(failed, d.peers.Serve(peers)) })
-	callers, err := net.Listen("tcp", listen.GetCallers())
+	callers, err := d.listen(listen.GetCallers())
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -88,7 +92,7 @@
 	if listen.GetAdmin() == "" {
 		return nil
 	}
-	admin, err := net.Listen("tcp", listen.GetAdmin())
+	admin, err := d.listen(listen.GetAdmin())
 	if err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
@@ -97,6 +101,19 @@
 	return nil
 }
 
+// listen opens a listener. The address of a replaced process can be in use for a moment.
+func (d *Daemon) listen(address string) (net.Listener, error) {
+	for attempt := 1; ; attempt++ {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || attempt == listenAttempts || !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+		if d.clock.Sleep(d.background, listenPause) != nil {
+			return nil, err
+		}
+	}
+}
+
 func report(failed chan<- error, err error) {
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return
