Complete the fake fleet of the capacity measurements

Cause: the owner's view of the fleet gained the waiting demand of other shards. Change: the fake implements it. Conclusion: builds again.

--- a/capacity/owner_test.go
+++ b/capacity/owner_test.go
@@ -66,11 +66,12 @@
 	return shards
 }
 
-func (*surroundings) SetDemand(string, string, resource.Vector)       {}
-func (*surroundings) UsedElsewhere(string) map[string]resource.Vector { return nil }
-func (*surroundings) EntryAlive(string) bool                          { return true }
-func (*surroundings) Room() resource.Vector                           { return resource.Vector{} }
-func (*surroundings) Loads() []*siskinv1.ShardLoad                    { return nil }
+func (*surroundings) SetDemand(string, string, resource.Vector)          {}
+func (*surroundings) UsedElsewhere(string) map[string]resource.Vector    { return nil }
+func (*surroundings) WaitingElsewhere(string) map[string]resource.Vector { return nil }
+func (*surroundings) EntryAlive(string) bool                             { return true }
+func (*surroundings) Room() resource.Vector                              { return resource.Vector{} }
+func (*surroundings) Loads() []*siskinv1.ShardLoad                       { return nil }
 
 func (s *surroundings) List(context.Context) (platform.VMs, error) {
 	return platform.VMs{VMs: s.vms}, nil
