--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -77,9 +77,14 @@
 		addresses[p.GetVm()] = p.GetAddress()
 	}
 	stats := otelgrpc.NewClientHandler(otelgrpc.WithTracerProvider(d.traces), otelgrpc.WithPropagators(telemetry.Propagator()))
-	d.clients = peer.NewClients(addresses, d.transport.client,
+	options := []grpc.DialOption{
 		grpc.WithStatsHandler(stats),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 2 * peerKeepalive, Timeout: peerKeepalive}))
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 2 * peerKeepalive, Timeout: peerKeepalive}),
+	}
+	if d.dial != nil {
+		options = append(options, grpc.WithContextDialer(d.dial))
+	}
+	d.clients = peer.NewClients(addresses, d.transport.client, options...)
 	d.calls = &peer.ControlCalls{Clients: d.clients}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -64,6 +65,7 @@
 	parts      *peer.PartRouter
 	transport  security
 	bundles    *bundleTracker
+	dial       Dialer // nil selects that of grpc
 
 	leaving atomic.Bool
 	// background ends when the daemon must do nothing any more.
@@ -75,8 +77,17 @@
 	shards map[string]*ownedShard
 }
 
+// Option changes how a daemon is assembled.
+type Option func(*Daemon)
+
+// Dialer opens a connection to a peer.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// WithDialer makes all connections to peers through a dialer, for example one that can be cut in a test.
+func WithDialer(dial Dialer) Option { return func(d *Daemon) { d.dial = dial } }
+
 // New returns a daemon that does nothing before Run.
-func New(settings *siskinv1.Settings, logger logr.Logger) *Daemon {
+func New(settings *siskinv1.Settings, logger logr.Logger, options ...Option) *Daemon {
 	d := &Daemon{
 		settings:    settings,
 		logger:      logger,
@@ -86,6 +97,9 @@
 		owners:      owner.NewSet(),
 		shards:      map[string]*ownedShard{},
 	}
+	for _, option := range options {
+		option(d)
+	}
 	d.bundles = &bundleTracker{daemon: d, seen: map[string]seenBundle{}}
 	d.background, d.kill = context.WithCancel(context.Background())
 	return d
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
@@ -263,13 +265,30 @@
 	if err := o.options.Right.Check(); err != nil {
 		return err
 	}
+	ctx, end := o.traceAppend(ctx, len(records))
 	err := o.log.Append(ctx, records...)
+	end(err)
 	if errors.Is(err, shardlog.ErrFenced) {
 		o.fence()
 	}
 	return err
 }
 
+// traceAppend begins the span of an append that belongs to a trace. The appends of the owner's own loop belong to none.
+func (o *Owner) traceAppend(ctx context.Context, records int) (context.Context, func(error)) {
+	if !trace.SpanContextFromContext(ctx).IsValid() {
+		return ctx, func(error) {}
+	}
+	ctx, span := o.options.Tracer.Start(ctx, "log.append", trace.WithAttributes(
+		attribute.String("siskin.shard", o.shard), attribute.Int("siskin.records", records)))
+	return ctx, func(err error) {
+		if err != nil {
+			span.SetStatus(codes.Error, err.Error())
+		}
+		span.End()
+	}
+}
+
 // refresh brings teams, limits, usage elsewhere and workers up to date.
 func (o *Owner) refresh(ctx context.Context) {
 	vms, err := o.options.VMs.List(ctx)
--- a/owner/start.go
+++ b/owner/start.go
@@ -12,6 +12,7 @@
 	"siskinstack.example/siskinstack/ownership"
 	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/scheduler"
+	"siskinstack.example/siskinstack/telemetry"
 )
 
 // errNotStarted means that conditions changed between plan and start; the worker was not called.
@@ -72,6 +73,8 @@
 	request platform.StartRequest
 	// record must be durable before the call; nil if none is needed.
 	record *siskinv1.Record
+	// traceParent is the trace of the job's submission.
+	traceParent string
 }
 
 // splitByRecord separates the starts that need a durable record first: tasks that run at most once, and the first
@@ -94,12 +97,13 @@
 
 // prepare notes the placement of a start. The caller holds mu.
 func (o *Owner) prepare(start scheduler.Start) plannedStart {
-	spec := o.state.jobs[start.Task.Job].accepted.GetSpec()
+	accepted := o.state.jobs[start.Task.Job].accepted
+	spec := accepted.GetSpec()
 	ref := platform.TaskRef{Job: start.Task.Job, Index: start.Task.Index, Attempt: start.Attempt}
 	p := &placement{ref: ref, worker: start.Worker, atMostOnce: spec.GetAtMostOnce()}
 	o.placed[start.Task] = p
 	o.worker(start.Worker).placed[start.Task] = p
-	planned := plannedStart{Start: start, request: platform.StartRequest{
+	planned := plannedStart{Start: start, traceParent: accepted.GetTraceParent(), request: platform.StartRequest{
 		Authority: o.authority(), Worker: start.Worker, Task: ref, Team: start.Team, Room: start.Room,
 		Lease: TaskLease, Command: spec.GetCommand(), Checkpointable: spec.GetCheckpointable(),
 		AtMostOnce: spec.GetAtMostOnce(),
@@ -137,6 +141,7 @@
 }
 
 func (o *Owner) start(ctx context.Context, start plannedStart) {
+	ctx = telemetry.WithTraceParent(ctx, start.traceParent)
 	ctx, span := o.options.Tracer.Start(ctx, "worker.start", trace.WithAttributes(
 		attribute.String("siskin.task", start.request.Task.String()), attribute.String("siskin.worker", start.Worker)))
 	defer span.End()
--- a/owner/work.go
+++ b/owner/work.go
@@ -7,6 +7,8 @@
 	"sort"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/proto"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
@@ -14,6 +16,7 @@
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/scheduler"
 	"siskinstack.example/siskinstack/shardlog"
+	"siskinstack.example/siskinstack/telemetry"
 )
 
 const (
@@ -31,6 +34,9 @@
 // Submit makes a job durable. The job is accepted once Submit has returned without error. A repeated submission with
 // the same identifier finds the first one.
 func (o *Owner) Submit(ctx context.Context, request *siskinv1.SubmitWorkRequest) (*siskinv1.SubmitWorkResponse, error) {
+	ctx, span := o.options.Tracer.Start(ctx, "owner.submit", trace.WithAttributes(
+		attribute.String("siskin.shard", o.shard), attribute.String("siskin.job", request.GetId())))
+	defer span.End()
 	hash, err := specHash(request.GetSpec())
 	if err != nil {
 		return nil, err
@@ -43,6 +49,7 @@
 	job := &siskinv1.JobAccepted{
 		Id: request.GetId(), Team: request.GetTeam(), Spec: request.GetSpec(), RequestKey: request.GetRequestKey(),
 		AcceptedUnixMs: o.options.Clock.Now().UnixMilli(), SpecSha256: hash,
+		TraceParent: telemetry.TraceParent(ctx),
 	}
 	records := append([]*siskinv1.Record{{Change: &siskinv1.Record_JobAccepted{JobAccepted: job}}}, o.firstParts(job)...)
 	if err := o.append(ctx, records...); err != nil {
--- a/telemetry/traces.go
+++ b/telemetry/traces.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
 	"go.opentelemetry.io/otel/sdk/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 )
@@ -24,6 +25,27 @@
 	return propagation.NewCompositeTextMapPropagator(propagation.TraceContext{}, propagation.Baggage{})
 }
 
+// traceParent is the header of the W3C trace context.
+const traceParent = "traceparent"
+
+// TraceParent returns the W3C traceparent of a context, or nothing if it is not sampled.
+func TraceParent(ctx context.Context) string {
+	if !oteltrace.SpanContextFromContext(ctx).IsSampled() {
+		return ""
+	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier[traceParent]
+}
+
+// WithTraceParent returns a context whose spans belong to the trace of a traceparent. Text that is none has no effect.
+func WithTraceParent(ctx context.Context, parent string) context.Context {
+	if parent == "" {
+		return ctx
+	}
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceParent: parent})
+}
+
 // Traces is the tracer provider of a process.
 type Traces struct {
 	*trace.TracerProvider
