Write the capacity page and the model behind it

Cause: the design names docs/CAPACITY.md as the place where the cost of each role at the design size is worked out.

--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,35 @@
+package capacity_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"siskinstack.example/siskinstack/capacity"
+)
+
+// TestPageHoldsModel guards against a page that states other figures than the model works out.
+func TestPageHoldsModel(t *testing.T) {
+	page, err := os.ReadFile("../docs/CAPACITY.md")
+	assert.NilError(t, err)
+	for _, size := range []capacity.Size{capacity.Today(), capacity.Design()} {
+		table := capacity.Markdown(size, capacity.Measured())
+		assert.Assert(t, strings.Contains(string(page), table), "the page lacks this table:\n%s", table)
+	}
+}
+
+// TestBreaks guards against a size at which a figure is said to reach its budget, but does not.
+func TestBreaks(t *testing.T) {
+	size, slopes := capacity.Design(), capacity.Measured()
+	for i, f := range capacity.Work(size, slopes) {
+		n := capacity.Breaks(size, slopes, i)
+		if f.Budget == 0 || n == capacity.Never || n == capacity.Always {
+			continue
+		}
+		below, above := capacity.Work(size.Scaled(n*0.99), slopes)[i], capacity.Work(size.Scaled(n*1.01), slopes)[i]
+		assert.Assert(t, below.Value <= below.Budget, "%s: %s", f.Role, f.What)
+		assert.Assert(t, above.Value > above.Budget, "%s: %s", f.Role, f.What)
+	}
+}
--- /dev/null
+++ b/capacity/work.go
@@ -0,0 +1,168 @@
+package capacity
+
+// Budgets of section 1.7 of the design.
+const (
+	// NodeMillicores, NodeBytes and NodeMemory bound the control overhead of a node.
+	NodeMillicores = 32
+	NodeBytes      = 9000
+	NodeMemory     = 128e6
+	// StoreWrites and StoreReads are what the store serves in a second.
+	StoreWrites = 300
+	StoreReads  = 2000
+	// TakeoverSeconds, UrgentSeconds and ConfigSeconds are targets.
+	TakeoverSeconds = 5
+	UrgentSeconds   = 1.9
+	ConfigSeconds   = 9
+)
+
+const (
+	daySeconds = 86_400
+	// leaseSeconds is the life of a store lease; a shard without a VM in its own zone waits otherZoneSeconds more.
+	leaseSeconds     = 3
+	otherZoneSeconds = 1
+	// storeWritesPerVM is the default of package storeclient.
+	storeWritesPerVM = 50
+	// loadSeconds is the time between two questions for an endpoint's load.
+	loadSeconds = 1
+	// configWatchSeconds is the wait of a watch with the pause after it.
+	configWatchSeconds = 0.62
+	// leaseRenewalBytes is an estimate from the idle renewal of a worker, which has the same framing.
+	leaseRenewalBytes = 400
+	// commitWaitSeconds is the 99th percentile of the wait for a commit at 1,600 records a second (docs/policies/durability.md).
+	commitWaitSeconds = 0.0743
+	// passSeconds is the time between two passes of the decision core.
+	passSeconds = 0.010
+	// heapFactor is how much memory the collector lets a heap grow to by default.
+	heapFactor = 2
+)
+
+// Work returns all figures of a fleet, always in the same order.
+func Work(size Size, s Slopes) []Figure {
+	var all []Figure
+	all = append(all, workerSide(size, s)...)
+	all = append(all, endpointSide(size, s)...)
+	all = append(all, member(size, s)...)
+	all = append(all, vmList(size, s)...)
+	all = append(all, shardOwner(size, s)...)
+	all = append(all, takeover(size, s)...)
+	all = append(all, requestPath(size, s)...)
+	return append(all, store(size, s)...)
+}
+
+func workerSide(size Size, s Slopes) []Figure {
+	const role = "worker"
+	tasks := size.RunningTasks / size.Workers
+	starts := size.Starts / size.Workers
+	each := s.RenewalIn.At(tasks) + s.RenewalOut
+	return []Figure{
+		{role, "calls", 1/size.renewSeconds() + starts, "/s", 0, true, "Renew, Start (owner)"},
+		{role, "bytes, both ways", each/size.renewSeconds() + starts*s.StartBytes, "B/s", NodeBytes, true, "Renew reports every task (owner, platform/httpplatform)"},
+		{role, "renewal interval, bound of an end's delay", size.renewSeconds(), "s", 0, true, "renewInterval (owner)"},
+	}
+}
+
+func endpointSide(size Size, s Slopes) []Figure {
+	const role = "endpoint"
+	vms := size.EntryVMs / size.Zones
+	return []Figure{
+		{role, "load questions", vms / loadSeconds, "/s", 0, true, "RefreshLoad (router)"},
+		{role, "bytes, both ways", vms * s.LoadQuestion.At(size.Slots) / loadSeconds, "B/s", NodeBytes, true, "RefreshLoad (router)"},
+	}
+}
+
+func member(size Size, s Slopes) []Figure {
+	const role = "entry VM, member and follower"
+	peers := size.EntryVMs - 1
+	changes := size.ConfigChanges / daySeconds
+	beats := 2 * peers * (s.HeartbeatOut + s.HeartbeatIn)
+	bytes := beats + s.ConfigIdleBytes + changes*s.ConfigChangeBytes + leaseRenewalBytes
+	time := peers*s.HeartbeatTime + s.ConfigIdleTime + changes*s.ConfigChangeTime
+	return []Figure{
+		{role, "heartbeats sent and received", 2 * peers, "/s", 0, true, "Heartbeat (membership)"},
+		{role, "bytes without the VM list", bytes, "B/s", NodeBytes, true, "Heartbeat (membership), watch (configview), lease (ownership)"},
+		{role, "processor without the VM list", time / 1000, "mcore", NodeMillicores, true, "membership, configview"},
+		{role, "memory of the keys", size.Keys * s.KeyHeap, "B", NodeMemory, true, "entries of View (configview)"},
+		{role, "a relist", size.Keys * s.KeyRelist, "B", 0, true, "list after a gap (configview)"},
+		{role, "a change in force", configWatchSeconds, "s", ConfigSeconds, true, "watch (configview)"},
+	}
+}
+
+func vmList(size Size, s Slopes) []Figure {
+	const role = "entry VM, VM list"
+	vms := size.Workers + size.Endpoints + size.EntryVMs
+	return []Figure{
+		{role, "bytes", s.VMListBytes.At(vms), "B/s", NodeBytes, true, "whole list every second (fleet)"},
+		{role, "processor", s.VMListTime.At(vms) / 1000, "mcore", NodeMillicores, true, "JSON of the list (platform/httpplatform)"},
+	}
+}
+
+func shardOwner(size Size, s Slopes) []Figure {
+	const role = "entry VM, owner of one shard"
+	workers, tasks := size.Workers/size.Shards(), size.RunningTasks/size.Shards()
+	renewals, starts := workers/size.renewSeconds(), size.Starts/size.Shards()
+	steady := s.OwnerIdle.At(workers) + s.OwnerTask*tasks + renewals*s.RenewalTime.At(tasks/workers)
+	peak := starts * s.StartEndTime
+	bytes := renewals*(s.RenewalIn.At(tasks/workers)+s.RenewalOut) + starts*s.StartBytes
+	lock := size.KeptPerShard() * s.KeptLock / 1e6
+	heap := s.VMHeap.At(size.Workers) + s.OwnerHeap*tasks + s.KeptHeap*size.KeptPerShard()
+	return []Figure{
+		{role, "renewals", renewals, "/s", 0, false, "renewDue (owner)"},
+		{role, "bytes with workers", bytes, "B/s", 0, false, "Renew, Start (owner)"},
+		{role, "processor, steady", steady / 1000, "mcore", 0, false, "renewals, passes, refresh (owner)"},
+		{role, "processor, peak of starts", (steady + peak) / 1000, "mcore", 1000, false, "the same, starts and ends (owner, scheduler)"},
+		{role, "memory of the whole VM, twice its heap", heapFactor * heap, "B", NodeMemory, false, "state and cell (owner, scheduler)"},
+		{role, "lock held by a snapshot", lock, "s", 0, false, "records of every kept task (owner)"},
+		{role, "urgent start with free room, owner's part", commitWaitSeconds + passSeconds + lock, "s", UrgentSeconds, false, "commit (shardlog), pass and snapshot (owner)"},
+		{role, "room idle for ended tasks, part", starts * size.renewSeconds() / 2 / tasks, "", 0, false, "ends are seen at the next renewal (owner)"},
+	}
+}
+
+func takeover(size Size, s Slopes) []Figure {
+	const role = "entry VM, takeover"
+	kept := size.KeptPerShard()
+	open := kept * s.KeptOpen / 1e6
+	return []Figure{
+		{role, "ended tasks kept", kept, "", 0, false, "jobRetention of a day (owner)"},
+		{role, "bytes read", kept * s.KeptRead, "B", 0, false, "one value list of the log (shardlog)"},
+		{role, "replay", open, "s", 0, false, "Open (shardlog, owner)"},
+		{role, "takeover within the zone", leaseSeconds + open, "s", TakeoverSeconds, false, "lease TTL (ownership), Open"},
+		{role, "takeover by another zone", leaseSeconds + otherZoneSeconds + open, "s", TakeoverSeconds, false, "the same and otherZoneDelay (ownership)"},
+	}
+}
+
+func requestPath(size Size, s Slopes) []Figure {
+	const role = "entry VMs, request path"
+	each := s.RequestLocal + size.Forwarded*(s.RequestForward-s.RequestLocal) + size.Claimed*(s.RequestClaim-s.RequestLocal)
+	total := size.Requests * each / 1000
+	return []Figure{
+		{role, "processor for a request", each, "µs", 0, false, "entry, router, peer, claim"},
+		{role, "processor on each entry VM", total / size.EntryVMs, "mcore", 1000, false, "the same"},
+	}
+}
+
+func store(size Size, s Slopes) []Figure {
+	const role = "store"
+	commits := min(size.Starts, size.Shards()/s.CommitSeconds)
+	submissions := size.Starts / size.TasksPerJob
+	pairs := size.Teams * size.Shards()
+	leases := size.EntryVMs
+	chunks := max(1, size.KeptPerShard()*s.KeptSnapshot/s.ChunkBytes)
+	snapshots := commits / s.EntriesPerSnapshot * (2*chunks + 1)
+	changes := size.ConfigChanges / daySeconds
+	allowances := min(submissions, pairs)
+	mean := leases + 2*commits + snapshots + allowances + changes
+	burst := leases + min(size.Shards(), size.EntryVMs)*storeWritesPerVM
+	return []Figure{
+		{role, "commits", commits, "/s", 0, false, "group commit (shardlog)"},
+		{role, "deletions, mean", commits, "/s", 0, false, "after snapshots (shardlog)"},
+		{role, "snapshot chunks, manifests and their deletions", snapshots, "/s", 0, false, "a whole snapshot every 1,024 entries (shardlog)"},
+		{role, "allowances, one raise for a submission", allowances, "/s", 0, false, "Raise (allowance)"},
+		{role, "allowances, every team grows everywhere", pairs, "/s", StoreWrites, false, "one write a second for a team and shard (allowance)"},
+		{role, "writes, mean at the peak", mean, "/s", StoreWrites, false, "all of the above and leases"},
+		{role, "writes, deletions in a burst", burst, "/s", StoreWrites, false, "deletions up to the limit of each VM (shardlog, storeclient)"},
+		{role, "reads, watches", size.EntryVMs * s.VMReads, "/s", StoreReads, false, "two watches for each entry VM (configview, ownership)"},
+		{role, "reads, every team above its ceiling", size.EntryVMs*s.VMReads + pairs*s.SaturatedReads.At(size.Shards()), "/s", StoreReads, false, "reads of the split (allowance)"},
+		{role, "open watches", 2 * size.EntryVMs, "", 0, false, "configview, ownership"},
+		{role, "snapshot of a shard", size.KeptPerShard() * s.KeptSnapshot, "B", 0, false, "an entry for each ended task (owner)"},
+	}
+}
