--- a/owner/parts.go
+++ b/owner/parts.go
@@ -38,6 +38,8 @@
 	lastSent time.Time
 	last     *siskinv1.ReportPartRequest
 	rollout  rollout
+	// movedTo is when queued tasks were last moved to a shard.
+	movedTo map[string]time.Time
 }
 
 // holder is the home shard's view of another shard that holds a part.
@@ -57,7 +59,7 @@
 func (o *Owner) remoteOf(job string) *remoteParts {
 	r, ok := o.remote[job]
 	if !ok {
-		r = &remoteParts{holders: map[string]*holder{}, reported: map[int32]bool{}}
+		r = &remoteParts{holders: map[string]*holder{}, reported: map[int32]bool{}, movedTo: map[string]time.Time{}}
 		o.remote[job] = r
 	}
 	return r
@@ -351,7 +353,6 @@
 
 // addRemote adds the tasks that other shards hold. The caller holds mu.
 func (o *Owner) addRemote(status *siskinv1.WorkStatus, j *job) {
-	status.Queued += int32(j.orphans().size())
 	for shard, assigned := range j.plan {
 		open := int32(assigned.set.size())
 		for index := range j.ended {
