Start and fail gang jobs as a whole

Cause: a member of a gang job that failed, was lost or was not started was started again alone, while the others held their room and waited for it; a member that failed for good left the others running. Change: the others are stopped, and the job starts again together; when a member has used up its attempts, the job fails as a whole, also over a change of owners. Members that run at most once run to their ends. The naive core has the rule. Conclusion: gang jobs have one rule for members that end early.

--- /dev/null
+++ b/owner/gang.go
@@ -0,0 +1,45 @@
+package owner
+
+import (
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/scheduler"
+)
+
+// gangFailed reports whether a member of a gang job has failed for good, so that the job has failed as a whole. Members
+// that run at most once run to their ends instead.
+func (j *job) gangFailed() bool {
+	if j.spec().GetKind() != siskinv1.WorkKind_WORK_KIND_GANG || j.spec().GetAtMostOnce() {
+		return false
+	}
+	for _, state := range j.ended {
+		if state == siskinv1.TaskState_TASK_STATE_FAILED {
+			return true
+		}
+	}
+	return false
+}
+
+// noteGang notes the ends of the members of a gang job that ended with another one. No worker reports these. The caller
+// holds mu.
+func (o *Owner) noteGang(j *job) {
+	if j.spec().GetKind() != siskinv1.WorkKind_WORK_KIND_GANG {
+		return
+	}
+	for _, index := range j.openIndexes() {
+		o.noteFinal(scheduler.TaskID{Job: j.accepted.GetId(), Index: index})
+	}
+}
+
+// gangRecords returns the records of ends of a gang job that are not durable yet. If they are lost with this owner, the
+// next one concludes them from the durable end of the member that failed. The caller holds mu.
+func (o *Owner) gangRecords(j *job) []*siskinv1.Record {
+	if !j.gangFailed() {
+		return nil
+	}
+	o.noteGang(j)
+	var records []*siskinv1.Record
+	for _, index := range sortedKeys(j.unlogged) {
+		records = append(records, endedRecord(j.accepted.GetId(), index, 0, j.unlogged[index], "another member of the gang job failed for good"))
+	}
+	return records
+}
--- a/owner/report.go
+++ b/owner/report.go
@@ -173,6 +173,9 @@
 		_ = o.cell.Hold(id)
 	}
 	o.noteFinal(id)
+	if j := o.state.jobs[id.Job]; j != nil && outcome == scheduler.Failed {
+		o.noteGang(j)
+	}
 	o.options.Metrics.ended(o.shard, outcome)
 }
 
--- a/owner/state.go
+++ b/owner/state.go
@@ -270,6 +270,10 @@
 		return
 	}
 	_ = o.cell.HoldUpdate(id, true)
+	if j.gangFailed() {
+		_ = o.cell.FailGang(id)
+		o.noteGang(j)
+	}
 	if j.cancelled {
 		o.cancelInCore(id)
 	}
--- a/owner/work.go
+++ b/owner/work.go
@@ -269,6 +269,7 @@
 	for id, j := range o.state.jobs {
 		if !o.hasEnded(j) {
 			j.endedAt = time.Time{}
+			records = append(records, o.gangRecords(j)...)
 			continue
 		}
 		if j.endedAt.IsZero() {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -23,7 +23,7 @@
 // tryGang starts all waiting tasks of a gang job or none.
 func (c *Cell) tryGang(j *job, plan *Plan) bool {
 	n := j.counts.Queued
-	if j.held > 0 || n == 0 {
+	if j.held > 0 || n == 0 || j.restartsTogether() && j.counts.Running > 0 {
 		return false
 	}
 	if !c.options.Policies.Permit.Permit(j.team.running, j.shape.need.Scale(int64(n)), j.team.Limit) {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -37,6 +37,10 @@
 	// updateHeld keeps the tasks of earlier versions from being replaced.
 	updateHeld bool
 	blamed     bool
+	// regrouping jobs are looked at by the next pass, because members run without the others.
+	regrouping bool
+	// gangFailed is true if a member of a gang job has failed for good.
+	gangFailed bool
 	// gangBlockedAt is the capacity count at which a gang job found no room; examined the topology at which it was
 	// checked whether the job can ever run.
 	gangBlockedAt uint64
--- a/scheduler/naive/plan.go
+++ b/scheduler/naive/plan.go
@@ -74,6 +74,9 @@
 		if t.held && !t.done && t.worker == nil {
 			return nil
 		}
+		if t.worker != nil && !j.AtMostOnce {
+			return nil // members only start together
+		}
 	}
 	if !j.SameRack {
 		return c.startGang(j, waiting, owner, excluded, "")
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -19,6 +19,7 @@
 	c.probeSuspended()
 	c.repeatStops(&plan)
 	c.enforceLimits(&plan)
+	c.regroup(&plan)
 	if c.draining {
 		c.evacuate(&plan)
 	} else {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -212,6 +212,7 @@
 	}
 	if ref.task().state == taskQueued {
 		c.setHeld(ref, held)
+		c.settleGang(ref)
 	}
 	return nil
 }
@@ -313,6 +314,11 @@
 		c.finish(ref, Cancelled)
 	case outcome == Failed && (j.AtMostOnce || int32(t.failures) >= j.MaxAttempts):
 		c.finish(ref, Failed)
+		if j.restartsTogether() {
+			c.failGang(j)
+		}
+	case j.gangFailed:
+		c.finish(ref, Failed)
 	case j.AtMostOnce:
 		// A task that was stopped or lost may have run in part, and must not run again.
 		c.finish(ref, Unknown)
@@ -345,11 +351,14 @@
 	switch {
 	case j.cancelled:
 		c.finish(ref, Cancelled)
+	case j.gangFailed:
+		c.finish(ref, Failed)
 	case t.flags&flagLeaving != 0:
 		t.flags &^= flagLeaving
 		t.state = taskRemoved
 		c.waitMore(j, -1)
 	default:
+		c.regroupSoon(j)
 		c.enqueue(j)
 	}
 }
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -124,6 +124,7 @@
 	StopDraining  StopReason = "draining"
 	StopCeiling   StopReason = "over_ceiling"
 	StopReplaced  StopReason = "replaced"
+	StopGang      StopReason = "gang_incomplete"
 	StopOverRoom  StopReason = "over_room"
 )
 
