--- a/owner/state.go
+++ b/owner/state.go
@@ -67,6 +67,8 @@
 		}
 	case *siskinv1.Record_TaskEnded:
 		s.applyEnded(change.TaskEnded)
+	case *siskinv1.Record_TasksEnded:
+		s.applyAllEnded(change.TasksEnded)
 	case *siskinv1.Record_PartChanged:
 		s.applyPart(change.PartChanged)
 	case *siskinv1.Record_JobForgotten:
@@ -114,6 +116,14 @@
 	delete(j.unlogged, ended.GetIndex())
 }
 
+func (s *state) applyAllEnded(ended *siskinv1.TasksEnded) {
+	for _, r := range ended.GetRanges() {
+		for index := r.GetFirst(); index < r.GetEnd(); index++ {
+			s.applyEnded(&siskinv1.TaskEnded{Job: ended.GetJob(), Index: index, State: ended.GetState()})
+		}
+	}
+}
+
 func (s *state) applyPart(part *siskinv1.PartChanged) {
 	j, ok := s.jobs[part.GetJob()]
 	if !ok {
@@ -174,8 +184,14 @@
 	for _, index := range sortedKeys(j.claims) {
 		records = append(records, &siskinv1.Record{Change: &siskinv1.Record_TaskClaimed{TaskClaimed: j.claims[index]}})
 	}
+	byState := map[siskinv1.TaskState]indexSet{}
 	for _, index := range sortedKeys(j.ended) {
-		records = append(records, endedRecord(id, index, 0, j.ended[index], ""))
+		byState[j.ended[index]] = byState[j.ended[index]].add(index, index+1)
+	}
+	for _, state := range sortedKeys(byState) {
+		records = append(records, &siskinv1.Record{Change: &siskinv1.Record_TasksEnded{TasksEnded: &siskinv1.TasksEnded{
+			Job: id, State: state, Ranges: byState[state].proto(),
+		}}})
 	}
 	return records
 }
--- a/shardlog/snapshot.go
+++ b/shardlog/snapshot.go
@@ -19,7 +19,10 @@
 	defaultSnapshotEntries = 1024
 	defaultSnapshotBytes   = 8 << 20
 	// snapshotTimeout bounds writing one snapshot; a later trigger starts a new one.
-	snapshotTimeout = time.Minute
+	snapshotTimeout = 3 * time.Minute
+	// deletePause spreads the deletions after a snapshot, which would otherwise take the whole write budget of the VM in a
+	// burst.
+	deletePause = 60 * time.Millisecond
 	// maxHeadRounds bounds how often the manifest is written again after a conflict.
 	maxHeadRounds = 3
 )
@@ -198,6 +201,9 @@
 		}
 	}
 	for _, key := range plan.deletable {
+		if l.isClosing() || l.sleep(ctx, deletePause) != nil {
+			return result // the next snapshot deletes the rest
+		}
 		if l.remove(ctx, key) {
 			result.deleted[key.key] = true
 		}
@@ -278,3 +284,13 @@
 	defer cancel()
 	return l.options.SnapshotStore.Get(ctx, key)
 }
+
+// isClosing reports whether the log is being closed, so that deletions do not hold up a handover.
+func (l *Log) isClosing() bool {
+	select {
+	case <-l.closing:
+		return true
+	default:
+		return false
+	}
+}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -6,6 +6,9 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/platform/httpplatform"
@@ -19,12 +22,31 @@
 	mux := http.NewServeMux()
 	handleStore(mux, store)
 	handleWorkers(mux, workers)
-	handle(mux, httpplatform.PathVMs, func(ctx context.Context, _ struct{}) (platform.VMs, error) {
-		return vms.List(ctx)
+	handle(mux, httpplatform.PathVMs, func(ctx context.Context, r httpplatform.VMsRequest) (httpplatform.VMsAnswer, error) {
+		return listVMs(ctx, vms, r)
 	})
 	return mux
 }
 
+// listVMs leaves the list out if the caller has it already.
+func listVMs(ctx context.Context, vms platform.VMList, r httpplatform.VMsRequest) (httpplatform.VMsAnswer, error) {
+	list, err := vms.List(ctx)
+	if err != nil {
+		return httpplatform.VMsAnswer{}, err
+	}
+	text, err := json.Marshal(list.VMs)
+	if err != nil {
+		return httpplatform.VMsAnswer{}, err
+	}
+	answer := httpplatform.VMsAnswer{Tag: strconv.FormatUint(xxhash.Sum64(text), 16), Lag: list.Lag}
+	if answer.Tag == r.Known {
+		answer.Unchanged = true
+		return answer, nil
+	}
+	answer.VMs = list.VMs
+	return answer, nil
+}
+
 func handleStore(mux *http.ServeMux, store platform.Store) {
 	handle(mux, httpplatform.PathGet, func(ctx context.Context, r httpplatform.KeyRequest) (platform.KeyValue, error) {
 		return store.Get(ctx, r.Key)
