--- a/shardlog/snapshot.go
+++ b/shardlog/snapshot.go
@@ -18,8 +18,8 @@
 	// defaultSnapshotEntries keeps the deletions, one per entry, and the chunks of a shard well below its commits.
 	defaultSnapshotEntries = 1024
 	defaultSnapshotBytes   = 8 << 20
-	// snapshotTimeout bounds writing one snapshot; a later trigger starts a new one.
-	snapshotTimeout = time.Minute
+	// snapshotTimeout bounds writing one snapshot; a later trigger starts a new one. It leaves time for the deletions.
+	snapshotTimeout = 3 * time.Minute
 	// maxHeadRounds bounds how often the manifest is written again after a conflict.
 	maxHeadRounds = 3
 )
@@ -201,10 +201,17 @@
 		if l.remove(ctx, key) {
 			result.deleted[key.key] = true
 		}
+		if l.sleep(ctx, l.deletionPause()) != nil {
+			break
+		}
 	}
 	return result
 }
 
+// deletionPause is the time between two deletions. Without it they take all the writes that the VM may make; with 9/10 of
+// the commit interval they cost a little more writes than the commits do, so that they keep up with them.
+func (l *Log) deletionPause() time.Duration { return l.options.CommitInterval * 9 / 10 }
+
 // putChunk writes a chunk. Its key holds the nonce of the snapshot, so an existing key is an earlier attempt of this one.
 func (l *Log) putChunk(ctx context.Context, key string, value []byte) (platform.Revision, error) {
 	backoff := storeclient.NewBackoff(retryMin, retryMax, l.options.Random)
