Bring the capacity page up to the paced deletions

Cause: the log now pauses between deletions, and a figure that is over budget only in small fleets was shown as one that never reaches its budget. Figures: on the page.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -110,6 +110,8 @@
 	}
 	low, high := 1./Never, float64(Never)
 	switch {
+	case within(high) && !within(1):
+		return Shrinks
 	case within(high):
 		return Never
 	case !within(low):
@@ -126,8 +128,10 @@
 	return low
 }
 
-// Results of Breaks: Never is a multiple of the fleet that is not looked beyond.
+// Results of Breaks: Never is a multiple of the fleet that is not looked beyond. Shrinks means that the figure is over its
+// budget at this size and within it in a much larger fleet.
 const (
-	Never  = 1000
-	Always = -1
+	Never   = 1000
+	Always  = -1
+	Shrinks = -2
 )
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -58,6 +58,8 @@
 		return "-"
 	case n >= Never:
 		return "never"
+	case n == Shrinks:
+		return "falls with size"
 	case n == Always:
 		return "any size"
 	default:
--- a/capacity/work.go
+++ b/capacity/work.go
@@ -22,6 +22,8 @@
 	otherZoneSeconds = 1
 	// storeWritesPerVM is the default of package storeclient.
 	storeWritesPerVM = 50
+	// deletionPart times the commit interval is the pause between two deletions of a shard.
+	deletionPart = 0.9
 	// loadSeconds is the time between two questions for an endpoint's load.
 	loadSeconds = 1
 	// configWatchSeconds is the wait of a watch with the pause after it.
@@ -151,7 +153,8 @@
 	changes := size.ConfigChanges / daySeconds
 	allowances := min(submissions, pairs)
 	mean := leases + 2*commits + snapshots + allowances + changes
-	burst := leases + min(size.Shards(), size.EntryVMs)*storeWritesPerVM
+	deleting := leases + commits + size.Shards()/(deletionPart*s.CommitSeconds) + allowances + changes
+	chunkBurst := leases + commits + size.Shards()*min(2*chunks, storeWritesPerVM-commits/size.Shards())
 	return []Figure{
 		{role, "commits", commits, "/s", 0, false, "group commit (shardlog)"},
 		{role, "deletions, mean", commits, "/s", 0, false, "after snapshots (shardlog)"},
@@ -159,7 +162,8 @@
 		{role, "allowances, one raise for a submission", allowances, "/s", 0, false, "Raise (allowance)"},
 		{role, "allowances, every team grows everywhere", pairs, "/s", StoreWrites, false, "one write a second for a team and shard (allowance)"},
 		{role, "writes, mean at the peak", mean, "/s", StoreWrites, false, "all of the above and leases"},
-		{role, "writes, deletions in a burst", burst, "/s", StoreWrites, false, "deletions up to the limit of each VM (shardlog, storeclient)"},
+		{role, "writes while all shards delete entries", deleting, "/s", StoreWrites, false, "deletionPause (shardlog)"},
+		{role, "writes while all shards write chunks", chunkBurst, "/s", StoreWrites, false, "chunks up to the limit of each VM (shardlog, storeclient)"},
 		{role, "reads, watches", size.EntryVMs * s.VMReads, "/s", StoreReads, false, "two watches for each entry VM (configview, ownership)"},
 		{role, "reads, every team above its ceiling", size.EntryVMs*s.VMReads + pairs*s.SaturatedReads.At(size.Shards()), "/s", StoreReads, false, "reads of the split (allowance)"},
 		{role, "open watches", 2 * size.EntryVMs, "", 0, false, "configview, ownership"},
