Let a harness replace the daemon's clock, dialers and listeners

Cause: failures of single VMs can only be ordered in one process if their connections and clocks can be held back. Change: daemon.New takes options (WithClock, WithPeerDialer, WithPlatformDialer, WithListener). Without options nothing changes.

--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"time"
 
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
@@ -49,7 +50,7 @@
 		return err
 	}
 	d.traces = traces
-	d.platform = httpplatform.New(d.settings.GetPlatform().GetUrl())
+	d.platform = d.newPlatform()
 	d.endpoints = httpplatform.NewEndpoints(d.connectionsPerEndpoint())
 	d.store = storeclient.New(d.platform, d.storeOptions())
 	d.metrics = owner.NewMetrics(d.registry)
@@ -61,6 +62,14 @@
 	return nil
 }
 
+func (d *Daemon) newPlatform() *httpplatform.Client {
+	url := d.settings.GetPlatform().GetUrl()
+	if d.dialPlatform == nil {
+		return httpplatform.New(url)
+	}
+	return httpplatform.NewWithDialer(url, httpplatform.DialFunc(d.dialPlatform))
+}
+
 func (d *Daemon) storeOptions() storeclient.Options {
 	options := storeclient.Options{Clock: d.clock, Registerer: d.registry, Random: rand.Float64}
 	if total := float64(d.settings.GetLimits().GetStoreCallsPerSecond()); total > 0 {
@@ -76,9 +85,16 @@
 		addresses[p.GetVm()] = p.GetAddress()
 	}
 	stats := otelgrpc.NewClientHandler(otelgrpc.WithTracerProvider(d.traces), otelgrpc.WithPropagators(telemetry.Propagator()))
-	d.clients = peer.NewClients(addresses, d.transport.client,
+	options := []grpc.DialOption{
 		grpc.WithStatsHandler(stats),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 2 * peerKeepalive, Timeout: peerKeepalive}))
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 2 * peerKeepalive, Timeout: peerKeepalive}),
+	}
+	if d.dialPeer != nil {
+		options = append(options, grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return d.dialPeer(ctx, "tcp", address)
+		}))
+	}
+	d.clients = peer.NewClients(addresses, d.transport.client, options...)
 	d.calls = &peer.ControlCalls{Clients: d.clients}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -63,6 +64,11 @@
 	transport  security
 	bundles    *bundleTracker
 
+	// dialPeer and dialPlatform are nil unless an option replaces the plain dialers.
+	dialPeer     DialFunc
+	dialPlatform DialFunc
+	listen       ListenFunc
+
 	leaving atomic.Bool
 	// background ends when the daemon must do nothing any more.
 	background context.Context
@@ -74,7 +80,7 @@
 }
 
 // New returns a daemon that does nothing before Run.
-func New(settings *siskinv1.Settings, logger logr.Logger) *Daemon {
+func New(settings *siskinv1.Settings, logger logr.Logger, options ...Option) *Daemon {
 	d := &Daemon{
 		settings:    settings,
 		logger:      logger,
@@ -83,6 +89,10 @@
 		registry:    telemetry.NewRegistry(),
 		owners:      owner.NewSet(),
 		shards:      map[string]*ownedShard{},
+		listen:      net.Listen,
+	}
+	for _, option := range options {
+		option(d)
 	}
 	d.bundles = &bundleTracker{daemon: d, seen: map[string]seenBundle{}}
 	d.background, d.kill = context.WithCancel(context.Background())
--- /dev/null
+++ b/daemon/options.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"context"
+	"net"
+
+	"siskinstack.example/siskinstack/clock"
+)
+
+// Option changes how a daemon reaches the outside; without options it uses the machine's clock and network.
+type Option func(*Daemon)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// ListenFunc opens a listener.
+type ListenFunc func(network, address string) (net.Listener, error)
+
+// WithClock replaces the clock of the machine.
+func WithClock(c clock.Clock) Option { return func(d *Daemon) { d.clock = c } }
+
+// WithPeerDialer opens the connections to the other entry VMs with dial.
+func WithPeerDialer(dial DialFunc) Option { return func(d *Daemon) { d.dialPeer = dial } }
+
+// WithPlatformDialer opens the connections to the platform with dial.
+func WithPlatformDialer(dial DialFunc) Option { return func(d *Daemon) { d.dialPlatform = dial } }
+
+// WithListener opens the daemon's listeners with listen.
+func WithListener(listen ListenFunc) Option { return func(d *Daemon) { d.listen = listen } }
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -72,12 +71,12 @@
 // serve opens the listeners. A listener that fails later reports to failed.
 func (d *Daemon) serve(failed chan<- error) error {
 	listen := d.settings.GetListen()
-	peers, err := net.Listen("tcp", listen.GetPeers())
+	peers, err := d.listen("tcp", listen.GetPeers())
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
 	d.tasks.Go(func() { report(failed, d.peers.Serve(peers)) })
-	callers, err := net.Listen("tcp", listen.GetCallers())
+	callers, err := d.listen("tcp", listen.GetCallers())
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -88,7 +87,7 @@
 	if listen.GetAdmin() == "" {
 		return nil
 	}
-	admin, err := net.Listen("tcp", listen.GetAdmin())
+	admin, err := d.listen("tcp", listen.GetAdmin())
 	if err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
