Keep moved tasks in the count, and let enlarged gang jobs start

Cause, each found by package sitetest: - Tasks between the release by one shard and the assignment to another were in no count: status showed 0 tasks of 3, as if the work had ended, and a job that was moved whole counted as ended. A new owner would then not have assigned its tasks again. - Tasks that were on their way when a cancellation came were counted twice (63 cancelled of 40). - A gang job whose accounted (learned) size is above its shard's allowance was moved between shards about once a second. Its demand was its declared size, so no shard raised its limit. - A gang job that fits empty workers at its declared size, but not at the learned one, waited for ever. Change: the home shard counts unassigned tasks as queued, or cancelled; cancelled tasks are counted once; demand covers a gang job that the limit refused; a job that waits for its ceiling stays 5 s after a move; a gang job that empty workers cannot take at the learned size is accounted at its declared one.

--- a/owner/balance.go
+++ b/owner/balance.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"sort"
+	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/scheduler"
 )
 
+// ceilingStay is how long a job that waits for its team's ceiling stays in a shard after a move. Allowance moves at most
+// once a second for each team and shard, so a job that leaves sooner may wander between shards and start in none.
+const ceilingStay = 5 * time.Second
+
 // maxMovesPerRound bounds the tasks that one round moves, so that loads reported meanwhile are taken into account.
 const maxMovesPerRound = 64
 
@@ -238,7 +243,7 @@
 		o.mu.Unlock()
 		return 0
 	}
-	orphans := (indexSet{}).add(0, j.accepted.GetSpec().GetCount()).minus(j.assigned())
+	orphans := j.unassigned()
 	each := resource.FromProto(j.accepted.GetSpec().GetEach())
 	gang := j.accepted.GetSpec().GetKind() == siskinv1.WorkKind_WORK_KIND_GANG
 	from, stuck := o.stuckTasks(id, j, gang)
@@ -264,6 +269,9 @@
 		return 0
 	}
 	o.assign(ctx, id, to, released)
+	o.mu.Lock()
+	o.remoteOf(id).movedAt = o.options.Clock.Now()
+	o.mu.Unlock()
 	o.options.Metrics.moved.WithLabelValues(o.shard).Add(float64(released.size()))
 	return released.size()
 }
@@ -271,7 +279,7 @@
 // stuckTasks returns a holder whose queued tasks cannot start there soon, and those tasks. The caller holds mu.
 func (o *Owner) stuckTasks(id string, j *job, gang bool) (string, indexSet) {
 	waiting, _ := o.cell.Explain(id)
-	if queued := o.queuedHere(id, j); !queued.empty() && stuckReason(waiting.Reason) {
+	if queued := o.queuedHere(id, j); !queued.empty() && o.mayHelp(id, waiting.Reason) {
 		if !gang || queued.size() == j.open(j.held).size() {
 			return o.shard, queued
 		}
@@ -279,7 +287,7 @@
 	for _, shard := range sortedKeys(j.plan) {
 		h := o.remoteOf(id).holder(shard)
 		open := j.open(j.plan[shard].set)
-		if h.queued == 0 || open.empty() || !stuckReason(scheduler.WaitReason(h.reason)) {
+		if h.queued == 0 || open.empty() || !o.mayHelp(id, scheduler.WaitReason(h.reason)) {
 			continue
 		}
 		if gang && h.running > 0 {
@@ -290,11 +298,13 @@
 	return "", nil
 }
 
-// stuckReason reports whether another shard could help a task that waits for this reason.
-func stuckReason(reason scheduler.WaitReason) bool {
+// mayHelp reports whether another shard could help a job that waits for this reason. The caller holds mu.
+func (o *Owner) mayHelp(id string, reason scheduler.WaitReason) bool {
 	switch reason {
-	case scheduler.WaitNoRoom, scheduler.WaitDraining, scheduler.WaitTooLarge, scheduler.WaitGangTooBig, scheduler.WaitCeiling:
+	case scheduler.WaitNoRoom, scheduler.WaitDraining, scheduler.WaitTooLarge, scheduler.WaitGangTooBig:
 		return true
+	case scheduler.WaitCeiling:
+		return o.options.Clock.Now().Sub(o.remoteOf(id).movedAt) >= ceilingStay
 	default:
 		return false
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -287,8 +287,7 @@
 	shards := int64(max(1, len(o.options.Config.Shards())))
 	for _, team := range o.options.Config.Teams() {
 		name := team.GetName()
-		demand := o.cell.TeamRunning(name).Add(o.cell.TeamWaiting(name))
-		o.options.Demand.SetDemand(o.shard, name, demand.Max(baseline(team, shards)))
+		o.options.Demand.SetDemand(o.shard, name, o.cell.TeamDemand(name).Max(baseline(team, shards)))
 		if limit, ok := o.limits[name]; ok {
 			o.cell.SetTeam(scheduler.Team{Name: name, Share: team.GetShare(), Limit: limit})
 		}
--- a/owner/parts.go
+++ b/owner/parts.go
@@ -36,7 +36,9 @@
 	// reported are the ends that the home shard has confirmed.
 	reported map[int32]bool
 	lastSent time.Time
-	last     *siskinv1.ReportPartRequest
+	// movedAt is when the home shard last moved tasks of the job.
+	movedAt time.Time
+	last    *siskinv1.ReportPartRequest
 }
 
 // holder is the home shard's view of another shard that holds a part.
--- a/owner/state.go
+++ b/owner/state.go
@@ -178,9 +178,20 @@
 	return bytes.Equal(j.accepted.GetSpecSha256(), hash)
 }
 
-// allEnded reports whether every task of the job has ended, wherever it is held.
+// unassigned returns the tasks that one shard has released and no other holds yet, as far as the home shard knows. A
+// service gives indexes up for good when it shrinks in a zone.
+func (j *job) unassigned() indexSet {
+	spec := j.accepted.GetSpec()
+	if !j.home || spec.GetKind() == siskinv1.WorkKind_WORK_KIND_SERVICE {
+		return nil
+	}
+	return indexSet{}.add(0, spec.GetCount()).minus(j.assigned())
+}
+
+// allEnded reports whether every task of the job has ended, wherever it is held. Tasks that no shard holds have not
+// ended: they are assigned again, unless the job is cancelled and they never start.
 func (j *job) allEnded() bool {
-	if !j.allEndedOf(j.held) {
+	if !j.allEndedOf(j.held) || (!j.cancelled && !j.unassigned().empty()) {
 		return false
 	}
 	for _, assigned := range j.plan {
--- a/owner/work.go
+++ b/owner/work.go
@@ -165,10 +165,22 @@
 	}
 	status.ReadyByAtRisk, _ = o.cell.AtRisk(id)
 	o.addRemote(status, j)
+	addUnassigned(status, j)
 	addEnded(status, j, counts)
 	return status, nil
 }
 
+// addUnassigned counts the tasks that are on their way from one shard to another. Without them, work that is being
+// moved would look as if it had ended.
+func addUnassigned(status *siskinv1.WorkStatus, j *job) {
+	unassigned := int32(j.unassigned().size())
+	if j.cancelled {
+		status.Cancelled += unassigned
+	} else {
+		status.Queued += unassigned
+	}
+}
+
 // addEnded counts the ends: durable ones, those on their way to the store, and cancelled tasks. The caller holds mu.
 func addEnded(status *siskinv1.WorkStatus, j *job, local scheduler.Counts) {
 	for _, state := range j.ended {
@@ -177,7 +189,9 @@
 	for _, state := range j.unlogged {
 		addState(status, state, 1)
 	}
-	addState(status, siskinv1.TaskState_TASK_STATE_CANCELLED, local.Cancelled)
+	// The decision core keeps cancelled tasks that were on their way to another shard when the cancellation came.
+	mine := j.open(j.held).size() - local.Queued - local.Running
+	addState(status, siskinv1.TaskState_TASK_STATE_CANCELLED, min(local.Cancelled, max(0, mine)))
 }
 
 func addState(status *siskinv1.WorkStatus, state siskinv1.TaskState, n int) {
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -42,7 +42,7 @@
 		return WaitDraining
 	case j.held == j.counts.Queued || (j.Kind == Gang && j.held > 0):
 		return WaitHeld
-	case !c.options.Policies.Permit.Permit(t.running, j.shape.need.Scale(n), t.Limit):
+	case !c.permits(t, j.need().Scale(n)):
 		return WaitCeiling
 	case !c.rampAllows():
 		return WaitReturning
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -39,11 +39,17 @@
 	if j.held > 0 || n == 0 {
 		return false
 	}
-	if !c.options.Policies.Permit.Permit(j.team.running, j.shape.need.Scale(int64(n)), j.team.Limit) {
+	need := j.need().Scale(int64(n))
+	if !c.permits(j.team, need) {
+		j.team.refused = j.team.refused.Max(need)
 		c.dropReservation(j)
 		return false
 	}
 	if c.gangBlocked(j) || !c.fitGang(j, n) {
+		if !j.tight && !c.gangFitsEmpty(j, n, c.needOn) {
+			j.tight = true
+			return c.tryGang(j, plan)
+		}
 		j.gangBlockedAt = c.capacity
 		c.examine(j)
 		c.reserveFor(j, n)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -35,6 +35,8 @@
 	raisedAt Time
 	updating bool
 	blamed   bool
+	// tight gang jobs are accounted at their declared size: not even empty workers could take all tasks at the learned one.
+	tight bool
 	// gangBlockedAt is the capacity count at which a gang job found no room; examined the topology at which it was
 	// checked whether the job can ever run.
 	gangBlockedAt uint64
@@ -162,6 +164,14 @@
 
 func (j *job) id(slot int32) TaskID { return TaskID{Job: j.ID, Index: j.indexOf(slot)} }
 
+// need returns the accounted room of a waiting task.
+func (j *job) need() resource.Vector {
+	if j.tight {
+		return j.Each
+	}
+	return j.shape.need
+}
+
 // waitMore adds n to the waiting tasks of a job.
 func (c *Cell) waitMore(j *job, n int) {
 	j.counts.Queued += n
--- a/scheduler/park.go
+++ b/scheduler/park.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "siskinstack.example/siskinstack/resource"
+
 // examine parks a job that found no room if it can never run with the present workers and limits.
 func (c *Cell) examine(j *job) {
 	if j.examined == c.topology {
@@ -83,7 +85,7 @@
 	if !j.Each.Scale(int64(n)).Fits(j.team.Limit) {
 		return WaitOverCeiling
 	}
-	if !c.gangFitsEmpty(j, n) {
+	if !c.gangFitsEmpty(j, n, declaredNeed) {
 		return WaitGangTooBig
 	}
 	return WaitNone
@@ -98,14 +100,17 @@
 	return false
 }
 
+// declaredNeed is the room of a task as it was declared.
+func declaredNeed(j *job, _ *worker) resource.Vector { return j.Each }
+
 // gangFitsEmpty reports whether the workers, or those of one rack, could take the whole gang job if they were empty.
-func (c *Cell) gangFitsEmpty(j *job, n int) bool {
+func (c *Cell) gangFitsEmpty(j *job, n int, need func(*job, *worker) resource.Vector) bool {
 	total := 0
 	for _, members := range c.racks {
 		rack := 0
 		for _, id := range members {
 			if w := c.workers[id]; w.present && !w.Leaving {
-				rack += copies(j.Each, w.Room, n)
+				rack += copies(need(j, w), w.Room, n)
 			}
 		}
 		if rack >= n {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -43,6 +43,9 @@
 
 // needOn returns the room that a task of j takes on w.
 func (c *Cell) needOn(j *job, w *worker) resource.Vector {
+	if j.tight {
+		return j.Each
+	}
 	return c.options.Policies.Filter.Need(j.Each, j.shape.learned, w.Room)
 }
 
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -51,7 +51,7 @@
 		for i := range t.lanes {
 			t.lanes[i].rewind()
 		}
-		t.candidate, t.exhausted = nil, !t.known
+		t.candidate, t.exhausted, t.refused = nil, !t.known, resource.Vector{}
 	}
 }
 
--- a/scheduler/team.go
+++ b/scheduler/team.go
@@ -14,6 +14,8 @@
 	running   resource.Vector
 	elsewhere resource.Vector
 	waiting   resource.Vector // declared room of queued tasks that are not parked
+	// refused is the accounted room of the largest gang job that the limit kept from starting in the last pass.
+	refused   resource.Vector
 	stopping  resource.Vector // part of running that is being stopped
 	reclaimed resource.Vector // room being freed for this team
 	share     float64         // weighted
@@ -61,6 +63,16 @@
 	return resource.Vector{}
 }
 
+// TeamDemand returns what a team runs and wants to run in this cell. It covers a gang job that the limit kept from
+// starting with its accounted room, which may be larger than the declared one: a limit raised to the declared room only
+// would never let it start.
+func (c *Cell) TeamDemand(name string) resource.Vector {
+	if state, ok := c.teams[name]; ok {
+		return state.running.Add(state.waiting.Max(state.refused))
+	}
+	return resource.Vector{}
+}
+
 // Owed returns the part of the fleet that a team is owed, as of the last pass, and the part that it has.
 func (c *Cell) Owed(name string) (owed, has float64) {
 	state, ok := c.teams[name]
