Prove the promises under failures and pairs of failures

Cause: the promises of design 1.2 were shown under failures by the demo and by tests of single packages, not under all failures of 1.5 together. The worker stand-in marks results that were lost with their worker before an owner acknowledged them, and the check of accepted work does not count such a result as a second success: it has to be made again. Work that may run once is checked by its runs as before.

--- a/demo/promises/control.go
+++ b/demo/promises/control.go
@@ -64,7 +64,8 @@
 			}
 			jobs[word][run.Task.Job] = true
 		}
-		if run.Phase == platform.PhaseSucceeded {
+		// A result that was lost with its worker is made again; only work that may run once must not.
+		if run.Phase == platform.PhaseSucceeded && !run.Lost {
 			succeeded[taskOf(run)]++
 		}
 	}
--- /dev/null
+++ b/sitetest/load_test.go
@@ -0,0 +1,305 @@
+package sitetest
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/demo/promises"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+const (
+	callLimit    = 2 * time.Second
+	maxAttempts  = 8
+	retryPause   = 60 * time.Millisecond
+	requestPause = 25 * time.Millisecond
+	submitPause  = 200 * time.Millisecond
+	// maxSubmissions is more than a shard without an owner holds up in one case, so that the others get work.
+	maxSubmissions = 24
+	callers        = 4
+
+	quickWork = 10 * time.Millisecond
+	slowWork  = 300 * time.Millisecond
+
+	kindPreview = "preview"
+	kindBooking = "booking"
+	kindReindex = "reindex"
+	kindSlow    = "slow"
+)
+
+// requestWork is how long an endpoint takes for a request.
+func requestWork(_ string, body []byte) time.Duration {
+	if strings.HasPrefix(string(body), kindSlow) {
+		return slowWork
+	}
+	return quickWork
+}
+
+// clients holds one client for each entry VM and key.
+type clients struct {
+	transport *http.Transport
+
+	mu  sync.Mutex // guards all
+	all map[[2]string]*apiclient.Client
+}
+
+func newClients() *clients {
+	return &clients{transport: apiclient.NewTransport(nil), all: map[[2]string]*apiclient.Client{}}
+}
+
+func (c *clients) close() { c.transport.CloseIdleConnections() }
+
+// client returns a client that calls one VM with one key.
+func (c *cell) client(vm *entryVM, key string) *apiclient.Client {
+	c.clients.mu.Lock()
+	defer c.clients.mu.Unlock()
+	id := [2]string{vm.name, key}
+	if client, ok := c.clients.all[id]; ok {
+		return client
+	}
+	client, err := apiclient.New(apiclient.Options{
+		Servers: []string{vm.settings.GetListen().GetCallers()}, Key: key, Transport: c.clients.transport,
+	})
+	if err != nil {
+		panic(err)
+	}
+	c.clients.all[id] = client
+	return client
+}
+
+func (c *cell) key(team string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.keys[team].Key
+}
+
+// answer is what a caller compares.
+type answer struct {
+	requestID string
+	status    int
+	text      string
+}
+
+// attempt makes one call and records it.
+func attempt(ctx context.Context, vm *entryVM, call func(context.Context) (answer, error)) (promises.Attempt, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	made := promises.Attempt{VM: vm.name, Sent: time.Now()}
+	got, err := call(ctx)
+	made.Done = time.Now()
+	made.RequestID, made.Status, made.Answer = got.requestID, got.status, got.text
+	made.Outcome = outcomeOf(err)
+	var refused *apiclient.Refusal
+	if errors.As(err, &refused) {
+		made.RequestID, made.Status, made.Reason = refused.RequestID, refused.Status, string(refused.Reason)
+	}
+	return made, err
+}
+
+func outcomeOf(err error) promises.Outcome {
+	if err == nil {
+		return promises.Answered
+	}
+	var refused *apiclient.Refusal
+	if errors.As(err, &refused) {
+		if refused.NotRun {
+			return promises.RefusedNotRun
+		}
+		return promises.Refused
+	}
+	var transport *apiclient.TransportError
+	if errors.As(err, &transport) && !transport.Sent {
+		return promises.NotSent
+	}
+	return promises.Unknown
+}
+
+// mayRepeat reports whether a caller may send again after an attempt.
+func mayRepeat(made promises.Attempt, repeatable bool) bool {
+	switch made.Outcome {
+	case promises.NotSent:
+		return true
+	case promises.RefusedNotRun:
+		refused := apiclient.Refusal{Reason: refusal.Reason(made.Reason)}
+		return refused.Temporary()
+	case promises.Refused:
+		return repeatable && made.Reason != string(refusal.OutcomeUnknown)
+	case promises.Unknown:
+		return repeatable
+	default:
+		return false
+	}
+}
+
+var errNoVM = errors.New("no entry VM is live")
+
+// attempts calls through one VM after the other until the outcome is final.
+func (c *cell) attempts(
+	ctx context.Context, first int, repeatable bool, call func(context.Context, *entryVM) (answer, error),
+) ([]promises.Attempt, error) {
+	var made []promises.Attempt
+	last := errNoVM
+	for i := range maxAttempts {
+		live := c.live()
+		if len(live) == 0 {
+			return made, errNoVM
+		}
+		vm := live[(first+i)%len(live)]
+		var one promises.Attempt
+		one, last = attempt(ctx, vm, func(ctx context.Context) (answer, error) { return call(ctx, vm) })
+		made = append(made, one)
+		if !mayRepeat(one, repeatable) {
+			break
+		}
+		time.Sleep(retryPause)
+	}
+	return made, last
+}
+
+// load is the callers of a site.
+type load struct {
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+func (l *load) run(tasks ...func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	previous := l.cancel
+	l.cancel = func() {
+		if previous != nil {
+			previous()
+		}
+		cancel()
+	}
+	for _, task := range tasks {
+		l.tasks.Go(func() { task(ctx) })
+	}
+}
+
+// stop ends the callers; each of them follows its last call to its end.
+func (l *load) stop() {
+	if l.cancel != nil {
+		l.cancel()
+	}
+	l.tasks.Wait()
+}
+
+// startLoad starts requests and work of every kind.
+func (c *cell) startLoad() {
+	service := batch(3, 2, "serve", "-")
+	service.Kind = siskinv1.WorkKind_WORK_KIND_SERVICE
+	_, _ = c.submit(0, "bookings", service)
+	for i := range callers {
+		c.load.run(func(ctx context.Context) { c.sendRequests(ctx, i) })
+	}
+	c.load.run(c.submitWork)
+	for _, vm := range c.vms {
+		c.load.run(func(ctx context.Context) { c.watchVersion(ctx, vm) })
+	}
+}
+
+func batch(count int32, cores int64, command ...string) *siskinv1.WorkSpec {
+	return &siskinv1.WorkSpec{
+		Kind: siskinv1.WorkKind_WORK_KIND_BATCH, Count: count, Command: command,
+		Each: &siskinv1.Resources{MilliCpu: cores * core, MemoryBytes: cores * gib},
+	}
+}
+
+// submitWork hands batches, gangs and at-most-once work in. Some tasks are long enough to run during the failures.
+func (c *cell) submitWork(ctx context.Context) {
+	var submissions sync.WaitGroup
+	defer submissions.Wait()
+	slots := make(chan struct{}, maxSubmissions)
+	for i := 0; ctx.Err() == nil; i++ {
+		spec := batch(3, 1, "sleep", "300ms")
+		switch i % 4 {
+		case 1:
+			spec.Kind, spec.Count = siskinv1.WorkKind_WORK_KIND_GANG, 4
+		case 2:
+			spec.AtMostOnce = !c.options.noOnce
+		case 3:
+			spec.Command = []string{"sleep", "3s"}
+			spec.Checkpointable = true
+		}
+		slots <- struct{}{}
+		submissions.Go(func() {
+			defer func() { <-slots }()
+			_, _ = c.submit(i, c.site.Teams[i%len(c.site.Teams)].Name, spec)
+		})
+		time.Sleep(submitPause)
+	}
+}
+
+// submit hands work in through one VM, through the next ones if that is safe, and once more with the same request key.
+func (c *cell) submit(first int, team string, spec *siskinv1.WorkSpec) (*promises.Work, error) {
+	work := &promises.Work{
+		Tag: c.records.next("work"), Team: team, Kind: spec.GetKind(), Count: spec.GetCount(),
+		AtMostOnce: spec.GetAtMostOnce(),
+	}
+	spec.Name, spec.Queue = work.Tag, team
+	spec.Command = append(spec.GetCommand(), work.Tag)
+	send := func(ctx context.Context, vm *entryVM) (answer, error) {
+		submitted, err := c.client(vm, c.key(team)).Submit(ctx, spec, work.Tag)
+		return answer{text: submitted.ID}, err
+	}
+	var err error
+	work.Attempts, err = c.attempts(context.Background(), first, true, send)
+	if err == nil {
+		again, _ := c.attempts(context.Background(), first+1, true, send)
+		work.Attempts = append(work.Attempts, again...)
+	}
+	c.records.submission(work)
+	return work, err
+}
+
+func (c *cell) sendRequests(ctx context.Context, caller int) {
+	kinds := []string{kindPreview, kindBooking, kindSlow, kindReindex}
+	for i := caller; ctx.Err() == nil; i++ {
+		c.sendOne(i, kinds[i%len(kinds)])
+		time.Sleep(requestPause)
+	}
+}
+
+// sendOne sends one request and records it. Bookings have a request key and are sent again through another VM.
+func (c *cell) sendOne(first int, kind string) promises.Request {
+	body := c.records.next(kind)
+	request := promises.Request{
+		Body: body, Expected: "done " + body, Idempotent: kind == kindPreview || kind == kindSlow,
+	}
+	if kind == kindBooking {
+		request.RequestKey = body
+	}
+	send := func(ctx context.Context, vm *entryVM) (answer, error) { return c.sendThrough(ctx, vm, request) }
+	repeatable := request.Idempotent || request.RequestKey != ""
+	request.Attempts, _ = c.attempts(context.Background(), first, repeatable, send)
+	if kind == kindBooking {
+		again, _ := c.attempts(context.Background(), first+1, repeatable, send)
+		request.Attempts = append(request.Attempts, again...)
+	}
+	c.records.update(func(r *promises.Records) { r.Requests = append(r.Requests, request) })
+	return request
+}
+
+func probeRequest(body string) promises.Request {
+	return promises.Request{Body: body, Expected: "done " + body, Idempotent: true}
+}
+
+func (c *cell) sendThrough(ctx context.Context, vm *entryVM, request promises.Request) (answer, error) {
+	key := c.key("bookings")
+	if c.options.open {
+		key = ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	got, err := c.client(vm, key).Send(ctx, apiclient.Request{
+		Service: c.site.Service, Body: []byte(request.Body), ContentType: "text/plain",
+		Idempotent: request.Idempotent, RequestKey: request.RequestKey,
+	})
+	return answer{requestID: got.RequestID, status: got.Status, text: string(got.Body)}, err
+}
--- /dev/null
+++ b/sitetest/site_test.go
@@ -0,0 +1,336 @@
+package sitetest
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/stdr"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/apiclient"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/daemon"
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/server"
+	"siskinstack.example/siskinstack/standin/site"
+)
+
+const (
+	gib  = 1 << 30
+	core = 1000
+	// takeoverTarget, keyTarget, drainTarget and bundleTarget are the targets of docs/design.md, 1.2 and 2.9.
+	takeoverTarget = 5 * time.Second
+	keyTarget      = 3 * time.Second
+	drainTarget    = 3 * time.Second
+	bundleTarget   = 9 * time.Second
+	// leaseTTL is the time to live of the lease that holds a VM's shards.
+	leaseTTL = 3 * time.Second
+	// startLimit is how long a site may take to serve: a VM acquires nothing in its first 3 s.
+	startLimit = 20 * time.Second
+	closeLimit = 15 * time.Second
+	// shutdownLimit is the setting that bounds a planned stop.
+	shutdownLimit = 6 * time.Second
+	pollPause     = 20 * time.Millisecond
+	// ownStore is the caller name of the tests' own store calls, which no fault affects.
+	ownStore = "observer"
+)
+
+// smallSite has few workers and endpoints, so that many sites run side by side.
+func smallSite() site.Site {
+	s := site.Kvarali()
+	s.Workers, s.WorkersPerRack, s.Endpoints = 9, 2, 6
+	s.WorkerRoom = resource.Vector{MilliCPU: 16 * core, MemoryBytes: 64 * gib}
+	s.VMListLag = 500 * time.Millisecond
+	s.Teams = []site.Team{
+		{Name: "bookings", Share: 4, CeilingPercent: 60},
+		{Name: "rosters", Share: 2, CeilingPercent: 60},
+		{Name: "ledgers", Share: 1, CeilingPercent: 40},
+	}
+	return s
+}
+
+// entryVM is one entry VM; a replacement has the same settings and its own process.
+type entryVM struct {
+	name     string
+	settings *siskinv1.Settings
+	gate     *gate
+
+	daemon *daemon.Daemon
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// cell is a running site with the records of what callers saw.
+type cell struct {
+	t         *testing.T
+	site      site.Site
+	platform  *server.Platform
+	operators map[string]apiclient.OperatorKey
+	options   cellOptions
+	vms       []*entryVM
+	records   *recorder
+	clients   *clients
+	load      load
+
+	mu   sync.Mutex // guards gone, keys, bundle
+	gone map[string]bool
+	keys map[string]apiclient.IssuedKey
+	// bundle is the newest signed-off bundle.
+	bundle *siskinv1.Bundle
+}
+
+// cellOptions changes the site of a case.
+type cellOptions struct {
+	// pausable puts the clocks of the VMs behind the gates that their connections always pass.
+	pausable bool
+	// open makes the requests of the service open to all.
+	open bool
+	// plan is how tasks behave; nil reads it from the command.
+	plan standin.RunPlan
+	// noOnce leaves out at-most-once work, which may rightly fail where workers fail.
+	noOnce bool
+}
+
+func startCell(t *testing.T, options cellOptions) *cell {
+	chosen := smallSite()
+	plan := options.plan
+	if plan == nil {
+		plan = standin.CommandPlan
+	}
+	running, err := server.Start(server.Options{Site: chosen, Clock: clock.Real{}, Plan: plan, Work: requestWork})
+	assert.NilError(t, err)
+	c := &cell{
+		t: t, site: chosen, platform: running, operators: map[string]apiclient.OperatorKey{}, options: options,
+		records: &recorder{}, clients: newClients(), gone: map[string]bool{}, keys: map[string]apiclient.IssuedKey{},
+	}
+	c.healStore()
+	var operators []*siskinv1.Operator
+	for _, name := range []string{author, reviewer, signer} {
+		key, err := apiclient.NewOperatorKey(name)
+		assert.NilError(t, err)
+		c.operators[name] = key
+		operators = append(operators, key.Settings())
+	}
+	listens := listenAddresses(t, chosen)
+	for i, settings := range chosen.Settings(listens, operators, running.URLFor) {
+		settings.Limits = &siskinv1.Limits{ShutdownTimeoutMs: shutdownLimit.Milliseconds()}
+		vm := &entryVM{name: settings.GetVm(), settings: settings}
+		running.Network.Place(vm.name, chosen.Zone(i), settings.GetListen().GetPeers())
+		c.vms = append(c.vms, vm)
+		c.start(vm)
+	}
+	t.Cleanup(c.close)
+	c.makeReady()
+	return c
+}
+
+const (
+	// firstPort and lastPort are below the ports that the system gives to outgoing connections: a VM that is replaced
+	// finds its ports free.
+	firstPort, lastPort = 12_000, 32_000
+	// portsPerSite is the number of addresses of six entry VMs.
+	portsPerSite = 18
+)
+
+// nextPorts is the block of ports that is tried next. It begins at another block in each process.
+var nextPorts atomic.Int64
+
+func listenAddresses(t *testing.T, chosen site.Site) []*siskinv1.Listen {
+	const blocks = (lastPort - firstPort) / portsPerSite
+	nextPorts.CompareAndSwap(0, int64(os.Getpid()*64))
+	var err error
+	for range blocks {
+		first := firstPort + int(nextPorts.Add(1)%blocks)*portsPerSite
+		var listens []*siskinv1.Listen
+		if listens, err = chosen.Addresses(first); err == nil {
+			return listens
+		}
+	}
+	t.Fatal(err)
+	return nil
+}
+
+// makeReady signs the first bundle off, issues the keys and waits until every VM knows them.
+func (c *cell) makeReady() {
+	for _, zone := range c.site.Zones {
+		c.waitFor(startLimit, "an owner of "+zone, func() bool { return c.owner(zone) != nil })
+	}
+	first := c.site.Bundle(1)
+	first.Services[0].OpenToAll = c.options.open
+	c.signOff(first)
+	c.waitInForce(bundleTarget, 1, c.vms...)
+	for _, team := range c.site.Teams {
+		key := c.issueKey(team.Name)
+		c.mu.Lock()
+		c.keys[team.Name] = key
+		c.mu.Unlock()
+	}
+	for _, vm := range c.vms {
+		for _, team := range c.site.Teams {
+			c.waitFor(startLimit, "the key of "+team.Name+" on "+vm.name, func() bool {
+				_, err := c.client(vm, c.key(team.Name)).ListWork(c.t.Context(), 1, "")
+				return err == nil
+			})
+		}
+	}
+	c.waitFor(startLimit, "a first answer", func() bool {
+		_, err := c.sendThrough(c.t.Context(), c.vms[0], probeRequest(c.records.next("first")))
+		return err == nil
+	})
+}
+
+func testLogger(vm string) logr.Logger {
+	if os.Getenv("SITETEST_LOG") == "" {
+		return logr.Discard()
+	}
+	return stdr.New(nil).WithName(vm)
+}
+
+// start starts the process of an entry VM.
+func (c *cell) start(vm *entryVM) {
+	vm.gate = newGate()
+	plain := (&net.Dialer{Timeout: time.Second}).DialContext
+	options := []daemon.Option{
+		daemon.WithPeerDialer(vm.gate.dialer(c.platform.Network.Dialer(vm.name))),
+		daemon.WithPlatformDialer(vm.gate.dialer(plain)), daemon.WithListener(vm.gate.listen),
+	}
+	if c.options.pausable {
+		options = append(options, daemon.WithClock(gatedClock{gate: vm.gate}))
+	}
+	vm.daemon = daemon.New(vm.settings, testLogger(vm.name), options...)
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.cancel, vm.ended = cancel, make(chan struct{})
+	started, ended := vm.daemon, vm.ended
+	go func() {
+		defer close(ended)
+		if err := started.Run(ctx); err != nil {
+			c.t.Errorf("%s: %v", vm.name, err)
+		}
+	}()
+	c.setGone(vm, false)
+}
+
+func (c *cell) setGone(vm *entryVM, gone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gone[vm.name] = gone
+}
+
+// live returns the VMs whose processes run; callers do not know which of them are paused or cut off.
+func (c *cell) live() []*entryVM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var live []*entryVM
+	for _, vm := range c.vms {
+		if !c.gone[vm.name] {
+			live = append(live, vm)
+		}
+	}
+	return live
+}
+
+func (c *cell) close() {
+	c.load.stop()
+	c.heal()
+	for _, vm := range c.vms {
+		vm.daemon.Kill()
+		vm.cancel()
+	}
+	deadline := time.After(closeLimit)
+	for _, vm := range c.vms {
+		select {
+		case <-vm.ended:
+		case <-deadline:
+			c.t.Errorf("%s has not ended after %s", vm.name, closeLimit)
+		}
+	}
+	c.clients.close()
+	c.platform.Close()
+}
+
+// heal removes all failures of platform and network. VMs that were killed stay away.
+func (c *cell) heal() {
+	c.healStore()
+	c.platform.VMs.SetFaults(standin.Faults{})
+	for _, zone := range c.site.Zones {
+		c.platform.Network.HealZone(zone)
+	}
+	for _, vm := range c.vms {
+		vm.gate.resume()
+		c.healVM(vm)
+	}
+	for _, machine := range c.platform.Fleet {
+		switch machine.Role {
+		case platform.RoleWorker:
+			c.platform.Workers.SetFaults(machine.Name, standin.WorkerFaults{})
+		case platform.RoleEndpoint:
+			c.platform.Endpoints.SetFaults(machine.Name, standin.EndpointFaults{})
+		}
+	}
+}
+
+func (c *cell) healVM(vm *entryVM) {
+	for _, other := range c.platform.Fleet {
+		c.platform.Network.Heal(vm.name, other.Name)
+	}
+	c.platform.Network.Heal(vm.name, server.StoreName)
+}
+
+// healStore removes the store's faults, and exempts the tests' own calls from those that follow.
+func (c *cell) healStore() {
+	c.platform.Store.Heal()
+	c.platform.Store.SetFaultsFor(ownStore, standin.Faults{})
+}
+
+// ownership returns the ownership key of a zone's shard.
+func (c *cell) ownership(zone string) (platform.KeyValue, bool) {
+	kv, err := c.platform.Store.Get(standin.WithCaller(context.Background(), ownStore), "shards/"+zone+"-0")
+	return kv, err == nil
+}
+
+// owner returns the VM that owns a zone's shard; nil if none does.
+func (c *cell) owner(zone string) *entryVM {
+	kv, ok := c.ownership(zone)
+	if !ok {
+		return nil
+	}
+	for _, vm := range c.live() {
+		if bytes.Contains(kv.Value, []byte(vm.name)) {
+			return vm
+		}
+	}
+	return nil
+}
+
+// waitOwner returns the owner of a zone's shard.
+func (c *cell) waitOwner(zone string) *entryVM {
+	var vm *entryVM
+	c.waitFor(2*takeoverTarget, "an owner of "+zone, func() bool {
+		vm = c.owner(zone)
+		return vm != nil
+	})
+	return vm
+}
+
+// waitFor fails the test if done does not become true in time.
+func (c *cell) waitFor(limit time.Duration, what string, done func() bool) time.Duration {
+	c.t.Helper()
+	began := time.Now()
+	for !done() {
+		if time.Since(began) > limit {
+			c.t.Fatalf("waited %s for %s", limit, what)
+		}
+		time.Sleep(pollPause)
+	}
+	return time.Since(began)
+}
--- a/standin/worker_faults.go
+++ b/standin/worker_faults.go
@@ -51,8 +51,9 @@
 	for _, t := range machine.tasks {
 		if t.running() {
 			t.end(w.clock.Now(), platform.PhaseStopped)
-			t.run.Lost = true
 		}
+		// An ended task is kept until its result is acknowledged, so what is still here is lost.
+		t.run.Lost = true
 	}
 	machine.tasks = map[taskName]*task{}
 	machine.epoch = map[string]int64{}
--- a/standin/workers.go
+++ b/standin/workers.go
@@ -41,7 +41,7 @@
 	// Resumed is the work that a checkpoint of an earlier attempt had saved; Progress is the work done at the end.
 	Resumed  time.Duration
 	Progress time.Duration
-	// Lost is true if the worker was killed with the task.
+	// Lost is true if the worker was killed with the task, or with a result that no owner had acknowledged.
 	Lost bool
 }
 
