--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -134,8 +133,7 @@
 	ctx, m.cancel = context.WithCancel(context.Background())
 	m.ended = make(chan struct{})
 	dial := c.platform.Network.Dialer(m.settings.GetVm())
-	m.daemon = daemon.New(m.settings, logr.Discard(), daemon.WithDialer(
-		func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }))
+	m.daemon = daemon.New(m.settings, logr.Discard(), daemon.WithPeerDialer(dial))
 	go func() {
 		defer close(m.ended)
 		if err := m.daemon.Run(ctx); err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,7 +65,11 @@
 	parts      *peer.PartRouter
 	transport  security
 	bundles    *bundleTracker
-	dial       Dialer // nil selects that of grpc
+
+	// dialPeer and dialPlatform are nil unless an option replaces the plain dialers.
+	dialPeer     DialFunc
+	dialPlatform DialFunc
+	listen       ListenFunc
 
 	leaving atomic.Bool
 	// background ends when the daemon must do nothing any more.
@@ -77,15 +81,6 @@
 	shards map[string]*ownedShard
 }
 
-// Option changes how a daemon is assembled.
-type Option func(*Daemon)
-
-// Dialer opens a connection to a peer.
-type Dialer func(ctx context.Context, address string) (net.Conn, error)
-
-// WithDialer makes all connections to peers through a dialer, for example one that can be cut in a test.
-func WithDialer(dial Dialer) Option { return func(d *Daemon) { d.dial = dial } }
-
 // New returns a daemon that does nothing before Run.
 func New(settings *siskinv1.Settings, logger logr.Logger, options ...Option) *Daemon {
 	d := &Daemon{
@@ -96,6 +91,7 @@
 		registry:    telemetry.NewRegistry(),
 		owners:      owner.NewSet(),
 		shards:      map[string]*ownedShard{},
+		listen:      net.Listen,
 	}
 	for _, option := range options {
 		option(d)
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -76,12 +76,12 @@
 // serve opens the listeners. A listener that fails later reports to failed.
 func (d *Daemon) serve(failed chan<- error) error {
 	listen := d.settings.GetListen()
-	peers, err := d.listen(listen.GetPeers())
+	peers, err := d.openListener(listen.GetPeers())
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
 	d.tasks.Go(func() { report(failed, d.peers.Serve(peers)) })
-	callers, err := d.listen(listen.GetCallers())
+	callers, err := d.openListener(listen.GetCallers())
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -92,7 +92,7 @@
 	if listen.GetAdmin() == "" {
 		return nil
 	}
-	admin, err := d.listen(listen.GetAdmin())
+	admin, err := d.openListener(listen.GetAdmin())
 	if err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
@@ -101,10 +101,10 @@
 	return nil
 }
 
-// listen opens a listener. The address of a replaced process can be in use for a moment.
-func (d *Daemon) listen(address string) (net.Listener, error) {
+// openListener opens a listener. The address of a replaced process can be in use for a moment.
+func (d *Daemon) openListener(address string) (net.Listener, error) {
 	for attempt := 1; ; attempt++ {
-		listener, err := net.Listen("tcp", address)
+		listener, err := d.listen("tcp", address)
 		if err == nil || attempt == listenAttempts || !errors.Is(err, syscall.EADDRINUSE) {
 			return listener, err
 		}
--- a/owner/state.go
+++ b/owner/state.go
@@ -207,7 +207,10 @@
 	if j.home && all.empty() && j.isService() {
 		return false
 	}
-	return j.allEndedOf(all.union(j.orphans()))
+	if !j.cancelled {
+		all = all.union(j.orphans()) // those of a cancelled job never start
+	}
+	return j.allEndedOf(all)
 }
 
 func (j *job) isService() bool {
