Count each task of a cancelled job once

Change: every task of a cancelled job that has not ended otherwise and does not run counts as cancelled.

--- a/owner/lost_test.go
+++ b/owner/lost_test.go
@@ -43,6 +43,9 @@
 		assert.Equal(t, s.status(home, id).GetCancelled(), int32(4))
 		assert.NilError(t, home.append(t.Context(), partRecord(id, home.shard, 2, indexSet{{0, 4}}, nil)))
 		assert.Equal(t, s.status(home, id).GetCancelled(), int32(4))
+		assert.NilError(t, home.append(t.Context(), partRecord(id, home.shard, 3, nil, nil),
+			partRecord(id, sharding.Name("y", 0), 1, indexSet{{0, 4}}, nil)))
+		assert.Equal(t, s.status(home, id).GetCancelled(), int32(4), "counted by two shards; schedules, seed 439")
 		_, err := home.Cancel(context.Background(), &siskinv1.CancelWorkRequest{Id: id, Team: testTeam})
 		assert.NilError(t, err)
 	})
--- a/owner/work.go
+++ b/owner/work.go
@@ -170,8 +170,8 @@
 	return status, nil
 }
 
-// addUnheld counts the tasks that no holder counts: those between two holders, and those that were moved and whose job
-// was cancelled meanwhile.
+// addUnheld counts the tasks between two holders. A task of a cancelled job may be counted by none of the shards that
+// have held it or by several, so there every task counts as cancelled that has not ended otherwise.
 func addUnheld(status *siskinv1.WorkStatus, j *job) {
 	if !j.cancelled {
 		status.Queued += int32(j.orphans().size())
@@ -180,8 +180,8 @@
 	if j.isService() {
 		return
 	}
-	counted := status.Queued + status.Running + status.Succeeded + status.Failed + status.Cancelled + status.Unknown
-	status.Cancelled += max(0, status.GetSpec().GetCount()-counted)
+	ended := status.Succeeded + status.Failed + status.Unknown
+	status.Cancelled = max(0, status.GetSpec().GetCount()-ended-status.Queued-status.Running)
 }
 
 // addEnded counts the ends: durable ones, those on their way to the store, and cancelled tasks. The caller holds mu.
