Report the schedule of the gang test with its events

Cause: the new test did not build. Change: it reports like the other schedules. Conclusion: none further.

--- a/schedules/schedule_test.go
+++ b/schedules/schedule_test.go
@@ -134,6 +134,8 @@
 func TestScheduleOfLostGangStart(t *testing.T) {
 	const seed = 1552
 	synctest.Test(t, func(t *testing.T) {
-		assert.Equal(t, len(runSchedule(t, seed, breaks{}).failures), 0)
+		if out := runSchedule(t, seed, breaks{}); len(out.failures) > 0 {
+			t.Error(out.report(seed))
+		}
 	})
 }
