--- a/schedules/vm_test.go
+++ b/schedules/vm_test.go
@@ -71,9 +71,12 @@
 
 // start makes a process of a VM and runs it.
 func (s *site) start(name, zone string, rate float64) *vm {
+	s.mu.Lock()
 	s.incarnations++
+	incarnation := s.incarnations
+	s.mu.Unlock()
 	v := &vm{
-		site: s, name: name, zone: zone, incarnation: s.incarnations, process: newProcess(rate),
+		site: s, name: name, zone: zone, incarnation: incarnation, process: newProcess(rate),
 		owners: owner.NewSet(), shards: map[string]*ownedShard{}, metrics: owner.NewMetrics(prometheus.NewRegistry()),
 	}
 	v.background, v.end = context.WithCancel(context.Background())
