Take the demo's teams, queues and services from the example bundles

Cause: the demo had teams of its own, so the example work files did not run against the site that the README starts. Change: standin/site reads the example bundle of the site. Conclusion: one set of examples.

--- a/standin/site/settings.go
+++ b/standin/site/settings.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"net"
 	"strconv"
 
@@ -74,9 +75,28 @@
 		Name: s.Service, Team: s.Teams[0].Name, Slots: s.Slots, Connections: s.Connections,
 		TimeoutMs: serviceTimeoutMs, MaxWaiting: maxWaiting,
 	}}
+	s.addExample(bundle)
 	return bundle
 }
 
+// addExample adds the queues and services of the example bundle whose teams the site has.
+func (s Site) addExample(bundle *siskinv1.Bundle) {
+	teams, queues := map[string]bool{}, map[string]bool{}
+	for _, team := range s.Teams {
+		teams[team.Name], queues[team.Name] = true, true
+	}
+	for _, queue := range s.example.GetQueues() {
+		if !queues[queue.GetName()] && teams[cmp.Or(queue.GetTeam(), queue.GetOpenTeam())] {
+			bundle.Queues = append(bundle.Queues, queue)
+		}
+	}
+	for _, service := range s.example.GetServices() {
+		if service.GetName() != s.Service && teams[service.GetTeam()] {
+			bundle.Services = append(bundle.Services, service)
+		}
+	}
+}
+
 const (
 	serviceTimeoutMs = 5000
 	maxWaiting       = 200
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -7,6 +7,9 @@
 
 	"github.com/rotisserie/eris"
 
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/examples"
+	"siskinstack.example/siskinstack/jsoncheck"
 	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/resource"
 )
@@ -34,6 +37,8 @@
 	VMListLag   time.Duration
 
 	Teams []Team
+	// example is the site's example bundle, whose queues and services the site has too.
+	example *siskinv1.Bundle
 }
 
 // Team is a team with its share and its ceiling in parts of the fleet.
@@ -73,10 +78,7 @@
 	s.Service = "orders"
 	s.WorkerRoom = resource.Vector{MilliCPU: 64_000, MemoryBytes: 128 * gib}
 	s.ZoneDelay = jadeleafZoneDelay
-	s.Teams = []Team{
-		{"stitching", 8, 60}, {"archive", 4, 40}, {"previews", 3, 30},
-		{"scanners", 1, 10}, {"billing", 1, 10}, {"research", 1, 10},
-	}
+	s.loadExample()
 	return s
 }
 
@@ -86,13 +88,29 @@
 	s.Service = "tickets"
 	s.WorkerRoom = resource.Vector{MilliCPU: 64_000, MemoryBytes: 256 * gib}
 	s.ZoneDelay = kvaraliZoneDelay
-	s.Teams = []Team{
-		{"bookings", 8, 60}, {"rosters", 4, 40}, {"ledgers", 3, 30},
-		{"kiosks", 1, 10}, {"guides", 1, 10}, {"shafts", 1, 10},
-	}
+	s.loadExample()
 	return s
 }
 
+// loadExample takes the teams of the site's example bundle, with their ceilings in parts of the fleet. The example is
+// embedded, so an error in it is one of the program.
+func (s *Site) loadExample() {
+	text, err := examples.Files.ReadFile(s.Name + "/bundle.json")
+	if err != nil {
+		panic(err)
+	}
+	example := &siskinv1.Bundle{}
+	findings, err := jsoncheck.Decode(text, example)
+	if err != nil || findings.Err() != nil {
+		panic(fmt.Sprintf("example bundle of %s: %v %v", s.Name, err, findings.Err()))
+	}
+	s.example = example
+	for _, team := range example.GetTeams() {
+		percent := 100 * team.GetCeiling().GetMilliCpu() / s.Total().MilliCPU
+		s.Teams = append(s.Teams, Team{Name: team.GetName(), Share: team.GetShare(), CeilingPercent: percent})
+	}
+}
+
 func common(name, region string) Site {
 	return Site{
 		Name: name, Region: region, Zones: []string{region + "-1", region + "-2", region + "-3"}, EntryVMs: 6,
