Let one shard hold most of a ceiling when a gang job needs it

Every shard kept a sixth of the ceiling without demand, so no shard of three could hold more than two thirds; and a gang job whose learned size exceeds the ceiling was never accounted at its declared size. Conclusion: demand decides where a ceiling is held.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -315,11 +315,15 @@
 	shards := int64(max(1, len(o.options.Config.Shards())))
 	for _, team := range o.options.Config.Teams() {
 		name := team.GetName()
-		if limit, ok := o.limits[name]; ok {
+		limit, known := o.limits[name]
+		if known {
 			o.cell.SetTeam(coreTeam(team, limit))
 		}
 		demand := o.cell.TeamDemand(name)
-		o.options.Demand.SetDemand(o.shard, name, demand.Max(baseline(team, shards)))
+		if !known {
+			demand = demand.Max(baseline(team, shards))
+		}
+		o.options.Demand.SetDemand(o.shard, name, demand)
 		o.cell.SetElsewhere(name, elsewhere[name])
 		o.cell.SetWaitingElsewhere(name, allowedWaiting(team, elsewhere[name], waiting[name]))
 	}
@@ -338,8 +342,9 @@
 	}
 }
 
-// baseline is the part of a team's ceiling that every shard holds without demand: half of the ceiling is split evenly,
-// so that a shard that is cut off can start work of every team.
+// baseline is the part of a team's ceiling that every shard asks for at first: half of the ceiling is split evenly, so
+// that a shard that is cut off can start work of every team. A shard without demand gives it back when another one asks,
+// since a gang job may need most of the ceiling in one shard.
 func baseline(team *siskinv1.Team, shards int64) resource.Vector {
 	ceiling := resource.FromProto(team.GetCeiling())
 	return resource.Vector{
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -28,6 +28,11 @@
 	}
 	need := j.need().Scale(int64(n))
 	if !c.permits(j.team, need) {
+		if !j.tight && !need.Fits(j.team.most()) {
+			// The learned size exceeds the whole ceiling, so waiting would not help.
+			j.tight = true
+			return c.tryGang(j, plan)
+		}
 		c.dropReservation(j)
 		return false
 	}
