--- a/sitetest/faults_test.go
+++ b/sitetest/faults_test.go
@@ -145,7 +145,7 @@
 // busyWorker returns a worker of a zone that runs tasks.
 func (c *cell) busyWorker(zone string) string {
 	var name string
-	c.waitFor(preconditionLimit, "a busy worker in "+zone, func() bool {
+	c.waitFor(startLimit, "a busy worker in "+zone, func() bool {
 		for _, run := range c.platform.Workers.Runs() {
 			if run.Zone == zone && run.Ended.IsZero() {
 				name = run.Worker
@@ -192,7 +192,7 @@
 	_, err := c.submit(0, team, batch(24, 2, "sleep", "5s"))
 	assert.NilError(c.t, err)
 	// Well above the lower ceiling; with a zone cut off the whole ceiling may not fit.
-	c.waitFor(preconditionLimit, "work above the lower ceiling", func() bool {
+	c.waitFor(startLimit, "work above the lower ceiling", func() bool {
 		running := 0
 		for _, run := range c.platform.Workers.Runs() {
 			if run.Team == team && run.Ended.IsZero() {
--- a/sitetest/site_test.go
+++ b/sitetest/site_test.go
@@ -37,10 +37,7 @@
 	leaseTTL = 3 * time.Second
 	// startLimit is how long a site may take to serve: a VM acquires nothing in its first 3 s.
 	startLimit = 20 * time.Second
-	// preconditionLimit is how long work may take to reach the state in which a failure is ordered. It checks no promise,
-	// so it leaves room for a machine that runs other tests at the same time.
-	preconditionLimit = time.Minute
-	closeLimit        = 15 * time.Second
+	closeLimit = 15 * time.Second
 	// shutdownLimit is the setting that bounds a planned stop.
 	shutdownLimit = 6 * time.Second
 	pollPause     = 20 * time.Millisecond
