Order waiting gang jobs of a team across shards

Cause: gang jobs of one team in several shards each counted their whole need as demand, so each shard kept the part of the ceiling that the others waited for. A shard with unmet demand also postponed its next write by up to 8 s and refused to give anything back in that time. Change: gang jobs are ordered by acceptance time and id. A shard asked on behalf of an earlier gang job gives back all that it does not run and raises nothing for 10 s. The pause of unmet demand no longer blocks giving back. An empty list of peers gives no promise. Ruled out: a too large learned size (the test declares sizes only).

--- a/allowance/manager.go
+++ b/allowance/manager.go
@@ -22,6 +22,9 @@
 	// askBackoffMin and askBackoffMax bound the time between two requests to other shards that brought nothing.
 	askBackoffMin = time.Second
 	askBackoffMax = 8 * time.Second
+	// yieldFor is how long a shard that gave way to an earlier gang job of another shard raises nothing. It spans the
+	// longest pause between two requests of that shard.
+	yieldFor = askBackoffMax + 2*writeInterval
 	// callTimeout bounds one store call or one request to another shard.
 	callTimeout = time.Second
 	// maxRounds bounds how often a write is tried again after a conflict within one step.
@@ -99,7 +102,11 @@
 	// limit is what the shard may run; it is at most the grant under every possible outcome of a pending write.
 	limit  resource.Vector
 	demand resource.Vector
-	split  Split
+	// gang is the first gang job that waits here; the zero value if none waits.
+	gang Gang
+	// yieldUntil is when this shard may raise its grant again after it gave way to an earlier gang job.
+	yieldUntil time.Time
+	split      Split
 	// revision is that of split; 0 if it was never read.
 	revision platform.Revision
 	// adopted is true once this owner has written the split. Before, a write of the former owner may be under way.
@@ -110,6 +117,8 @@
 	// creating is true if the write of unknown outcome creates the value.
 	creating  bool
 	nextWrite time.Time
+	// nextServe is when unmet demand is served again. Unlike nextWrite it does not keep the shard from giving back.
+	nextServe time.Time
 	nextAsk   time.Time
 	askWait   time.Duration
 }
@@ -160,6 +169,15 @@
 	}
 }
 
+// SetGang tells which gang job of a team comes first among those that wait in an owned shard.
+func (m *Manager) SetGang(shard, team string, gang Gang) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.state(shard, team); s != nil {
+		s.gang = gang
+	}
+}
+
 // state returns the state of a team in an owned shard, or nil. The caller holds mu.
 func (m *Manager) state(shard, team string) *state {
 	teams, owned := m.shards[shard]
@@ -255,7 +273,7 @@
 	m.mu.Lock()
 	missing := s.demand.Sub(s.limit).Max(resource.Vector{})
 	outdated := s.adopted && (s.split.Version < ceilings.Version || s.split.Targets != nil)
-	due := !now.Before(s.nextWrite) && (!missing.IsZero() || outdated || s.pending != 0 || s.creating)
+	due := !now.Before(s.nextWrite) && !now.Before(s.nextServe) && (!missing.IsZero() || outdated || s.pending != 0 || s.creating)
 	m.mu.Unlock()
 	if !due {
 		return
@@ -265,7 +283,7 @@
 	missing = s.demand.Sub(s.limit).Max(resource.Vector{})
 	if !missing.IsZero() {
 		// Demand that the ceiling does not cover would otherwise be read again every second.
-		s.nextWrite = now.Add(max(writeInterval, s.askWait))
+		s.nextServe = now.Add(max(writeInterval, s.askWait))
 	}
 	ask := !missing.IsZero() && s.adopted && s.split.Remainder().Min(missing).IsZero() && !now.Before(s.nextAsk)
 	m.mu.Unlock()
@@ -284,6 +302,9 @@
 	}
 	m.mu.Lock()
 	demand := s.demand
+	if m.options.Clock.Now().Before(s.yieldUntil) {
+		demand = resource.Vector{}
+	}
 	m.mu.Unlock()
 	return next.Raise(s.shard, demand.Sub(next.Granted[s.shard]).Max(resource.Vector{}))
 }
@@ -292,10 +313,14 @@
 func (m *Manager) ask(ctx context.Context, s *state, missing resource.Vector) {
 	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, callTimeout)
 	defer cancel()
+	m.mu.Lock()
+	gang := s.gang.proto()
+	m.mu.Unlock()
 	var received resource.Vector
 	for _, shard := range m.donors(s) {
 		response, err := m.options.Asker.GiveBack(ctx, &siskinv1.GiveBackAllowanceRequest{
 			Shard: shard, Team: s.team, Wanted: missing.Sub(received).Max(resource.Vector{}).Proto(),
+			Gang: gang,
 		})
 		if err == nil {
 			received = received.Add(resource.FromProto(response.GetGivenBack()))
@@ -310,7 +335,7 @@
 	s.askWait = min(2*s.askWait, askBackoffMax)
 	if !received.IsZero() {
 		s.askWait = askBackoffMin
-		s.nextWrite = m.options.Clock.Now().Add(writeInterval)
+		s.nextServe = m.options.Clock.Now().Add(writeInterval)
 	}
 	s.nextAsk = m.options.Clock.Now().Add(s.askWait)
 }
--- a/allowance/update.go
+++ b/allowance/update.go
@@ -182,6 +182,7 @@
 	}
 	var given resource.Vector
 	wanted := resource.FromProto(request.GetWanted()).Max(resource.Vector{})
+	m.giveWay(s, gangFromProto(request.GetGang()))
 	written := m.update(ctx, s, func(split Split) Split {
 		next := m.lowered(s, split, wanted)
 		given = split.Granted[s.shard].Sub(next.Granted[s.shard])
@@ -198,7 +199,11 @@
 func (m *Manager) lowered(s *state, split Split, wanted resource.Vector) Split {
 	granted := split.Granted[s.shard]
 	m.mu.Lock()
-	spare := granted.Sub(s.demand).Max(resource.Vector{}).Min(wanted)
+	demand := s.demand
+	if m.options.Clock.Now().Before(s.yieldUntil) {
+		demand = resource.Vector{}
+	}
+	spare := granted.Sub(demand).Max(resource.Vector{}).Min(wanted)
 	m.mu.Unlock()
 	kept := granted.Sub(spare)
 	if !m.rules.lowerFirst {
--- a/capacity/owner_test.go
+++ b/capacity/owner_test.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
 
+	"siskinstack.example/siskinstack/allowance"
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/owner"
@@ -67,6 +68,7 @@
 }
 
 func (*surroundings) SetDemand(string, string, resource.Vector)          {}
+func (*surroundings) SetGang(string, string, allowance.Gang)             {}
 func (*surroundings) UsedElsewhere(string) map[string]resource.Vector    { return nil }
 func (*surroundings) WaitingElsewhere(string) map[string]resource.Vector { return nil }
 func (*surroundings) EntryAlive(string) bool                             { return true }
--- a/owner/gang.go
+++ b/owner/gang.go
@@ -1,10 +1,28 @@
 package owner
 
 import (
+	"siskinstack.example/siskinstack/allowance"
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/scheduler"
 )
 
+// firstGangs returns the first of the waiting gang jobs of each team. The caller holds mu.
+func (o *Owner) firstGangs() map[string]allowance.Gang {
+	first := map[string]allowance.Gang{}
+	for _, id := range o.cell.WaitingGangs() {
+		j := o.state.jobs[id]
+		if j == nil {
+			continue
+		}
+		team := j.accepted.GetTeam()
+		gang := allowance.Gang{AcceptedUnixMs: j.accepted.GetAcceptedUnixMs(), Job: id}
+		if gang.Before(first[team]) {
+			first[team] = gang
+		}
+	}
+	return first
+}
+
 // gangFailed reports whether a member of a gang job has failed for good, so that the job has failed as a whole. Members
 // that run at most once run to their ends instead.
 func (j *job) gangFailed() bool {
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
 
+	"siskinstack.example/siskinstack/allowance"
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/ownership"
@@ -96,6 +97,7 @@
 }
 
 func (s *site) SetDemand(string, string, resource.Vector)          {}
+func (s *site) SetGang(string, string, allowance.Gang)             {}
 func (s *site) UsedElsewhere(string) map[string]resource.Vector    { return nil }
 func (s *site) WaitingElsewhere(string) map[string]resource.Vector { return nil }
 func (s *site) EntryAlive(string) bool                             { return true }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
+	"siskinstack.example/siskinstack/allowance"
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/claim"
 	"siskinstack.example/siskinstack/clock"
@@ -69,6 +70,8 @@
 // Demand takes what teams run and want to run in a shard, so that parts of their ceilings can be moved there.
 type Demand interface {
 	SetDemand(shard, team string, demand resource.Vector)
+	// SetGang tells which gang job of a team comes first among those that wait in a shard.
+	SetGang(shard, team string, gang allowance.Gang)
 }
 
 // Fleet is what the other VMs report about their shards.
@@ -313,6 +316,7 @@
 
 func (o *Owner) refreshTeams(elsewhere, waiting map[string]resource.Vector) {
 	shards := int64(max(1, len(o.options.Config.Shards())))
+	gangs := o.firstGangs()
 	for _, team := range o.options.Config.Teams() {
 		name := team.GetName()
 		limit, known := o.limits[name]
@@ -324,6 +328,7 @@
 			demand = demand.Max(baseline(team, shards))
 		}
 		o.options.Demand.SetDemand(o.shard, name, demand)
+		o.options.Demand.SetGang(o.shard, name, gangs[name])
 		o.cell.SetElsewhere(name, elsewhere[name])
 		o.cell.SetWaitingElsewhere(name, allowedWaiting(team, elsewhere[name], waiting[name]))
 	}
--- /dev/null
+++ b/owner/right_test.go
@@ -0,0 +1,63 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/scheduler"
+)
+
+// orderCounter counts the orders that reach workers.
+type orderCounter struct {
+	platform.Workers
+	orders int
+}
+
+func (c *orderCounter) Start(context.Context, platform.StartRequest) error {
+	c.orders++
+	return nil
+}
+
+func (c *orderCounter) Throttle(context.Context, platform.ThrottleRequest) error {
+	c.orders++
+	return nil
+}
+
+func (c *orderCounter) Stop(context.Context, platform.StopRequest) error {
+	c.orders++
+	return nil
+}
+
+func (c *orderCounter) Checkpoint(context.Context, platform.StopRequest) error {
+	c.orders++
+	return nil
+}
+
+// Guards against orders that an owner sends after its right has ended between the plan and the call.
+func TestNoOrderIsSentWithoutTheRight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1, "x")
+		o := s.open("x", time.Second)
+		id := s.submit(o, "b", batch(1, false))
+		time.Sleep(2 * time.Second)
+		orders := &orderCounter{}
+		o.kill()
+		o.options.Workers = orders
+		task := scheduler.TaskID{Job: id}
+		ref := platform.TaskRef{Job: id, Attempt: 1}
+		assert.ErrorContains(t, o.options.Right.Check(), "expired")
+		o.throttle(t.Context(), scheduler.Throttle{Task: task, Attempt: 1, Worker: "x-w0"})
+		o.Owner.stop(t.Context(), scheduler.Stop{Task: task, Attempt: 1, Worker: "x-w0"})
+		o.Owner.stop(t.Context(), scheduler.Stop{Task: task, Attempt: 1, Worker: "x-w0", Checkpoint: true})
+		o.start(t.Context(), plannedStart{
+			Start:   scheduler.Start{Task: task, Attempt: 1, Worker: "x-w0"},
+			request: platform.StartRequest{Worker: "x-w0", Task: ref},
+		})
+		assert.Equal(t, orders.orders, 0)
+	})
+}
--- a/ownership/promiser.go
+++ b/ownership/promiser.go
@@ -30,8 +30,12 @@
 	return promisedByAll(request, responses)
 }
 
-// promisedByAll returns the shards that are in every response; a missing response has none.
+// promisedByAll returns the shards that are in every response; a missing response has none. Without any response there is
+// no promise: an empty list of peers says nothing about who else may acquire a shard.
 func promisedByAll(request *siskinv1.PromiseRequest, responses []*siskinv1.PromiseResponse) []string {
+	if len(responses) == 0 {
+		return nil
+	}
 	votes := map[string]int{}
 	for _, response := range responses {
 		for _, shard := range response.GetPromised() {
--- /dev/null
+++ b/ownership/promiser_test.go
@@ -0,0 +1,16 @@
+package ownership
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+)
+
+// Guards against an owner that keeps its shards through a store outage because its list of peers is empty.
+func TestNoPeersGiveNoPromise(t *testing.T) {
+	request := &siskinv1.PromiseRequest{Shards: []*siskinv1.ShardEpoch{{Shard: "x-0"}}}
+	assert.Equal(t, len((&PeerPromiser{}).Ask(context.Background(), request)), 0)
+}
--- a/scheduler/team.go
+++ b/scheduler/team.go
@@ -86,6 +86,17 @@
 	return demand
 }
 
+// WaitingGangs returns the gang jobs that wait and can run at all, in no order.
+func (c *Cell) WaitingGangs() []string {
+	var waiting []string
+	for id, j := range c.jobs {
+		if j.Kind == Gang && j.counts.Queued > 0 && j.parked == WaitNone && !j.cancelled {
+			waiting = append(waiting, id)
+		}
+	}
+	return waiting
+}
+
 // Owed returns the part of the fleet that a team is owed, as of the last pass, and the part that it has.
 func (c *Cell) Owed(name string) (owed, has float64) {
 	state, ok := c.teams[name]
