--- a/allowance/manager.go
+++ b/allowance/manager.go
@@ -10,7 +10,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 )
 
@@ -52,7 +52,7 @@
 
 // Options configures a manager.
 type Options struct {
-	Store platform.Store
+	Store infra.Store
 	Clock clock.Clock
 	// Writer is the identity of this VM: name and incarnation.
 	Writer string
@@ -108,12 +108,12 @@
 	yieldUntil time.Time
 	split      Split
 	// revision is that of split; 0 if it was never read.
-	revision platform.Revision
+	revision infra.Revision
 	// adopted is true once this owner has written the split. Before, a write of the former owner may be under way.
 	adopted bool
 	// pending is the revision expected by a write whose outcome is not known; 0 if there is none. Such a write can
 	// take effect as long as the store shows this revision.
-	pending platform.Revision
+	pending infra.Revision
 	// creating is true if the write of unknown outcome creates the value.
 	creating  bool
 	nextWrite time.Time
--- a/allowance/update.go
+++ b/allowance/update.go
@@ -8,7 +8,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 )
 
@@ -70,7 +70,7 @@
 // write expected; from then on it cannot take effect any more.
 func (m *Manager) read(ctx context.Context, s *state) error {
 	kv, err := m.options.Store.Get(ctx, keyPrefix+s.team)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		ceilings := m.options.Ceilings()
@@ -111,7 +111,7 @@
 		return errGivenUp
 	}
 	m.shrink(s, next)
-	revision, err := m.options.Store.Put(ctx, platform.PutRequest{
+	revision, err := m.options.Store.Put(ctx, infra.PutRequest{
 		Key: keyPrefix + s.team, Value: value, Expected: s.revision,
 	})
 	switch {
@@ -122,10 +122,10 @@
 		m.settle(s, next, revision)
 		m.options.Metrics.written.Inc()
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		m.options.Metrics.conflicts.Inc()
 		return errConflict
-	case errors.Is(err, platform.ErrNotSent):
+	case errors.Is(err, infra.ErrNotSent):
 		return err
 	}
 	m.options.Metrics.unknown.Inc()
@@ -149,7 +149,7 @@
 
 // settle takes over the limit of a split whose revision is known to be the store's. A split that this owner has not
 // written yet, or whose revision a pending write expects, proves nothing.
-func (m *Manager) settle(s *state, split Split, revision platform.Revision) {
+func (m *Manager) settle(s *state, split Split, revision infra.Revision) {
 	m.mu.Lock()
 	s.split, s.revision = split, revision
 	trusted := m.trusted(s)
--- a/bundle/register.go
+++ b/bundle/register.go
@@ -7,7 +7,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 )
 
@@ -17,17 +17,17 @@
 // because a signed proposal is never replaced. A sign-off that was interrupted between the two writes is completed by the
 // next sign-off of any operator.
 type Register struct {
-	store   platform.Store
+	store   infra.Store
 	signers Signers
 }
 
 // NewRegister returns a register that trusts the sign-off keys of signers.
-func NewRegister(store platform.Store, signers Signers) *Register {
+func NewRegister(store infra.Store, signers Signers) *Register {
 	return &Register{store: store, signers: signers}
 }
 
 // Current returns the proposal whose bundle is in force; its bundle is nil before the first sign-off.
-func (r *Register) Current(ctx context.Context) (*siskinv1.BundleProposal, platform.Revision, error) {
+func (r *Register) Current(ctx context.Context) (*siskinv1.BundleProposal, infra.Revision, error) {
 	current := &siskinv1.BundleProposal{}
 	revision, err := configstore.Read(ctx, r.store, configstore.BundleCurrent, current)
 	return current, revision, err
@@ -39,7 +39,7 @@
 	return p, err
 }
 
-func (r *Register) read(ctx context.Context, version int64) (*siskinv1.BundleProposal, platform.Revision, error) {
+func (r *Register) read(ctx context.Context, version int64) (*siskinv1.BundleProposal, infra.Revision, error) {
 	p := &siskinv1.BundleProposal{}
 	revision, err := configstore.Read(ctx, r.store, configstore.Proposal(version), p)
 	if err == nil && revision == 0 {
@@ -98,7 +98,7 @@
 }
 
 // write stores a proposal. A value that was read back counts as ours if it states the same, even if a later step was added.
-func (r *Register) write(ctx context.Context, p *siskinv1.BundleProposal, expected platform.Revision) error {
+func (r *Register) write(ctx context.Context, p *siskinv1.BundleProposal, expected infra.Revision) error {
 	value, err := configstore.Encode(p)
 	if err != nil {
 		return refusal.New(refusal.InternalError, "%v", err)
--- a/bundle/signoff.go
+++ b/bundle/signoff.go
@@ -8,7 +8,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 )
 
@@ -78,7 +78,7 @@
 	return r.swapCurrent(ctx, p, revision)
 }
 
-func (r *Register) swapCurrent(ctx context.Context, p *siskinv1.BundleProposal, expected platform.Revision) error {
+func (r *Register) swapCurrent(ctx context.Context, p *siskinv1.BundleProposal, expected infra.Revision) error {
 	value, err := configstore.Encode(p)
 	if err != nil {
 		return refusal.New(refusal.InternalError, "%v", err)
--- a/capacity/child_test.go
+++ b/capacity/child_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
 	"siskinstack.example/siskinstack/standin/server"
@@ -40,11 +40,11 @@
 )
 
 // fleetOf returns workers of a zone.
-func fleetOf(zone string, workers int) []platform.VM {
-	vms := make([]platform.VM, workers)
+func fleetOf(zone string, workers int) []infra.VM {
+	vms := make([]infra.VM, workers)
 	for i := range vms {
-		vms[i] = platform.VM{
-			Name: fmt.Sprintf("%s-worker-%d", zone, i), Role: platform.RoleWorker, Zone: zone,
+		vms[i] = infra.VM{
+			Name: fmt.Sprintf("%s-worker-%d", zone, i), Role: infra.RoleWorker, Zone: zone,
 			Rack: fmt.Sprintf("%s-rack-%d", zone, i/8), Address: "10.0.0.1:7000",
 			Room: resource.Vector{MilliCPU: 64_000, MemoryBytes: 128 * gib},
 		}
--- a/capacity/log_test.go
+++ b/capacity/log_test.go
@@ -14,10 +14,10 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/shardlog"
 	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/httpclient"
 	"siskinstack.example/siskinstack/storeclient"
 )
 
@@ -65,7 +65,7 @@
 }
 
 // bytesUnder returns the size and the number of the values with a prefix.
-func bytesUnder(b *testing.B, store platform.Store, prefix string) (size, values float64) {
+func bytesUnder(b *testing.B, store infra.Store, prefix string) (size, values float64) {
 	listing, err := store.List(context.Background(), prefix)
 	assert.NilError(b, err)
 	for _, kv := range listing.Entries {
@@ -148,7 +148,7 @@
 
 func measureTakeover(b *testing.B, tasks, ended, workers int) {
 	s := &bench{b: b, around: newSurroundings(workers)}
-	client := httpplatform.NewWithDialer(startStandin(b, workers), s.traffic.dial)
+	client := httpclient.NewWithDialer(startStandin(b, workers), s.traffic.dial)
 	defer client.Close()
 	log, err := shardlog.Open(b.Context(), shardlog.Options{
 		Store: client, Clock: clock.Real{}, Shard: benchShard, Writer: "vm@1", Owner: "vm", Epoch: 1, Apply: func(*siskinv1.Record) {},
@@ -213,7 +213,7 @@
 func BenchmarkVMListCompressed(b *testing.B) {
 	for _, workers := range []int{1400, 9800} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			text, err := json.Marshal(platform.VMs{VMs: fleetOf(benchZone, workers)})
+			text, err := json.Marshal(infra.VMs{VMs: fleetOf(benchZone, workers)})
 			assert.NilError(b, err)
 			var out bytes.Buffer
 			for b.Loop() {
--- a/capacity/owner_test.go
+++ b/capacity/owner_test.go
@@ -16,11 +16,11 @@
 	"siskinstack.example/siskinstack/allowance"
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/owner"
 	"siskinstack.example/siskinstack/ownership"
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/platform/httpplatform"
 	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/standin/httpclient"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // surroundings is what an owner sees of the rest of the fleet.
 type surroundings struct {
-	vms    []platform.VM
+	vms    []infra.VM
 	closed atomic.Bool // no task starts while it is set
 }
 
@@ -75,22 +75,22 @@
 func (*surroundings) Room() resource.Vector                              { return resource.Vector{} }
 func (*surroundings) Loads() []*siskinv1.ShardLoad                       { return nil }
 
-func (s *surroundings) List(context.Context) (platform.VMs, error) {
-	return platform.VMs{VMs: s.vms}, nil
+func (s *surroundings) List(context.Context) (infra.VMs, error) {
+	return infra.VMs{VMs: s.vms}, nil
 }
 
 // countedWorkers counts the calls to workers.
 type countedWorkers struct {
-	platform.Workers
+	infra.Workers
 	renewals, starts atomic.Int64
 }
 
-func (w *countedWorkers) Renew(ctx context.Context, r platform.RenewRequest) (platform.WorkerReport, error) {
+func (w *countedWorkers) Renew(ctx context.Context, r infra.RenewRequest) (infra.WorkerReport, error) {
 	w.renewals.Add(1)
 	return w.Workers.Renew(ctx, r)
 }
 
-func (w *countedWorkers) Start(ctx context.Context, r platform.StartRequest) error {
+func (w *countedWorkers) Start(ctx context.Context, r infra.StartRequest) error {
 	w.starts.Add(1)
 	return w.Workers.Start(ctx, r)
 }
@@ -107,7 +107,7 @@
 
 func newBench(b *testing.B, workers int) *bench {
 	s := &bench{b: b, around: newSurroundings(workers)}
-	client := httpplatform.NewWithDialer(startStandin(b, workers), s.traffic.dial)
+	client := httpclient.NewWithDialer(startStandin(b, workers), s.traffic.dial)
 	s.workers = &countedWorkers{Workers: client}
 	s.open(client, 1)
 	ctx, cancel := context.WithCancel(b.Context())
@@ -124,7 +124,7 @@
 	return s
 }
 
-func (s *bench) open(store platform.Store, epoch int64) {
+func (s *bench) open(store infra.Store, epoch int64) {
 	o, err := owner.Open(context.Background(), owner.Options{
 		Right: ownership.NewRight(clock.Real{}, benchShard, epoch, time.Now().Add(time.Hour)),
 		Store: store, Workers: s.workers, VMs: s.around, Clock: clock.Real{}, Logger: logr.Discard(),
--- a/capacity/protocol_test.go
+++ b/capacity/protocol_test.go
@@ -17,12 +17,12 @@
 	"siskinstack.example/siskinstack/bundle"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/configview"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/membership"
 	"siskinstack.example/siskinstack/peer"
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/platform/httpplatform"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/httpclient"
 	"siskinstack.example/siskinstack/standin/server"
 	"siskinstack.example/siskinstack/teamkey"
 )
@@ -116,19 +116,19 @@
 			vms := fleetOf(benchZone, 1)
 			vms[0].Room = resource.Vector{MilliCPU: 64_000, MemoryBytes: 128 * gib}
 			var wire traffic
-			client := httpplatform.NewWithDialer(startStandin(b, 1), wire.dial)
+			client := httpclient.NewWithDialer(startStandin(b, 1), wire.dial)
 			defer client.Close()
-			authority := platform.Authority{Shard: benchShard, Epoch: 4_000_000}
+			authority := infra.Authority{Shard: benchShard, Epoch: 4_000_000}
 			for i := range tasks {
-				assert.NilError(b, client.Start(b.Context(), platform.StartRequest{
+				assert.NilError(b, client.Start(b.Context(), infra.StartRequest{
 					Authority: authority, Worker: vms[0].Name, Team: "stitching", Lease: time.Hour, Command: []string{"serve", "-"},
-					Task: platform.TaskRef{Job: fmt.Sprintf("%s.%064d", benchShard, i), Attempt: 1},
+					Task: infra.TaskRef{Job: fmt.Sprintf("%s.%064d", benchShard, i), Attempt: 1},
 					Room: resource.Vector{MilliCPU: 2000, MemoryBytes: 4 * gib},
 				}))
 			}
 			in, out, before, n := wire.in.Load(), wire.out.Load(), processorTime(), 0
 			for b.Loop() {
-				report, err := client.Renew(b.Context(), platform.RenewRequest{Authority: authority, Worker: vms[0].Name, Lease: time.Hour})
+				report, err := client.Renew(b.Context(), infra.RenewRequest{Authority: authority, Worker: vms[0].Name, Lease: time.Hour})
 				assert.NilError(b, err)
 				assert.Equal(b, len(report.Tasks), tasks)
 				n++
@@ -146,7 +146,7 @@
 	for _, workers := range []int{50, 1400, 9800} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			var wire traffic
-			client := httpplatform.NewWithDialer(startStandin(b, workers), wire.dial)
+			client := httpclient.NewWithDialer(startStandin(b, workers), wire.dial)
 			defer client.Close()
 			reader := client.VMs()
 			_, err := reader.List(b.Context())
@@ -167,10 +167,10 @@
 	for _, workers := range []int{50, 1400, 9800} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			var wire traffic
-			client := httpplatform.NewWithDialer(startStandin(b, workers), wire.dial)
+			client := httpclient.NewWithDialer(startStandin(b, workers), wire.dial)
 			defer client.Close()
 			before, empty, n := processorTime(), heap(), 0
-			var list platform.VMs
+			var list infra.VMs
 			for b.Loop() {
 				var err error
 				list, err = client.VMs().List(b.Context())
@@ -191,8 +191,8 @@
 	for _, inFlight := range []int{0, 8} {
 		b.Run(fmt.Sprintf("in-flight=%d", inFlight), func(b *testing.B) {
 			var wire traffic
-			vm := platform.VM{Name: "endpoint-0", Role: platform.RoleEndpoint, Zone: benchZone, Service: "orders"}
-			endpoints := standin.NewEndpoints(clock.Real{}, []platform.VM{vm}, standin.EndpointOptions{
+			vm := infra.VM{Name: "endpoint-0", Role: infra.RoleEndpoint, Zone: benchZone, Service: "orders"}
+			endpoints := standin.NewEndpoints(clock.Real{}, []infra.VM{vm}, standin.EndpointOptions{
 				Slots: 8, Connections: 60, Work: func(string, []byte) time.Duration { return time.Hour },
 			})
 			serving := &http.Server{Handler: server.NewEndpoint(vm.Name, endpoints), ReadHeaderTimeout: time.Second}
@@ -203,13 +203,13 @@
 			defer cancel()
 			for i := range inFlight {
 				go func() {
-					_, _ = endpoints.Call(ctx, platform.EndpointRequest{Endpoint: vm.Name, RequestID: fmt.Sprintf("%032d", i), From: fmt.Sprintf("entry-%d@1700000000000", i%2)})
+					_, _ = endpoints.Call(ctx, infra.EndpointRequest{Endpoint: vm.Name, RequestID: fmt.Sprintf("%032d", i), From: fmt.Sprintf("entry-%d@1700000000000", i%2)})
 				}()
 			}
 			for endpoints.Running() < inFlight {
 				time.Sleep(time.Millisecond)
 			}
-			client := httpplatform.NewEndpoints(30)
+			client := httpclient.NewEndpoints(30)
 			defer client.Close()
 			n := 0
 			for b.Loop() {
@@ -227,7 +227,7 @@
 
 func (noPeers) States() []configview.PeerState { return nil }
 func (noPeers) FetchConfig(context.Context, string, *siskinv1.FetchConfigRequest) (*siskinv1.FetchConfigResponse, error) {
-	return nil, platform.ErrNotSent
+	return nil, infra.ErrNotSent
 }
 
 // BenchmarkConfigChange measures what a change of the configuration costs an entry VM, by the number of keys.
@@ -240,9 +240,9 @@
 func measureConfig(b *testing.B, keys int) {
 	var wire traffic
 	url := startStandin(b, 1)
-	client := httpplatform.NewWithDialer(url, wire.dial)
+	client := httpclient.NewWithDialer(url, wire.dial)
 	defer client.Close()
-	writer := httpplatform.New(url)
+	writer := httpclient.New(url)
 	defer writer.Close()
 	register := teamkey.NewRegister(writer, clock.Real{})
 	for i := range keys {
--- a/capacity/work.go
+++ b/capacity/work.go
@@ -58,7 +58,7 @@
 	each := s.RenewalIn.At(tasks) + s.RenewalOut
 	return []Figure{
 		{role, "calls", 1/size.renewSeconds() + starts, "/s", 0, true, "Renew, Start (owner)"},
-		{role, "bytes, both ways", each/size.renewSeconds() + starts*s.StartBytes, "B/s", NodeBytes, true, "Renew reports every task (owner, platform/httpplatform)"},
+		{role, "bytes, both ways", each/size.renewSeconds() + starts*s.StartBytes, "B/s", NodeBytes, true, "Renew reports every task (owner, standin/httpclient)"},
 		{role, "renewal interval, bound of an end's delay", size.renewSeconds(), "s", 0, true, "renewInterval (owner)"},
 	}
 }
@@ -96,7 +96,7 @@
 	changes := 2 * size.VMChanges / daySeconds
 	return []Figure{
 		{role, "bytes", s.VMListSameBytes + changes*s.VMListBytes.At(vms), "B/s", NodeBytes, true, "a question every second, the list after a change (fleet)"},
-		{role, "processor", (s.VMListSameTime + changes*s.VMListTime.At(vms)) / 1000, "mcore", NodeMillicores, true, "JSON of the list (platform/httpplatform)"},
+		{role, "processor", (s.VMListSameTime + changes*s.VMListTime.At(vms)) / 1000, "mcore", NodeMillicores, true, "JSON of the list (standin/httpclient)"},
 	}
 }
 
--- a/configstore/purge.go
+++ b/configstore/purge.go
@@ -13,7 +13,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/telemetry"
 )
 
@@ -40,7 +40,7 @@
 
 // PurgerOptions are what a purger needs.
 type PurgerOptions struct {
-	Store  platform.Store
+	Store  infra.Store
 	Clock  clock.Clock
 	Logger logr.Logger
 	// Known returns the newest configuration of this VM. The bundle version in it has been verified, so a forged value in
@@ -174,7 +174,7 @@
 	for range maxAttempts {
 		found, err := p.options.Store.Get(ctx, key)
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, infra.ErrNotFound):
 			return uncertain, nil
 		case err != nil:
 			return false, eris.Wrapf(err, "read %s before its purge", key)
@@ -185,7 +185,7 @@
 		switch {
 		case err == nil:
 			return true, nil
-		case errors.Is(err, platform.ErrNotSent):
+		case errors.Is(err, infra.ErrNotSent):
 			return false, eris.Wrapf(err, "purge %s", key)
 		}
 		// The answer was lost or another VM was faster; the key is read again.
--- a/configstore/purge_test.go
+++ b/configstore/purge_test.go
@@ -13,7 +13,7 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/standin"
 	"siskinstack.example/siskinstack/teamkey"
@@ -48,7 +48,7 @@
 }
 
 func (f *fixture) put(key string, value string) {
-	_, err := f.store.Put(f.t.Context(), platform.PutRequest{Key: key, Value: []byte(value)})
+	_, err := f.store.Put(f.t.Context(), infra.PutRequest{Key: key, Value: []byte(value)})
 	assert.NilError(f.t, err)
 }
 
--- a/configstore/write.go
+++ b/configstore/write.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 )
 
@@ -21,26 +21,26 @@
 	Key   string
 	Value []byte
 	// Expected is the revision of the key; 0 expects that it does not exist.
-	Expected platform.Revision
+	Expected infra.Revision
 	// IsOurs reports whether a value that was read back shows that this write took effect. Nil compares for equality.
 	IsOurs func(value []byte) bool
 }
 
 // Apply performs the write. Lost answers are resolved by reading the key back. Errors are refusals: conflict if the key
 // has another revision, store_unavailable if the write certainly had no effect, acceptance_unknown otherwise.
-func Apply(ctx context.Context, store platform.Store, write Write) error {
+func Apply(ctx context.Context, store infra.Store, write Write) error {
 	uncertain := false
 	for range maxAttempts {
-		_, err := store.Put(ctx, platform.PutRequest{Key: write.Key, Value: write.Value, Expected: write.Expected})
+		_, err := store.Put(ctx, infra.PutRequest{Key: write.Key, Value: write.Value, Expected: write.Expected})
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrTooLarge):
-			return refusal.New(refusal.BadRequest, "value is larger than %d bytes", platform.MaxValueBytes)
-		case errors.Is(err, platform.ErrNotSent) && !uncertain:
+		case errors.Is(err, infra.ErrTooLarge):
+			return refusal.New(refusal.BadRequest, "value is larger than %d bytes", infra.MaxValueBytes)
+		case errors.Is(err, infra.ErrNotSent) && !uncertain:
 			return refusal.New(refusal.StoreUnavailable, "store can't be written: %v", err)
 		}
-		uncertain = uncertain || !errors.Is(err, platform.ErrConflict)
+		uncertain = uncertain || !errors.Is(err, infra.ErrConflict)
 		done, err := readBack(ctx, store, write, uncertain)
 		if done || err != nil {
 			return err
@@ -51,11 +51,11 @@
 
 // readBack finds out whether a write without a good answer took effect. Neither a result nor an error means that it has
 // not taken effect so far.
-func readBack(ctx context.Context, store platform.Store, write Write, uncertain bool) (done bool, err error) {
+func readBack(ctx context.Context, store infra.Store, write Write, uncertain bool) (done bool, err error) {
 	found, err := store.Get(ctx, write.Key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		found = platform.KeyValue{}
+	case errors.Is(err, infra.ErrNotFound):
+		found = infra.KeyValue{}
 	case err != nil && uncertain:
 		return false, refusal.New(refusal.AcceptanceUnknown, "the answer of the store was lost: %v", err)
 	case err != nil:
@@ -82,9 +82,9 @@
 
 // Read decodes the value of a key into a message and returns its revision. A missing key gives revision 0. A value that can't
 // be decoded gives its revision, so that it can be replaced, and a refusal.
-func Read(ctx context.Context, store platform.Store, key string, into proto.Message) (platform.Revision, error) {
+func Read(ctx context.Context, store infra.Store, key string, into proto.Message) (infra.Revision, error) {
 	found, err := store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
--- a/configview/apply.go
+++ b/configview/apply.go
@@ -9,7 +9,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // prefixes are the parts of the configuration that a view holds. Proposals are left out: only the operators' routes need
@@ -27,7 +27,7 @@
 
 // apply takes over one value if it is good, and newer than the last good one of its key. A good value older than a rejected
 // one counts too: the rejected one may have been read before the watch delivers the good one. The caller holds mu.
-func (v *View) apply(key string, value []byte, revision platform.Revision) {
+func (v *View) apply(key string, value []byte, revision infra.Revision) {
 	earlier, known := v.entries[key]
 	if !isFollowed(key) || known && revision <= earlier.revision || revision == v.rejected[key] {
 		return
@@ -46,7 +46,7 @@
 }
 
 // reject reports a value that is not good. The last good one stays in force. The caller holds mu.
-func (v *View) reject(key string, revision platform.Revision, err error) {
+func (v *View) reject(key string, revision infra.Revision, err error) {
 	v.rejected[key] = revision
 	v.counters.rejected.Inc()
 	v.options.Logger.Error(err, "configuration value rejected, the last good one stays in force",
@@ -69,7 +69,7 @@
 }
 
 // remove takes a deleted key out. A bundle in force stays in force. The caller holds mu.
-func (v *View) remove(key string, revision platform.Revision) {
+func (v *View) remove(key string, revision infra.Revision) {
 	earlier, known := v.entries[key]
 	if !known || revision <= earlier.revision || revision == v.rejected[key] {
 		return
--- a/configview/follow.go
+++ b/configview/follow.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 const (
@@ -88,9 +88,9 @@
 
 // list replaces the entries by listings of the store. The listings are taken one after the other, so the view is complete
 // up to the first one's revision; the watch repeats what changed in between.
-func (v *View) list(ctx context.Context, earlier platform.Revision) error {
+func (v *View) list(ctx context.Context, earlier infra.Revision) error {
 	sent := v.options.Clock.Now()
-	listings := make([]platform.Listing, len(prefixes))
+	listings := make([]infra.Listing, len(prefixes))
 	for i, prefix := range prefixes {
 		listing, err := v.options.Store.List(ctx, prefix)
 		if err != nil {
@@ -113,7 +113,7 @@
 	return nil
 }
 
-func (v *View) wentBack(revision, earlier platform.Revision) error {
+func (v *View) wentBack(revision, earlier infra.Revision) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.reportWentBack(revision, earlier)
@@ -121,7 +121,7 @@
 
 // reportWentBack counts a lower revision than an earlier one, and logs the first until the store confirms the view again.
 // The caller holds mu.
-func (v *View) reportWentBack(revision, earlier platform.Revision) error {
+func (v *View) reportWentBack(revision, earlier infra.Revision) error {
 	v.mustList = true
 	v.counters.wentBack.Inc()
 	err := eris.Wrapf(errWentBack, "revision %d after %d", revision, earlier)
@@ -134,7 +134,7 @@
 }
 
 // replace makes the entries of a prefix equal to a listing. The caller holds mu.
-func (v *View) replace(prefix string, listed []platform.KeyValue, revision platform.Revision) {
+func (v *View) replace(prefix string, listed []infra.KeyValue, revision infra.Revision) {
 	present := make(map[string]bool, len(listed))
 	for _, kv := range listed {
 		present[kv.Key] = true
@@ -148,7 +148,7 @@
 }
 
 // confirm records that the view is complete up to a revision, as a call sent at a time has shown. The caller holds mu.
-func (v *View) confirm(revision platform.Revision, sent time.Time) {
+func (v *View) confirm(revision infra.Revision, sent time.Time) {
 	v.complete = max(v.complete, revision)
 	v.behind = false
 	v.publish()
@@ -157,13 +157,13 @@
 	}
 }
 
-func (v *View) watch(ctx context.Context, wait time.Duration, after platform.Revision) error {
+func (v *View) watch(ctx context.Context, wait time.Duration, after infra.Revision) error {
 	sent := v.options.Clock.Now()
-	result, err := v.options.Store.Watch(ctx, platform.WatchRequest{Prefix: configstore.Prefix, After: after, Wait: wait})
+	result, err := v.options.Store.Watch(ctx, infra.WatchRequest{Prefix: configstore.Prefix, After: after, Wait: wait})
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
-	case errors.Is(err, platform.ErrCompacted):
+	case errors.Is(err, infra.ErrCompacted):
 		v.mustList = true
 		return err
 	case err != nil:
@@ -186,7 +186,7 @@
 }
 
 // hasGap reports whether the answer of a watch contradicts the requested revision or itself.
-func hasGap(result platform.WatchResult, after platform.Revision) bool {
+func hasGap(result infra.WatchResult, after infra.Revision) bool {
 	last := after
 	for _, event := range result.Events {
 		if event.Revision < last || event.Revision == after {
--- a/configview/machine_test.go
+++ b/configview/machine_test.go
@@ -19,7 +19,7 @@
 	"siskinstack.example/siskinstack/bundle"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 	"siskinstack.example/siskinstack/teamkey"
 	_ "siskinstack.example/siskinstack/testseed"
@@ -29,7 +29,7 @@
 
 // faultyStore is the way of one VM to the common store.
 type faultyStore struct {
-	platform.Store
+	infra.Store
 	clock *clock.Fake
 	down  bool
 	lose  bool          // calls take effect, their answers are lost
@@ -49,25 +49,25 @@
 	return result, err
 }
 
-func (s *faultyStore) Get(ctx context.Context, key string) (platform.KeyValue, error) {
-	return after(s, func() (platform.KeyValue, error) { return s.Store.Get(ctx, key) })
+func (s *faultyStore) Get(ctx context.Context, key string) (infra.KeyValue, error) {
+	return after(s, func() (infra.KeyValue, error) { return s.Store.Get(ctx, key) })
 }
 
-func (s *faultyStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
-	return after(s, func() (platform.Listing, error) { return s.Store.List(ctx, prefix) })
+func (s *faultyStore) List(ctx context.Context, prefix string) (infra.Listing, error) {
+	return after(s, func() (infra.Listing, error) { return s.Store.List(ctx, prefix) })
 }
 
-func (s *faultyStore) Put(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
-	return after(s, func() (platform.Revision, error) { return s.Store.Put(ctx, request) })
+func (s *faultyStore) Put(ctx context.Context, request infra.PutRequest) (infra.Revision, error) {
+	return after(s, func() (infra.Revision, error) { return s.Store.Put(ctx, request) })
 }
 
-func (s *faultyStore) Delete(ctx context.Context, key string, expected platform.Revision) error {
+func (s *faultyStore) Delete(ctx context.Context, key string, expected infra.Revision) error {
 	_, err := after(s, func() (struct{}, error) { return struct{}{}, s.Store.Delete(ctx, key, expected) })
 	return err
 }
 
-func (s *faultyStore) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
-	return after(s, func() (platform.WatchResult, error) { return s.Store.Watch(ctx, request) })
+func (s *faultyStore) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
+	return after(s, func() (infra.WatchResult, error) { return s.Store.Watch(ctx, request) })
 }
 
 // vm is one entry VM of the world, and its own Peers.
@@ -222,7 +222,7 @@
 func (w *world) overwrite(key string, value []byte) {
 	ctx := context.Background()
 	if found, err := w.store.Get(ctx, key); err == nil {
-		_, _ = w.store.Put(ctx, platform.PutRequest{Key: key, Value: value, Expected: found.Revision})
+		_, _ = w.store.Put(ctx, infra.PutRequest{Key: key, Value: value, Expected: found.Revision})
 	}
 }
 
--- a/configview/observe.go
+++ b/configview/observe.go
@@ -3,23 +3,23 @@
 import (
 	"context"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // Observing returns a store whose written and read configuration values are added to this view at once. The operators'
 // routes have to write through it: the answer "done" to a change then means that this VM knows it, whatever happens to the
 // store afterwards.
-func (v *View) Observing(store platform.Store) platform.Store {
+func (v *View) Observing(store infra.Store) infra.Store {
 	return &observingStore{Store: store, view: v}
 }
 
 type observingStore struct {
-	platform.Store
+	infra.Store
 	view *View
 }
 
 // Get reads a key and adds it to the view.
-func (s *observingStore) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (s *observingStore) Get(ctx context.Context, key string) (infra.KeyValue, error) {
 	kv, err := s.Store.Get(ctx, key)
 	if err == nil {
 		s.view.observe(kv.Key, kv.Value, kv.Revision)
@@ -28,7 +28,7 @@
 }
 
 // Put writes a key and adds it to the view.
-func (s *observingStore) Put(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
+func (s *observingStore) Put(ctx context.Context, request infra.PutRequest) (infra.Revision, error) {
 	revision, err := s.Store.Put(ctx, request)
 	if err == nil {
 		s.view.observe(request.Key, append([]byte(nil), request.Value...), revision)
@@ -36,9 +36,9 @@
 	return revision, err
 }
 
-func (v *View) observe(key string, value []byte, revision platform.Revision) {
+func (v *View) observe(key string, value []byte, revision infra.Revision) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.add([]platform.KeyValue{{Key: key, Value: value, Revision: revision}})
+	v.add([]infra.KeyValue{{Key: key, Value: value, Revision: revision}})
 	v.publish()
 }
--- a/configview/peers.go
+++ b/configview/peers.go
@@ -5,7 +5,7 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // fetchTimeout bounds the transfer of a view from a peer.
@@ -29,7 +29,7 @@
 		VM:        response.GetVm(),
 		Reachable: true,
 		State: State{
-			Revision:      platform.Revision(response.GetConfigRevision()),
+			Revision:      infra.Revision(response.GetConfigRevision()),
 			Age:           time.Duration(response.GetConfigAgeMs()) * time.Millisecond,
 			BundleVersion: response.GetBundleVersion(),
 		},
@@ -103,7 +103,7 @@
 func (v *View) Export(request *siskinv1.FetchConfigRequest) *siskinv1.FetchConfigResponse {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	after := platform.Revision(request.GetRevision())
+	after := infra.Revision(request.GetRevision())
 	whole := v.complete > after
 	response := &siskinv1.FetchConfigResponse{
 		Revision: int64(max(v.complete, after)),
@@ -121,7 +121,7 @@
 
 // add takes over entries that are newer than the complete revision. Older ones are known, or have been deleted since. The
 // caller holds mu.
-func (v *View) add(entries []platform.KeyValue) {
+func (v *View) add(entries []infra.KeyValue) {
 	for _, kv := range entries {
 		if kv.Revision > v.complete {
 			v.apply(kv.Key, kv.Value, kv.Revision)
@@ -133,11 +133,11 @@
 func (v *View) Import(request *siskinv1.FetchConfigRequest, response *siskinv1.FetchConfigResponse) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	listed := make([]platform.KeyValue, 0, len(response.GetEntries()))
+	listed := make([]infra.KeyValue, 0, len(response.GetEntries()))
 	for _, e := range response.GetEntries() {
-		listed = append(listed, platform.KeyValue{Key: e.GetKey(), Value: e.GetValue(), Revision: platform.Revision(e.GetRevision())})
+		listed = append(listed, infra.KeyValue{Key: e.GetKey(), Value: e.GetValue(), Revision: infra.Revision(e.GetRevision())})
 	}
-	complete := platform.Revision(response.GetRevision())
+	complete := infra.Revision(response.GetRevision())
 	if response.GetRevision() > request.GetRevision() && complete > v.complete {
 		v.replace("", listed, complete)
 		v.complete = complete
--- a/configview/report_test.go
+++ b/configview/report_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 func (m *vm) logTo(lines *[]string) {
@@ -28,7 +28,7 @@
 	restored := newWorld()
 	good := b.view.options.Store
 	for range 2 {
-		b.view.options.Store = &scriptedStore{Store: restored.store, results: []platform.WatchResult{{Revision: 1}}}
+		b.view.options.Store = &scriptedStore{Store: restored.store, results: []infra.WatchResult{{Revision: 1}}}
 		before := testutil.ToFloat64(b.view.counters.wentBack)
 		for range 3 {
 			assert.ErrorIs(t, b.poll(), errWentBack)
@@ -53,7 +53,7 @@
 	var logged []string
 	b.logTo(&logged)
 	w.overwrite(configstore.TeamKey(w.keys[0]), []byte{0xff})
-	_, err := w.store.Put(t.Context(), platform.PutRequest{Key: configstore.Zone("z1"), Value: []byte("x")})
+	_, err := w.store.Put(t.Context(), infra.PutRequest{Key: configstore.Zone("z1"), Value: []byte("x")})
 	assert.NilError(t, err)
 	found, err := w.store.Get(t.Context(), configstore.BundleCurrent)
 	assert.NilError(t, err)
--- a/configview/snapshot.go
+++ b/configview/snapshot.go
@@ -6,13 +6,13 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // Snapshot is an immutable state of the configuration. Its messages must not be changed.
 type Snapshot struct {
 	// Revision is the newest store revision of which the snapshot contains anything.
-	Revision     platform.Revision
+	Revision     infra.Revision
 	proposal     *siskinv1.BundleProposal
 	inForceSince time.Time
 	keys         map[string]*siskinv1.TeamKey
--- a/configview/view.go
+++ b/configview/view.go
@@ -19,7 +19,7 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/bundle"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 const (
@@ -31,7 +31,7 @@
 
 // Options are what a view needs.
 type Options struct {
-	Store   platform.Store
+	Store   infra.Store
 	Clock   clock.Clock
 	Logger  logr.Logger
 	Signers bundle.Signers
@@ -54,13 +54,13 @@
 	mu      sync.Mutex // guards all fields below
 	entries map[string]entry
 	// rejected holds the revision of the last value of a key that was not good, so that it is reported once.
-	rejected map[string]platform.Revision
+	rejected map[string]infra.Revision
 	// bundleDeleted is true after a report that the bundle in force is missing in the store.
 	bundleDeleted bool
 	// behind is true after a report that the store went back, until it confirms this view again.
 	behind bool
 	// complete is the revision up to which all changes are in entries.
-	complete platform.Revision
+	complete infra.Revision
 	// listed is true once the store has been listed since the start of the process.
 	listed bool
 	// mustList is true if the watch has a gap.
@@ -77,7 +77,7 @@
 // entry is the last good value of a key.
 type entry struct {
 	value    []byte
-	revision platform.Revision
+	revision infra.Revision
 	key      *siskinv1.TeamKey
 	zone     *siskinv1.ZoneStatus
 }
@@ -95,7 +95,7 @@
 		counters:    newCounters(options.Registerer),
 		supersedes:  isHigherVersion,
 		entries:     map[string]entry{},
-		rejected:    map[string]platform.Revision{},
+		rejected:    map[string]infra.Revision{},
 		mustList:    true,
 		subscribers: map[int]chan struct{}{},
 	}
@@ -136,7 +136,7 @@
 // State is what a VM tells the others about its view, in heartbeats.
 type State struct {
 	// Revision is the newest revision of which anything is known.
-	Revision platform.Revision
+	Revision infra.Revision
 	// Age is how long ago the store confirmed the view; negative if it has not done so since the start of the process.
 	Age           time.Duration
 	BundleVersion int64
@@ -168,7 +168,7 @@
 }
 
 // known returns the newest revision of which anything is known. The caller holds mu.
-func (v *View) known() platform.Revision {
+func (v *View) known() infra.Revision {
 	newest := v.complete
 	for _, e := range v.entries {
 		newest = max(newest, e.revision)
--- a/configview/view_test.go
+++ b/configview/view_test.go
@@ -12,7 +12,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/teamkey"
 )
 
@@ -105,13 +105,13 @@
 	w.issue(a)
 	assert.NilError(t, b.poll())
 	w.withdraw(a, w.keys[0])
-	var revision platform.Revision
+	var revision infra.Revision
 	for range 5000 {
 		var err error
-		revision, err = w.store.Put(t.Context(), platform.PutRequest{Key: "other", Expected: revision})
+		revision, err = w.store.Put(t.Context(), infra.PutRequest{Key: "other", Expected: revision})
 		assert.NilError(t, err)
 	}
-	assert.ErrorIs(t, b.poll(), platform.ErrCompacted)
+	assert.ErrorIs(t, b.poll(), infra.ErrCompacted)
 	assert.Assert(t, !b.view.Snapshot().Key(w.keys[0]).GetWithdrawn())
 	assert.NilError(t, b.poll())
 	assert.Assert(t, b.view.Snapshot().Key(w.keys[0]).GetWithdrawn())
@@ -119,11 +119,11 @@
 
 // scriptedStore answers watches from a list.
 type scriptedStore struct {
-	platform.Store
-	results []platform.WatchResult
+	infra.Store
+	results []infra.WatchResult
 }
 
-func (s *scriptedStore) Watch(context.Context, platform.WatchRequest) (platform.WatchResult, error) {
+func (s *scriptedStore) Watch(context.Context, infra.WatchRequest) (infra.WatchResult, error) {
 	result := s.results[0]
 	s.results = s.results[1:]
 	return result, nil
@@ -131,18 +131,18 @@
 
 // Guards against a watch that contradicts itself and still confirms the view.
 func TestGapInTheWatchCausesAListing(t *testing.T) {
-	event := func(revision platform.Revision) platform.Event {
-		return platform.Event{KeyValue: platform.KeyValue{Key: "config/x", Revision: revision}}
+	event := func(revision infra.Revision) infra.Event {
+		return infra.Event{KeyValue: infra.KeyValue{Key: "config/x", Revision: revision}}
 	}
-	for _, result := range []platform.WatchResult{
+	for _, result := range []infra.WatchResult{
 		{Revision: -1},
-		{Revision: 5, Events: []platform.Event{event(4), event(3)}},
-		{Revision: 5, Events: []platform.Event{event(6)}},
-		{Revision: 5, Events: []platform.Event{event(0)}},
+		{Revision: 5, Events: []infra.Event{event(4), event(3)}},
+		{Revision: 5, Events: []infra.Event{event(6)}},
+		{Revision: 5, Events: []infra.Event{event(0)}},
 	} {
 		w := newWorld()
 		b := w.vms["b"]
-		b.view.options.Store = &scriptedStore{Store: w.store, results: []platform.WatchResult{result}}
+		b.view.options.Store = &scriptedStore{Store: w.store, results: []infra.WatchResult{result}}
 		assert.NilError(t, b.poll())
 		w.clock.Advance(FreshFor)
 		assert.ErrorIs(t, b.poll(), errWentBack)
@@ -179,7 +179,7 @@
 	assert.NilError(t, err)
 	w.overwrite(configstore.BundleCurrent, value)
 	w.overwrite(key, []byte{0xff})
-	_, err = w.store.Put(t.Context(), platform.PutRequest{Key: configstore.Zone("z1"), Value: []byte("x")})
+	_, err = w.store.Put(t.Context(), infra.PutRequest{Key: configstore.Zone("z1"), Value: []byte("x")})
 	assert.NilError(t, err)
 	for range 3 {
 		w.pollAll()
--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -24,9 +24,9 @@
 	"siskinstack.example/siskinstack/owner"
 	"siskinstack.example/siskinstack/ownership"
 	"siskinstack.example/siskinstack/peer"
-	"siskinstack.example/siskinstack/platform/httpplatform"
 	"siskinstack.example/siskinstack/router"
 	"siskinstack.example/siskinstack/shardlog"
+	"siskinstack.example/siskinstack/standin/httpclient"
 	"siskinstack.example/siskinstack/storeclient"
 	"siskinstack.example/siskinstack/telemetry"
 )
@@ -52,7 +52,7 @@
 	}
 	d.traces = traces
 	d.platform = d.newPlatform()
-	d.endpoints = httpplatform.NewEndpoints(d.connectionsPerEndpoint())
+	d.endpoints = httpclient.NewEndpoints(d.connectionsPerEndpoint())
 	d.store = storeclient.New(d.platform, d.storeOptions())
 	d.metrics = owner.NewMetrics(d.registry)
 	d.logMetrics = shardlog.NewMetrics(d.registry)
@@ -63,12 +63,12 @@
 	return nil
 }
 
-func (d *Daemon) newPlatform() *httpplatform.Client {
+func (d *Daemon) newPlatform() *httpclient.Client {
 	url := d.settings.GetPlatform().GetUrl()
 	if d.dialPlatform == nil {
-		return httpplatform.New(url)
+		return httpclient.New(url)
 	}
-	return httpplatform.NewWithDialer(url, httpplatform.DialFunc(d.dialPlatform))
+	return httpclient.NewWithDialer(url, httpclient.DialFunc(d.dialPlatform))
 }
 
 func (d *Daemon) storeOptions() storeclient.Options {
--- a/daemon/bundle_test.go
+++ b/daemon/bundle_test.go
@@ -11,7 +11,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/standin"
 )
@@ -129,7 +129,7 @@
 	c.platform.Store.Heal()
 	current, err := c.platform.Store.Get(t.Context(), configstore.BundleCurrent)
 	assert.NilError(t, err)
-	_, err = c.platform.Store.Put(t.Context(), platform.PutRequest{
+	_, err = c.platform.Store.Put(t.Context(), infra.PutRequest{
 		Key: configstore.BundleCurrent, Value: old.Value, Expected: current.Revision,
 	})
 	assert.NilError(t, err)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -6,8 +6,8 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/configview"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/membership"
-	"siskinstack.example/siskinstack/platform"
 )
 
 // storeFreshness is how old the last store answer of a VM that reaches the store may be.
@@ -49,7 +49,7 @@
 		states[i] = configview.PeerState{
 			VM: member.VM, Reachable: member.Status == membership.Alive, AsOf: member.Confirmed,
 			State: configview.State{
-				Revision: platform.Revision(member.ConfigRevision), Age: member.ConfigAge, BundleVersion: member.BundleVersion,
+				Revision: infra.Revision(member.ConfigRevision), Age: member.ConfigAge, BundleVersion: member.BundleVersion,
 			},
 		}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,9 +27,9 @@
 	"siskinstack.example/siskinstack/owner"
 	"siskinstack.example/siskinstack/ownership"
 	"siskinstack.example/siskinstack/peer"
-	"siskinstack.example/siskinstack/platform/httpplatform"
 	"siskinstack.example/siskinstack/router"
 	"siskinstack.example/siskinstack/shardlog"
+	"siskinstack.example/siskinstack/standin/httpclient"
 	"siskinstack.example/siskinstack/storeclient"
 	"siskinstack.example/siskinstack/telemetry"
 )
@@ -43,8 +43,8 @@
 
 	registry   *prometheus.Registry
 	traces     *telemetry.Traces
-	platform   *httpplatform.Client
-	endpoints  *httpplatform.Endpoints
+	platform   *httpclient.Client
+	endpoints  *httpclient.Endpoints
 	store      *storeclient.Client
 	clients    *peer.Clients
 	calls      *peer.ControlCalls
--- a/daemon/purge_test.go
+++ b/daemon/purge_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // purgeLimit is twice the shortest time between two runs of the purge, with time for a run.
@@ -28,7 +28,7 @@
 	assert.NilError(t, err)
 	exists := func(key string) bool {
 		_, err := c.platform.Store.Get(t.Context(), key)
-		assert.Assert(t, err == nil || errors.Is(err, platform.ErrNotFound), "%v", err)
+		assert.Assert(t, err == nil || errors.Is(err, infra.ErrNotFound), "%v", err)
 		return err == nil
 	}
 	took := c.waitFor(purgeLimit, "the purge", func() bool { return !exists(configstore.Proposal(old)) })
--- a/demo/naive_test.go
+++ b/demo/naive_test.go
@@ -22,7 +22,7 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/apiclient"
 	"siskinstack.example/siskinstack/bundle"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
@@ -82,7 +82,7 @@
 	lease, _ := store.GrantLease(ctx, 500*time.Millisecond)
 	for pause(ctx, 50*time.Millisecond) && store.RenewLease(standin.WithCaller(ctx, v.settings.GetVm()), lease) == nil {
 		for _, zone := range v.cluster.site.Zones {
-			_, _ = store.Put(standin.WithCaller(ctx, v.settings.GetVm()), platform.PutRequest{
+			_, _ = store.Put(standin.WithCaller(ctx, v.settings.GetVm()), infra.PutRequest{
 				Key: "shards/" + zone + "-0", Value: []byte(v.settings.GetVm()), Lease: lease,
 			})
 		}
@@ -258,29 +258,29 @@
 	_, _ = w.Write(answer.Body)
 }
 
-func (v *naiveVM) callAny(ctx context.Context, id string, body []byte) (platform.EndpointAnswer, error) {
+func (v *naiveVM) callAny(ctx context.Context, id string, body []byte) (infra.EndpointAnswer, error) {
 	for {
 		for _, vm := range v.cluster.platform.Fleet {
 			v.mu.Lock()
-			skip := vm.Role != platform.RoleEndpoint || v.leaving[vm.Name]
+			skip := vm.Role != infra.RoleEndpoint || v.leaving[vm.Name]
 			v.mu.Unlock()
 			if skip {
 				continue
 			}
-			answer, err := v.cluster.platform.Endpoints.Call(ctx, platform.EndpointRequest{
+			answer, err := v.cluster.platform.Endpoints.Call(ctx, infra.EndpointRequest{
 				Endpoint: vm.Name, RequestID: id, From: v.settings.GetVm(), Body: body,
 			})
-			if errors.Is(err, platform.ErrEndpointLeaving) {
+			if errors.Is(err, infra.ErrEndpointLeaving) {
 				v.mu.Lock()
 				v.leaving[vm.Name] = true
 				v.mu.Unlock()
 			}
-			if err == nil || !errors.Is(err, platform.ErrEndpointLeaving) && !errors.Is(err, platform.ErrEndpointBusy) {
+			if err == nil || !errors.Is(err, infra.ErrEndpointLeaving) && !errors.Is(err, infra.ErrEndpointBusy) {
 				return answer, err
 			}
 		}
 		if !pause(ctx, time.Millisecond) {
-			return platform.EndpointAnswer{}, ctx.Err()
+			return infra.EndpointAnswer{}, ctx.Err()
 		}
 	}
 }
@@ -291,7 +291,7 @@
 	for pause(ctx, 20*time.Millisecond) {
 		n.mu.Lock()
 		for _, vm := range n.cluster.platform.Fleet {
-			if vm.Role == platform.RoleWorker {
+			if vm.Role == infra.RoleWorker {
 				n.collect(ctx, vm.Name, running)
 			}
 		}
@@ -304,10 +304,10 @@
 }
 
 func (n *naive) collect(ctx context.Context, worker string, running map[string]resource.Vector) {
-	report, _ := n.cluster.platform.Workers.Renew(ctx, platform.RenewRequest{Worker: worker, Lease: time.Hour})
-	var ended []platform.TaskRef
+	report, _ := n.cluster.platform.Workers.Renew(ctx, infra.RenewRequest{Worker: worker, Lease: time.Hour})
+	var ended []infra.TaskRef
 	for _, task := range report.Tasks {
-		if task.Phase == platform.PhaseRunning {
+		if task.Phase == infra.PhaseRunning {
 			continue
 		}
 		ended = append(ended, task.Task)
@@ -319,7 +319,7 @@
 			}
 		}
 	}
-	_, _ = n.cluster.platform.Workers.Renew(ctx, platform.RenewRequest{Worker: worker, Lease: time.Hour, Acknowledged: ended})
+	_, _ = n.cluster.platform.Workers.Renew(ctx, infra.RenewRequest{Worker: worker, Lease: time.Hour, Acknowledged: ended})
 }
 
 func (n *naive) startNext(ctx context.Context, job *naiveJob, running map[string]resource.Vector) bool {
@@ -334,13 +334,13 @@
 		return false
 	}
 	for _, vm := range n.cluster.platform.Fleet {
-		if vm.Role != platform.RoleWorker || n.drained[vm.Zone] {
+		if vm.Role != infra.RoleWorker || n.drained[vm.Zone] {
 			continue
 		}
 		spec := job.status.GetSpec()
-		err := n.cluster.platform.Workers.Start(ctx, platform.StartRequest{
+		err := n.cluster.platform.Workers.Start(ctx, infra.StartRequest{
 			Worker: vm.Name, Team: team, Room: job.room, Lease: time.Hour, Command: spec.GetCommand(),
-			Task:       platform.TaskRef{Job: job.status.GetId(), Index: job.next, Attempt: 1},
+			Task:       infra.TaskRef{Job: job.status.GetId(), Index: job.next, Attempt: 1},
 			AtMostOnce: spec.GetAtMostOnce(),
 		})
 		if err == nil {
--- a/demo/promises/control.go
+++ b/demo/promises/control.go
@@ -4,7 +4,7 @@
 	"sort"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 )
 
@@ -65,7 +65,7 @@
 			jobs[word][run.Task.Job] = true
 		}
 		// A result that was lost with its worker is made again; only work that may run once must not.
-		if run.Phase == platform.PhaseSucceeded && !run.Lost {
+		if run.Phase == infra.PhaseSucceeded && !run.Lost {
 			succeeded[taskOf(run)]++
 		}
 	}
@@ -85,7 +85,7 @@
 		}
 		checkFinal(v, work, ids[0])
 		for index := range work.Count {
-			ref := taskOf(standin.TaskRun{Task: platform.TaskRef{Job: ids[0], Index: index}})
+			ref := taskOf(standin.TaskRun{Task: infra.TaskRef{Job: ids[0], Index: index}})
 			if succeeded[ref] > 1 {
 				v.violate("task %s succeeded %d times", ref, succeeded[ref])
 			}
--- a/demo/promises/promises_test.go
+++ b/demo/promises/promises_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
 )
@@ -20,8 +20,8 @@
 
 func run(job string, index, attempt int32, worker string, from, to float64) standin.TaskRun {
 	return standin.TaskRun{
-		Task: platform.TaskRef{Job: job, Index: index, Attempt: attempt}, Team: "lab", Worker: worker, Zone: "z1",
-		Room: vector(2), Started: at(from), Ended: at(to), Phase: platform.PhaseSucceeded,
+		Task: infra.TaskRef{Job: job, Index: index, Attempt: attempt}, Team: "lab", Worker: worker, Zone: "z1",
+		Room: vector(2), Started: at(from), Ended: at(to), Phase: infra.PhaseSucceeded,
 		Command: []string{"sleep", "1s", "tag-" + job},
 	}
 }
@@ -44,9 +44,9 @@
 	}
 	return Records{
 		Ended: at(30),
-		Fleet: []platform.VM{
-			{Name: "w1", Role: platform.RoleWorker, Room: vector(4)}, {Name: "w2", Role: platform.RoleWorker, Room: vector(4)},
-			{Name: "w3", Role: platform.RoleWorker, Room: vector(4)},
+		Fleet: []infra.VM{
+			{Name: "w1", Role: infra.RoleWorker, Room: vector(4)}, {Name: "w2", Role: infra.RoleWorker, Room: vector(4)},
+			{Name: "w3", Role: infra.RoleWorker, Room: vector(4)},
 		},
 		Ceilings: map[string]resource.Vector{"lab": vector(6)},
 		TaskRuns: []standin.TaskRun{run("a", 0, 1, "w1", 1, 2), run("a", 1, 1, "w1", 1, 2), once, other},
--- a/demo/promises/records.go
+++ b/demo/promises/records.go
@@ -6,7 +6,7 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
 )
@@ -117,7 +117,7 @@
 type Records struct {
 	// Ended is when the records were taken.
 	Ended    time.Time
-	Fleet    []platform.VM
+	Fleet    []infra.VM
 	Ceilings map[string]resource.Vector
 
 	TaskRuns        []standin.TaskRun
--- a/demo/promises/tasks.go
+++ b/demo/promises/tasks.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
 )
@@ -62,7 +62,7 @@
 	v := &Verdict{ID: Room, Observations: len(r.TaskRuns)}
 	rooms := map[string]resource.Vector{}
 	for _, vm := range r.Fleet {
-		if vm.Role == platform.RoleWorker {
+		if vm.Role == infra.RoleWorker {
 			rooms[vm.Name] = vm.Room
 		}
 	}
--- a/demo/step_leave.go
+++ b/demo/step_leave.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"siskinstack.example/siskinstack/demo/promises"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // leaveFor goes on for a while after the few seconds in which a leaving endpoint may still be tried.
@@ -17,7 +17,7 @@
 	name := "endpoint-0"
 	left := promises.Leaving{Endpoint: name, At: time.Now()}
 	r.cluster.platform.Endpoints.SetLeaving(name)
-	r.cluster.platform.VMs.Update(func(vms []platform.VM) []platform.VM {
+	r.cluster.platform.VMs.Update(func(vms []infra.VM) []infra.VM {
 		for i := range vms {
 			vms[i].Leaving = vms[i].Leaving || vms[i].Name == name
 		}
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -11,14 +11,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/standin/httpclient"
 )
 
 // barePass is a reverse pass with net/http alone: it reads the request, calls the endpoint and passes the answer on.
 func barePass(b *testing.B, endpoint string) string {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		request, _ := http.NewRequestWithContext(r.Context(), http.MethodPost, "http://"+endpoint+httpplatform.PathCall, r.Body)
+		request, _ := http.NewRequestWithContext(r.Context(), http.MethodPost, "http://"+endpoint+httpclient.PathCall, r.Body)
 		request.ContentLength = r.ContentLength
 		response, err := client.Do(request)
 		if err != nil {
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -20,11 +20,11 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/claim"
 	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/peer"
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/platform/httpplatform"
 	"siskinstack.example/siskinstack/router"
 	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/httpclient"
 	"siskinstack.example/siskinstack/standin/server"
 )
 
@@ -45,7 +45,7 @@
 type cluster struct {
 	t         testing.TB
 	endpoints *standin.Endpoints
-	listed    []platform.VM
+	listed    []infra.VM
 	list      *standin.VMList
 	claims    *claim.Service
 	service   *siskinv1.Service
@@ -82,8 +82,8 @@
 		service: &siskinv1.Service{Name: testService, Slots: 8, Connections: 60, TimeoutMs: 10_000, MaxWaiting: 1000},
 	}
 	for i, zone := range endpointZones {
-		c.listed = append(c.listed, platform.VM{
-			Name: fmt.Sprintf("endpoint-%d", i), Role: platform.RoleEndpoint, Zone: zoneName(zone), Service: testService,
+		c.listed = append(c.listed, infra.VM{
+			Name: fmt.Sprintf("endpoint-%d", i), Role: infra.RoleEndpoint, Zone: zoneName(zone), Service: testService,
 		})
 	}
 	c.endpoints = standin.NewEndpoints(clock.Real{}, c.listed, options)
@@ -130,7 +130,7 @@
 func (c *cluster) startVM(i int, version int64, peers net.Listener) *testVM {
 	vm := &testVM{name: c.entryVMs[i].Name, zone: c.entryVMs[i].Zone, version: version}
 	vm.clients = peer.NewClients(c.addresses, insecure.NewCredentials())
-	calls := httpplatform.NewEndpoints(0)
+	calls := httpclient.NewEndpoints(0)
 	vm.router = router.New(router.Options{
 		VM: vm.name, Zone: vm.zone, Incarnation: version, EntryVMs: c.entryVMs, Endpoints: calls, VMs: c.list,
 		Clock: clock.Real{}, Services: func() []*siskinv1.Service { return []*siskinv1.Service{c.service} },
--- a/entry/cost_bench_test.go
+++ b/entry/cost_bench_test.go
@@ -11,7 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/standin/httpclient"
 )
 
 // processorTime is the time that this process has used on all cores.
@@ -35,7 +35,7 @@
 		name, url string
 		claim     bool
 	}{
-		{"direct", "http://" + c.listed[0].Address + httpplatform.PathCall, false},
+		{"direct", "http://" + c.listed[0].Address + httpclient.PathCall, false},
 		{"local", c.vms[0].url + path, false},
 		{"forward", c.vms[1].url + path, false},
 		{"local-claim", c.vms[0].url + path, true},
@@ -48,7 +48,7 @@
 				for b.Loop() {
 					request, _ := http.NewRequest(http.MethodPost, way.url, bytes.NewReader(body))
 					request.Header.Set(HeaderIdempotent, fmt.Sprint(!way.claim))
-					request.Header.Set(httpplatform.HeaderRequestID, "direct")
+					request.Header.Set(httpclient.HeaderRequestID, "direct")
 					serial++
 					if way.claim {
 						request.Header.Set(HeaderRequestKey, fmt.Sprintf("key-%d", serial))
--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -11,10 +11,10 @@
 
 	"gotest.tools/v3/assert"
 
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/httpclient"
 	"siskinstack.example/siskinstack/standin/server"
 )
 
@@ -181,10 +181,10 @@
 	c := prepareCluster(t, workFor(0), 0, 0)
 	var calls atomic.Int64
 	c.serveEndpoint(0, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == httpplatform.PathCall {
+		if r.URL.Path == httpclient.PathCall {
 			calls.Add(1)
 		}
-		w.Header().Set(httpplatform.HeaderRequestID, r.Header.Get(httpplatform.HeaderRequestID))
+		w.Header().Set(httpclient.HeaderRequestID, r.Header.Get(httpclient.HeaderRequestID))
 		_, _ = io.WriteString(w, `{"in_flight":{}}`)
 	}))
 	c.start(1)
@@ -192,7 +192,7 @@
 		c.send(c.vms[0], "x", HeaderIdempotent, "true")
 		return calls.Load() > 0
 	})
-	c.list.Update(func(vms []platform.VM) []platform.VM {
+	c.list.Update(func(vms []infra.VM) []infra.VM {
 		vms[0].Leaving = true
 		return vms
 	})
--- a/faultstore/calls.go
+++ b/faultstore/calls.go
@@ -4,57 +4,57 @@
 	"context"
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
-var _ platform.Store = (*Store)(nil)
+var _ infra.Store = (*Store)(nil)
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+// Get implements infra.Store.
+func (s *Store) Get(ctx context.Context, key string) (infra.KeyValue, error) {
 	ctx = context.WithoutCancel(ctx)
-	return value(s, func() (platform.KeyValue, error) { return s.inner.Get(ctx, key) })
+	return value(s, func() (infra.KeyValue, error) { return s.inner.Get(ctx, key) })
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
+// List implements infra.Store.
+func (s *Store) List(ctx context.Context, prefix string) (infra.Listing, error) {
 	ctx = context.WithoutCancel(ctx)
-	return value(s, func() (platform.Listing, error) { return s.inner.List(ctx, prefix) })
+	return value(s, func() (infra.Listing, error) { return s.inner.List(ctx, prefix) })
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
+// Put implements infra.Store.
+func (s *Store) Put(ctx context.Context, request infra.PutRequest) (infra.Revision, error) {
 	ctx = context.WithoutCancel(ctx)
-	return value(s, func() (platform.Revision, error) { return s.inner.Put(ctx, request) })
+	return value(s, func() (infra.Revision, error) { return s.inner.Put(ctx, request) })
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, expected platform.Revision) error {
+// Delete implements infra.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected infra.Revision) error {
 	ctx = context.WithoutCancel(ctx) // a call that is under way does not end with its caller
 	return s.do(func() error { return s.inner.Delete(ctx, key, expected) })
 }
 
-// GrantLease implements platform.Store.
-func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements infra.Store.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	ctx = context.WithoutCancel(ctx)
-	return value(s, func() (platform.LeaseID, error) { return s.inner.GrantLease(ctx, ttl) })
+	return value(s, func() (infra.LeaseID, error) { return s.inner.GrantLease(ctx, ttl) })
 }
 
-// RenewLease implements platform.Store.
-func (s *Store) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+// RenewLease implements infra.Store.
+func (s *Store) RenewLease(ctx context.Context, lease infra.LeaseID) error {
 	ctx = context.WithoutCancel(ctx) // a call that is under way does not end with its caller
 	return s.do(func() error { return s.inner.RenewLease(ctx, lease) })
 }
 
-// RevokeLease implements platform.Store.
-func (s *Store) RevokeLease(ctx context.Context, lease platform.LeaseID) error {
+// RevokeLease implements infra.Store.
+func (s *Store) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
 	ctx = context.WithoutCancel(ctx) // a call that is under way does not end with its caller
 	return s.do(func() error { return s.inner.RevokeLease(ctx, lease) })
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
+// Watch implements infra.Store.
+func (s *Store) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
 	ctx = context.WithoutCancel(ctx)
-	return value(s, func() (platform.WatchResult, error) { return s.inner.Watch(ctx, request) })
+	return value(s, func() (infra.WatchResult, error) { return s.inner.Watch(ctx, request) })
 }
 
 // value runs a call that returns a value; the value of a failed call is zero.
--- a/faultstore/store.go
+++ b/faultstore/store.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // ErrUnknown is the error of a call whose outcome the caller cannot know.
@@ -31,7 +31,7 @@
 
 // Store is a store for one caller.
 type Store struct {
-	inner platform.Store
+	inner infra.Store
 	sleep func(time.Duration)
 
 	mu     sync.Mutex // guards all fields below
@@ -43,7 +43,7 @@
 }
 
 // New returns a store that passes calls to inner. sleep performs the delays.
-func New(inner platform.Store, sleep func(time.Duration)) *Store {
+func New(inner infra.Store, sleep func(time.Duration)) *Store {
 	return &Store{inner: inner, sleep: sleep}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,8 +12,8 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/membership"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/resource"
 )
 
@@ -29,12 +29,12 @@
 	vm          string
 	incarnation int64
 	clock       clock.Clock
-	source      platform.VMList
+	source      infra.VMList
 	members     *membership.Manager
 	local       func() []*siskinv1.TeamUsage
 
 	mu   sync.RWMutex // guards list and room
-	list platform.VMs
+	list infra.VMs
 	room resource.Vector
 }
 
@@ -43,7 +43,7 @@
 	VM          string
 	Incarnation int64
 	Clock       clock.Clock
-	VMs         platform.VMList
+	VMs         infra.VMList
 	Members     *membership.Manager
 	// Local returns the team usage of the shards that this VM owns.
 	Local func() []*siskinv1.TeamUsage
@@ -75,7 +75,7 @@
 	}
 	var room resource.Vector
 	for _, vm := range list.VMs {
-		if vm.Role == platform.RoleWorker {
+		if vm.Role == infra.RoleWorker {
 			room = room.Add(vm.Room)
 		}
 	}
@@ -84,8 +84,8 @@
 	v.list, v.room = list, room
 }
 
-// List implements platform.VMList with the list read last, so that the owners of a process share one reader.
-func (v *View) List(context.Context) (platform.VMs, error) {
+// List implements infra.VMList with the list read last, so that the owners of a process share one reader.
+func (v *View) List(context.Context) (infra.VMs, error) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	return v.list, nil
--- a/platform/store.go
+++ b/infra/store.go
@@ -1,6 +1,6 @@
 // Package platform declares what the system needs from the platform, one small interface for each part. An adapter
 // package implements all of them for one kind of platform; no other package knows the platform's protocols.
-package platform
+package infra
 
 import (
 	"context"
--- a/platform/vms.go
+++ b/infra/vms.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/operate/server.go
+++ b/operate/server.go
@@ -12,7 +12,7 @@
 	"siskinstack.example/siskinstack/bundle"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/configview"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/teamkey"
@@ -76,7 +76,7 @@
 // Options are what the routes need.
 type Options struct {
 	// Store has to be the observing store of View, so that this VM knows a change before it answers "done".
-	Store        platform.Store
+	Store        infra.Store
 	Clock        clock.Clock
 	Logger       logr.Logger
 	View         *configview.View
--- a/owner/convert.go
+++ b/owner/convert.go
@@ -4,7 +4,7 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/scheduler"
 )
@@ -48,11 +48,11 @@
 }
 
 // outcomeOfPhase returns the outcome of an attempt that a worker reports as ended.
-func outcomeOfPhase(phase platform.TaskPhase, atMostOnce bool) scheduler.Outcome {
+func outcomeOfPhase(phase infra.TaskPhase, atMostOnce bool) scheduler.Outcome {
 	switch {
-	case phase == platform.PhaseSucceeded:
+	case phase == infra.PhaseSucceeded:
 		return scheduler.Succeeded
-	case phase == platform.PhaseFailed:
+	case phase == infra.PhaseFailed:
 		return scheduler.Failed
 	case atMostOnce:
 		return scheduler.Unknown
@@ -61,7 +61,7 @@
 	}
 }
 
-func taskID(ref platform.TaskRef) scheduler.TaskID {
+func taskID(ref infra.TaskRef) scheduler.TaskID {
 	return scheduler.TaskID{Job: ref.Job, Index: ref.Index}
 }
 
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -15,8 +15,8 @@
 	"siskinstack.example/siskinstack/allowance"
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/ownership"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/sharding"
 	"siskinstack.example/siskinstack/standin"
@@ -49,18 +49,18 @@
 		t: t, fresh: true, draining: map[string]bool{}, zones: zones, set: NewSet(), epoch: 100, runFor: time.Minute,
 		limit: resource.Vector{MilliCPU: 1 << 30, MemoryBytes: 1 << 50, Accelerators: 8},
 	}
-	var vms []platform.VM
+	var vms []infra.VM
 	for _, zone := range zones {
 		for i := range workersPerZone {
-			vms = append(vms, platform.VM{
-				Name: fmt.Sprintf("%s-w%d", zone, i), Role: platform.RoleWorker, Zone: zone, Rack: fmt.Sprintf("r%d", i/4),
+			vms = append(vms, infra.VM{
+				Name: fmt.Sprintf("%s-w%d", zone, i), Role: infra.RoleWorker, Zone: zone, Rack: fmt.Sprintf("r%d", i/4),
 				Room: resource.Vector{MilliCPU: 8000, MemoryBytes: 64 << 30},
 			})
 		}
 	}
 	s.store = standin.NewStore(clock.Real{})
 	s.vms = standin.NewVMList(clock.Real{}, time.Second, vms)
-	s.workers = standin.NewWorkers(clock.Real{}, vms, func(platform.StartRequest) standin.TaskPlan {
+	s.workers = standin.NewWorkers(clock.Real{}, vms, func(infra.StartRequest) standin.TaskPlan {
 		return standin.TaskPlan{RunFor: s.runFor, Used: s.used}
 	})
 	return s
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -5,7 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/scheduler"
 	"siskinstack.example/siskinstack/telemetry"
 )
@@ -66,9 +66,9 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.Is(err, platform.ErrNoRoom):
+	case errors.Is(err, infra.ErrNoRoom):
 		return "no_room"
-	case errors.Is(err, platform.ErrStaleEpoch):
+	case errors.Is(err, infra.ErrStaleEpoch):
 		return "stale_epoch"
 	case certainlyNotStarted(err):
 		return "not_done"
--- a/owner/overuse_test.go
+++ b/owner/overuse_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
 )
@@ -17,8 +17,8 @@
 // usedOn returns the processors that the tasks on a worker use, as the worker reports it.
 func (s *site) usedOn(worker string) int64 {
 	s.t.Helper()
-	report, err := s.workers.Renew(context.Background(), platform.RenewRequest{
-		Authority: platform.Authority{Shard: "z-0", Epoch: s.epoch}, Worker: worker,
+	report, err := s.workers.Renew(context.Background(), infra.RenewRequest{
+		Authority: infra.Authority{Shard: "z-0", Epoch: s.epoch}, Worker: worker,
 	})
 	assert.NilError(s.t, err)
 	used := int64(0)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -22,8 +22,8 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/claim"
 	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/ownership"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/scheduler"
 	"siskinstack.example/siskinstack/shardlog"
@@ -91,11 +91,11 @@
 // Options configures the owner of a shard.
 type Options struct {
 	Right *ownership.Right
-	Store platform.Store
+	Store infra.Store
 	// SnapshotStore takes snapshots at a lower priority; nil uses Store.
-	SnapshotStore platform.Store
-	Workers       platform.Workers
-	VMs           platform.VMList
+	SnapshotStore infra.Store
+	Workers       infra.Workers
+	VMs           infra.VMList
 	Clock         clock.Clock
 	Logger        logr.Logger
 	Tracer        trace.Tracer
@@ -145,7 +145,7 @@
 
 // placement is one attempt of a task that may be running on a worker.
 type placement struct {
-	ref    platform.TaskRef
+	ref    infra.TaskRef
 	worker string
 	// settled is when the worker's answer to the start call arrived; zero while the call is in flight.
 	settled time.Time
@@ -252,8 +252,8 @@
 }
 
 // authority identifies this owner in calls to workers.
-func (o *Owner) authority() platform.Authority {
-	return platform.Authority{Shard: o.shard, Epoch: o.options.Right.Epoch}
+func (o *Owner) authority() infra.Authority {
+	return infra.Authority{Shard: o.shard, Epoch: o.options.Right.Epoch}
 }
 
 // background runs a step that outlives the call that led to it, bounded by its own timeout.
--- a/owner/recovery.go
+++ b/owner/recovery.go
@@ -5,7 +5,7 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/scheduler"
 )
 
@@ -44,7 +44,7 @@
 
 // adopt takes over a task that runs on a worker since before the takeover. It returns false if the attempt must not
 // run. The caller holds mu.
-func (o *Owner) adopt(worker string, task platform.TaskReport) bool {
+func (o *Owner) adopt(worker string, task infra.TaskReport) bool {
 	id := taskID(task.Task)
 	j := o.state.jobs[id.Job]
 	if o.recovery == nil || j == nil || !j.held.contains(id.Index) || o.placed[id] != nil {
@@ -66,7 +66,7 @@
 }
 
 // resolveEndedFound takes the end of a task that ended before this owner saw it running. The caller holds mu.
-func (o *Owner) resolveEndedFound(task platform.TaskReport) {
+func (o *Owner) resolveEndedFound(task infra.TaskReport) {
 	id := taskID(task.Task)
 	j := o.state.jobs[id.Job]
 	if o.recovery == nil || j == nil || o.placed[id] != nil {
--- a/owner/report.go
+++ b/owner/report.go
@@ -5,20 +5,20 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/scheduler"
 )
 
 // finding is what a report leads to.
 type finding struct {
-	stale   []platform.TaskRef // running attempts that must not run
-	fence   []*placement       // uncertain starts that the worker does not know
-	unknown []*placement       // lost attempts of tasks that run at most once
-	ended   []platform.TaskReport
+	stale   []infra.TaskRef // running attempts that must not run
+	fence   []*placement    // uncertain starts that the worker does not know
+	unknown []*placement    // lost attempts of tasks that run at most once
+	ended   []infra.TaskReport
 }
 
 // processReport compares a worker's report with the placements.
-func (o *Owner) processReport(ctx context.Context, report platform.WorkerReport, sent time.Time) {
+func (o *Owner) processReport(ctx context.Context, report infra.WorkerReport, sent time.Time) {
 	o.mu.Lock()
 	found := o.compare(report, sent)
 	o.recoveredWorker(report.Worker)
@@ -43,19 +43,19 @@
 }
 
 // compare updates placements from a report. The caller holds mu.
-func (o *Owner) compare(report platform.WorkerReport, sent time.Time) finding {
+func (o *Owner) compare(report infra.WorkerReport, sent time.Time) finding {
 	var found finding
-	seen := map[platform.TaskRef]bool{}
+	seen := map[infra.TaskRef]bool{}
 	for _, task := range report.Tasks {
 		seen[task.Task] = true
 		p := o.placement(task.Task, report.Worker)
 		switch {
-		case p != nil && task.Phase == platform.PhaseRunning:
+		case p != nil && task.Phase == infra.PhaseRunning:
 			o.confirmRunning(p, task)
 		case p != nil:
 			o.attemptEnded(p, task)
 			found.ended = append(found.ended, task)
-		case task.Phase != platform.PhaseRunning:
+		case task.Phase != infra.PhaseRunning:
 			o.resolveEndedFound(task)
 			found.ended = append(found.ended, task)
 		case !o.adopt(report.Worker, task):
@@ -66,7 +66,7 @@
 	return found
 }
 
-func (o *Owner) confirmRunning(p *placement, task platform.TaskReport) {
+func (o *Owner) confirmRunning(p *placement, task infra.TaskReport) {
 	p.uncertain = false
 	if p.settled.IsZero() {
 		p.settled = o.options.Clock.Now()
@@ -75,13 +75,13 @@
 }
 
 // attemptEnded takes the end of the current attempt into the decision core. The caller holds mu.
-func (o *Owner) attemptEnded(p *placement, task platform.TaskReport) {
+func (o *Owner) attemptEnded(p *placement, task infra.TaskReport) {
 	o.settle(p.ref, outcomeOfPhase(task.Phase, p.atMostOnce))
 }
 
 // findMissing looks for placements that the worker does not hold. Only starts that were settled before the report
 // was asked for count, since others may still be on their way. The caller holds mu.
-func (o *Owner) findMissing(worker string, seen map[platform.TaskRef]bool, sent time.Time, found *finding) {
+func (o *Owner) findMissing(worker string, seen map[infra.TaskRef]bool, sent time.Time, found *finding) {
 	for _, p := range o.worker(worker).placed {
 		if seen[p.ref] || p.settled.IsZero() || !p.settled.Before(sent) {
 			continue
@@ -120,18 +120,18 @@
 }
 
 // stopAttempt stops an attempt that must not run and reports whether the worker confirmed it.
-func (o *Owner) stopAttempt(ctx context.Context, worker string, ref platform.TaskRef) bool {
+func (o *Owner) stopAttempt(ctx context.Context, worker string, ref infra.TaskRef) bool {
 	if o.options.Right.Check() != nil {
 		return false
 	}
-	err := o.options.Workers.Stop(ctx, platform.StopRequest{
+	err := o.options.Workers.Stop(ctx, infra.StopRequest{
 		Authority: o.authority(), Worker: worker, Task: ref, Grace: stopGrace,
 	})
 	return err == nil
 }
 
 // logEnds makes final ends durable and lets the worker forget them. What fails is found again in the next report.
-func (o *Owner) logEnds(ctx context.Context, worker string, tasks []platform.TaskReport) {
+func (o *Owner) logEnds(ctx context.Context, worker string, tasks []infra.TaskReport) {
 	o.mu.Lock()
 	records := o.endRecords(tasks)
 	o.mu.Unlock()
@@ -149,7 +149,7 @@
 }
 
 // endRecords returns the records of the ends that are final and not durable yet. The caller holds mu.
-func (o *Owner) endRecords(tasks []platform.TaskReport) []*siskinv1.Record {
+func (o *Owner) endRecords(tasks []infra.TaskReport) []*siskinv1.Record {
 	var records []*siskinv1.Record
 	for _, task := range tasks {
 		j := o.state.jobs[task.Task.Job]
@@ -164,7 +164,7 @@
 }
 
 // settle takes the end of an attempt into the decision core and notes it if it is final. The caller holds mu.
-func (o *Owner) settle(ref platform.TaskRef, outcome scheduler.Outcome) {
+func (o *Owner) settle(ref infra.TaskRef, outcome scheduler.Outcome) {
 	id := taskID(ref)
 	o.unplace(id)
 	_ = o.cell.Ended(id, ref.Attempt, outcome, o.now())
--- a/owner/right_test.go
+++ b/owner/right_test.go
@@ -8,32 +8,32 @@
 
 	"gotest.tools/v3/assert"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/scheduler"
 )
 
 // orderCounter counts the orders that reach workers.
 type orderCounter struct {
-	platform.Workers
+	infra.Workers
 	orders int
 }
 
-func (c *orderCounter) Start(context.Context, platform.StartRequest) error {
+func (c *orderCounter) Start(context.Context, infra.StartRequest) error {
 	c.orders++
 	return nil
 }
 
-func (c *orderCounter) Throttle(context.Context, platform.ThrottleRequest) error {
+func (c *orderCounter) Throttle(context.Context, infra.ThrottleRequest) error {
 	c.orders++
 	return nil
 }
 
-func (c *orderCounter) Stop(context.Context, platform.StopRequest) error {
+func (c *orderCounter) Stop(context.Context, infra.StopRequest) error {
 	c.orders++
 	return nil
 }
 
-func (c *orderCounter) Checkpoint(context.Context, platform.StopRequest) error {
+func (c *orderCounter) Checkpoint(context.Context, infra.StopRequest) error {
 	c.orders++
 	return nil
 }
@@ -49,14 +49,14 @@
 		o.kill()
 		o.options.Workers = orders
 		task := scheduler.TaskID{Job: id}
-		ref := platform.TaskRef{Job: id, Attempt: 1}
+		ref := infra.TaskRef{Job: id, Attempt: 1}
 		assert.ErrorContains(t, o.options.Right.Check(), "expired")
 		o.throttle(t.Context(), scheduler.Throttle{Task: task, Attempt: 1, Worker: "x-w0"})
 		o.Owner.stop(t.Context(), scheduler.Stop{Task: task, Attempt: 1, Worker: "x-w0"})
 		o.Owner.stop(t.Context(), scheduler.Stop{Task: task, Attempt: 1, Worker: "x-w0", Checkpoint: true})
 		o.start(t.Context(), plannedStart{
 			Start:   scheduler.Start{Task: task, Attempt: 1, Worker: "x-w0"},
-			request: platform.StartRequest{Worker: "x-w0", Task: ref},
+			request: infra.StartRequest{Worker: "x-w0", Task: ref},
 		})
 		assert.Equal(t, orders.orders, 0)
 	})
--- a/owner/start.go
+++ b/owner/start.go
@@ -9,8 +9,8 @@
 	"go.opentelemetry.io/otel/trace"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/ownership"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/scheduler"
 	"siskinstack.example/siskinstack/telemetry"
 )
@@ -83,7 +83,7 @@
 // plannedStart is a start with all that its call needs.
 type plannedStart struct {
 	scheduler.Start
-	request platform.StartRequest
+	request infra.StartRequest
 	// record must be durable before the call; nil if none is needed.
 	record *siskinv1.Record
 	// traceParent is the trace of the job's submission.
@@ -112,11 +112,11 @@
 func (o *Owner) prepare(start scheduler.Start) plannedStart {
 	accepted := o.state.jobs[start.Task.Job].accepted
 	spec := o.state.jobs[start.Task.Job].spec()
-	ref := platform.TaskRef{Job: start.Task.Job, Index: start.Task.Index, Attempt: start.Attempt}
+	ref := infra.TaskRef{Job: start.Task.Job, Index: start.Task.Index, Attempt: start.Attempt}
 	p := &placement{ref: ref, worker: start.Worker, atMostOnce: spec.GetAtMostOnce()}
 	o.placed[start.Task] = p
 	o.worker(start.Worker).placed[start.Task] = p
-	planned := plannedStart{Start: start, traceParent: accepted.GetTraceParent(), request: platform.StartRequest{
+	planned := plannedStart{Start: start, traceParent: accepted.GetTraceParent(), request: infra.StartRequest{
 		Authority: o.authority(), Worker: start.Worker, Task: ref, Team: start.Team, Room: start.Room,
 		Lease: TaskLease, Command: spec.GetCommand(), Checkpointable: spec.GetCheckpointable(),
 		AtMostOnce: spec.GetAtMostOnce(),
@@ -172,7 +172,7 @@
 		span.RecordError(err)
 		o.startUncertain(start)
 	}
-	if errors.Is(err, platform.ErrStaleEpoch) {
+	if errors.Is(err, infra.ErrStaleEpoch) {
 		o.fence()
 	}
 }
@@ -195,8 +195,8 @@
 // certainlyNotStarted reports whether an error proves that the task does not run and never will by this call.
 func certainlyNotStarted(err error) bool {
 	for _, known := range []error{
-		errNotStarted, ownership.ErrExpired, platform.ErrNotSent, platform.ErrNoRoom,
-		platform.ErrStaleEpoch, platform.ErrStaleAttempt, platform.ErrWorkerGone,
+		errNotStarted, ownership.ErrExpired, infra.ErrNotSent, infra.ErrNoRoom,
+		infra.ErrStaleEpoch, infra.ErrStaleAttempt, infra.ErrWorkerGone,
 	} {
 		if errors.Is(err, known) {
 			return true
@@ -238,7 +238,7 @@
 }
 
 // placement returns the placement of an attempt on a worker, or nil if it is not the current one. The caller holds mu.
-func (o *Owner) placement(ref platform.TaskRef, worker string) *placement {
+func (o *Owner) placement(ref infra.TaskRef, worker string) *placement {
 	p := o.placed[taskID(ref)]
 	if p == nil || p.ref != ref || p.worker != worker {
 		return nil
@@ -262,13 +262,13 @@
 func (o *Owner) throttle(ctx context.Context, order scheduler.Throttle) {
 	err := o.options.Right.Check()
 	if err == nil {
-		err = o.options.Workers.Throttle(ctx, platform.ThrottleRequest{
+		err = o.options.Workers.Throttle(ctx, infra.ThrottleRequest{
 			Authority: o.authority(), Worker: order.Worker, MilliCPU: order.MilliCPU,
-			Task: platform.TaskRef{Job: order.Task.Job, Index: order.Task.Index, Attempt: order.Attempt},
+			Task: infra.TaskRef{Job: order.Task.Job, Index: order.Task.Index, Attempt: order.Attempt},
 		})
 	}
 	o.options.Metrics.throttle(o.shard, err)
-	if errors.Is(err, platform.ErrStaleEpoch) {
+	if errors.Is(err, infra.ErrStaleEpoch) {
 		o.fence()
 	}
 	o.mu.Lock()
@@ -278,10 +278,10 @@
 
 // stop ends a running task; its end is taken from the worker's next report. A stop that fails is tried again.
 func (o *Owner) stop(ctx context.Context, stop scheduler.Stop) {
-	request := platform.StopRequest{
+	request := infra.StopRequest{
 		Authority:  o.authority(),
 		Worker:     stop.Worker,
-		Task:       platform.TaskRef{Job: stop.Task.Job, Index: stop.Task.Index, Attempt: stop.Attempt},
+		Task:       infra.TaskRef{Job: stop.Task.Job, Index: stop.Task.Index, Attempt: stop.Attempt},
 		Grace:      stopGrace,
 		Checkpoint: stop.Checkpoint,
 	}
--- a/owner/worker.go
+++ b/owner/worker.go
@@ -6,7 +6,7 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/scheduler"
 	"siskinstack.example/siskinstack/sharding"
 )
@@ -27,12 +27,12 @@
 // workerState is what the owner knows of a worker.
 type workerState struct {
 	name   string
-	vm     platform.VM
+	vm     infra.VM
 	listed bool
 	inCell bool
 	placed map[scheduler.TaskID]*placement
 	// acked are ended tasks that are durable and that the worker may forget.
-	acked []platform.TaskRef
+	acked []infra.TaskRef
 	// extended is when a call that may have extended a lease was last sent.
 	extended time.Time
 	failures int
@@ -54,13 +54,13 @@
 func (w *workerState) suspect() bool { return w.failures >= suspectAfter }
 
 // refreshWorkers takes over the platform's list. The caller holds mu.
-func (o *Owner) refreshWorkers(vms []platform.VM) {
+func (o *Owner) refreshWorkers(vms []infra.VM) {
 	for _, w := range o.workers {
 		w.listed = false
 	}
 	shards := o.shardsOfZone()
 	for _, vm := range vms {
-		if vm.Role != platform.RoleWorker || vm.Zone != o.options.Zone {
+		if vm.Role != infra.RoleWorker || vm.Zone != o.options.Zone {
 			continue
 		}
 		if sharding.OfWorker(vm.Name, vm.Zone, shards) != o.shard {
@@ -129,7 +129,7 @@
 func (o *Owner) renewDue(ctx context.Context) {
 	o.mu.Lock()
 	now := o.options.Clock.Now()
-	var requests []platform.RenewRequest
+	var requests []infra.RenewRequest
 	var lost []*placement
 	for _, w := range o.workers {
 		if w.suspect() && now.After(w.extended.Add(TaskLease+leaseMargin)) {
@@ -152,9 +152,9 @@
 }
 
 // renewRequest prepares a renewal; suspect workers are only asked for a report. The caller holds mu.
-func (o *Owner) renewRequest(w *workerState, now time.Time) platform.RenewRequest {
-	request := platform.RenewRequest{
-		Authority: o.authority(), Worker: w.name, Acknowledged: append([]platform.TaskRef(nil), w.acked...),
+func (o *Owner) renewRequest(w *workerState, now time.Time) infra.RenewRequest {
+	request := infra.RenewRequest{
+		Authority: o.authority(), Worker: w.name, Acknowledged: append([]infra.TaskRef(nil), w.acked...),
 	}
 	if !w.suspect() {
 		request.Lease = TaskLease
@@ -170,7 +170,7 @@
 	return min(max(time.Duration(len(o.workers))*renewSpacing, minRenewInterval), maxRenewInterval)
 }
 
-func (o *Owner) renew(ctx context.Context, request platform.RenewRequest) {
+func (o *Owner) renew(ctx context.Context, request infra.RenewRequest) {
 	sent := o.options.Clock.Now()
 	err := o.options.Right.Check()
 	if err != nil {
@@ -181,7 +181,7 @@
 		o.noteExtended(request.Worker, sent)
 	}
 	report, err := o.options.Workers.Renew(ctx, request)
-	if errors.Is(err, platform.ErrStaleEpoch) {
+	if errors.Is(err, infra.ErrStaleEpoch) {
 		o.fence()
 	}
 	o.renewEnded(request, &report, err)
@@ -200,7 +200,7 @@
 }
 
 // renewEnded updates the health of a worker after a renewal.
-func (o *Owner) renewEnded(request platform.RenewRequest, report *platform.WorkerReport, err error) {
+func (o *Owner) renewEnded(request infra.RenewRequest, report *infra.WorkerReport, err error) {
 	o.options.Metrics.renewal(o.shard, err)
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/ownership/acquire.go
+++ b/ownership/acquire.go
@@ -11,14 +11,14 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // attempt is an acquisition whose write may take effect. While it exists, this VM promises the shard to nobody.
 type attempt struct {
 	shard string
 	nonce string
-	lease platform.LeaseID
+	lease infra.LeaseID
 	value []byte
 	// sent is true once a write was sent whose outcome is not known.
 	sent bool
@@ -105,17 +105,17 @@
 func (m *Manager) put(ctx context.Context, a *attempt) bool {
 	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, callTimeout)
 	defer cancel()
-	request := platform.PutRequest{Key: keyPrefix + a.shard, Value: a.value, Lease: a.lease}
+	request := infra.PutRequest{Key: keyPrefix + a.shard, Value: a.value, Lease: a.lease}
 	revision, err := m.options.Store.Put(ctx, request)
 	switch {
 	case err == nil:
 		return m.finish(a, revision)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		return m.readBack(ctx, a)
-	case errors.Is(err, platform.ErrLeaseExpired):
+	case errors.Is(err, infra.ErrLeaseExpired):
 		// The lease never returns, so no earlier write of this attempt can take effect any more.
 		m.abandon(a)
-	case errors.Is(err, platform.ErrNotSent):
+	case errors.Is(err, infra.ErrNotSent):
 		if !a.sent {
 			m.abandon(a)
 		}
@@ -167,7 +167,7 @@
 	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, callTimeout)
 	defer cancel()
 	_, err := m.options.Store.Get(ctx, keyPrefix+a.shard)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		m.put(ctx, a)
 		return
 	}
@@ -192,7 +192,7 @@
 
 // finish turns an attempt into a right. The right is bounded by the last answered renewal of the lease that the key is
 // attached to; the write itself does not extend the lease.
-func (m *Manager) finish(a *attempt, revision platform.Revision) bool {
+func (m *Manager) finish(a *attempt, revision infra.Revision) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.attempts[a.shard] != a {
@@ -230,11 +230,11 @@
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 // deleteKey deletes an own key. Any answer of the store, success or not, proves that the key is gone.
-func (m *Manager) deleteKey(ctx context.Context, shard string, revision platform.Revision) error {
+func (m *Manager) deleteKey(ctx context.Context, shard string, revision infra.Revision) error {
 	ctx, cancel := clock.WithTimeout(ctx, m.options.Clock, callTimeout)
 	defer cancel()
 	err := m.options.Store.Delete(ctx, keyPrefix+shard, revision)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) && !errors.Is(err, infra.ErrConflict) {
 		return err
 	}
 	m.mu.Lock()
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -10,7 +10,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/storeclient"
 )
 
@@ -24,14 +24,14 @@
 	vm          string
 	incarnation int64
 	nonce       string
-	revision    platform.Revision
+	revision    infra.Revision
 }
 
 // directory is the content of the ownership keys, complete up to a revision.
 type directory struct {
 	owners   map[string]directoryEntry
 	absent   map[string]time.Time // shards that lost their owner, and when this VM learned of it
-	revision platform.Revision
+	revision infra.Revision
 	synced   bool // a listing has been read
 	relist   bool
 }
@@ -42,7 +42,7 @@
 
 // agrees reports whether no store response contradicts that vm owns the shard since epoch. A view that ends before epoch
 // says nothing about it.
-func (d *directory) agrees(shard, vm string, epoch platform.Revision) bool {
+func (d *directory) agrees(shard, vm string, epoch infra.Revision) bool {
 	entry, ok := d.owners[shard]
 	if ok && entry.revision > epoch {
 		return false
@@ -59,7 +59,7 @@
 	}
 }
 
-func (d *directory) remove(shard string, revision platform.Revision) {
+func (d *directory) remove(shard string, revision infra.Revision) {
 	if entry, ok := d.owners[shard]; ok && entry.revision <= revision {
 		delete(d.owners, shard)
 	}
@@ -102,8 +102,8 @@
 	if relist {
 		return m.list(ctx)
 	}
-	result, err := m.options.Store.Watch(ctx, platform.WatchRequest{Prefix: keyPrefix, After: after, Wait: wait})
-	if errors.Is(err, platform.ErrCompacted) {
+	result, err := m.options.Store.Watch(ctx, infra.WatchRequest{Prefix: keyPrefix, After: after, Wait: wait})
+	if errors.Is(err, infra.ErrCompacted) {
 		m.mu.Lock()
 		m.directory.relist = true
 		m.mu.Unlock()
@@ -139,7 +139,7 @@
 	return nil
 }
 
-func (m *Manager) applyEvents(result platform.WatchResult) {
+func (m *Manager) applyEvents(result infra.WatchResult) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, event := range result.Events {
@@ -155,7 +155,7 @@
 }
 
 // decodeOwner reads an ownership key. An unreadable one has no VM, and keeps the shard from being acquired.
-func decodeOwner(kv platform.KeyValue) directoryEntry {
+func decodeOwner(kv infra.KeyValue) directoryEntry {
 	var owner siskinv1.ShardOwner
 	entry := directoryEntry{revision: kv.Revision}
 	if proto.Unmarshal(kv.Value, &owner) == nil {
@@ -168,8 +168,8 @@
 func (m *Manager) reconcile() {
 	for shard, right := range m.held {
 		entry, ok := m.directory.owners[shard]
-		known := m.directory.revision >= platform.Revision(right.Epoch)
-		if known && (!ok || entry.revision != platform.Revision(right.Epoch)) {
+		known := m.directory.revision >= infra.Revision(right.Epoch)
+		if known && (!ok || entry.revision != infra.Revision(right.Epoch)) {
 			m.drop(shard)
 		}
 	}
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/rendezvous"
 	"siskinstack.example/siskinstack/storeclient"
 )
@@ -30,7 +30,7 @@
 		m.mu.Unlock()
 		return "", ErrNotHeld
 	}
-	revision := platform.Revision(right.Epoch)
+	revision := infra.Revision(right.Epoch)
 	m.drop(shard)
 	m.deletions[shard] = revision
 	m.leaveAlone(shard, releasePause)
@@ -71,7 +71,7 @@
 		return
 	}
 	m.drop(shard)
-	m.deletions[shard] = platform.Revision(right.Epoch)
+	m.deletions[shard] = infra.Revision(right.Epoch)
 	m.decline(shard)
 	m.options.Metrics.declined.Inc()
 }
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -7,7 +7,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // renewStep extends the lease, or the rights by promises if the store does not answer.
@@ -32,7 +32,7 @@
 		return m.grant(ctx, sent)
 	}
 	err := m.options.Store.RenewLease(ctx, lease)
-	if errors.Is(err, platform.ErrLeaseExpired) {
+	if errors.Is(err, infra.ErrLeaseExpired) {
 		m.dropAll()
 		return m.grant(ctx, m.options.Clock.Now())
 	}
@@ -54,7 +54,7 @@
 	return true
 }
 
-func (m *Manager) renewed(lease platform.LeaseID, sent time.Time) {
+func (m *Manager) renewed(lease infra.LeaseID, sent time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lease != lease {
@@ -140,5 +140,5 @@
 	if _, acquiring := m.attempts[shard.GetShard()]; acquiring {
 		return false
 	}
-	return m.directory.agrees(shard.GetShard(), vm, platform.Revision(shard.GetEpoch()))
+	return m.directory.agrees(shard.GetShard(), vm, infra.Revision(shard.GetEpoch()))
 }
--- a/ownership/manager.go
+++ b/ownership/manager.go
@@ -12,7 +12,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 const (
@@ -66,7 +66,7 @@
 
 // Options configures a manager.
 type Options struct {
-	Store       platform.Store
+	Store       infra.Store
 	Clock       clock.Clock
 	VM          string
 	Zone        string
@@ -103,14 +103,14 @@
 	wake    chan struct{} // holds a token when there may be a shard to acquire
 
 	mu        sync.Mutex // guards all fields below
-	lease     platform.LeaseID
+	lease     infra.LeaseID
 	leaseSent time.Time // when the last answered grant or renewal of lease was sent
 	held      map[string]*Right
 	directory directory
 	attempts  map[string]*attempt // acquisitions that may still take effect
 	promises  map[string]time.Time
 	declined  map[string]*declined
-	deletions map[string]platform.Revision // own keys to be deleted
+	deletions map[string]infra.Revision // own keys to be deleted
 	nonces    int64
 	leaving   bool
 }
@@ -142,7 +142,7 @@
 		attempts:  map[string]*attempt{},
 		promises:  map[string]time.Time{},
 		declined:  map[string]*declined{},
-		deletions: map[string]platform.Revision{},
+		deletions: map[string]infra.Revision{},
 	}
 }
 
--- a/peer/requests.go
+++ b/peer/requests.go
@@ -8,7 +8,7 @@
 	grpcpeer "google.golang.org/grpc/peer"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 )
 
@@ -73,17 +73,17 @@
 	Clients *Clients
 }
 
-// Forward passes a request to another VM. An error that wraps platform.ErrNotSent proves that it was not sent.
+// Forward passes a request to another VM. An error that wraps infra.ErrNotSent proves that it was not sent.
 func (c *RequestCalls) Forward(ctx context.Context, vm string, request *siskinv1.ForwardRequest) (*siskinv1.ForwardResponse, error) {
 	client, err := c.Clients.Client(vm)
 	if err != nil {
-		return nil, eris.Wrap(platform.ErrNotSent, err.Error())
+		return nil, eris.Wrap(infra.ErrNotSent, err.Error())
 	}
 	// The peer's address is known as soon as the call has a connection.
 	var connected grpcpeer.Peer
 	answer, err := client.Forward(ctx, request, grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.Peer(&connected))
 	if err != nil && connected.Addr == nil {
-		return nil, eris.Wrap(platform.ErrNotSent, err.Error())
+		return nil, eris.Wrap(infra.ErrNotSent, err.Error())
 	}
 	return answer, err
 }
--- a/peer/requests_test.go
+++ b/peer/requests_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // stuck takes requests and does not answer.
@@ -49,16 +49,16 @@
 			}
 		}()
 		_, err = calls.Forward(ctx, "b", &siskinv1.ForwardRequest{})
-		assert.Assert(t, err != nil && !errors.Is(err, platform.ErrNotSent), "%v", err)
+		assert.Assert(t, err != nil && !errors.Is(err, infra.ErrNotSent), "%v", err)
 		cancel()
 		server.Stop()
 		clients.Close()
 		// With the old connections a call could still be put on one that is about to break, and be rightly unknown.
 		calls.Clients = NewClients(map[string]string{"b": listener.Addr().String()}, insecure.NewCredentials())
 		_, err = calls.Forward(t.Context(), "b", &siskinv1.ForwardRequest{})
-		assert.ErrorIs(t, err, platform.ErrNotSent)
+		assert.ErrorIs(t, err, infra.ErrNotSent)
 		_, err = calls.Forward(t.Context(), "unknown", &siskinv1.ForwardRequest{})
-		assert.ErrorIs(t, err, platform.ErrNotSent)
+		assert.ErrorIs(t, err, infra.ErrNotSent)
 		calls.Clients.Close()
 	}
 }
--- a/router/endpoint.go
+++ b/router/endpoint.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // endpoint is one row of the endpoint table. The lock of its pool guards it.
@@ -108,7 +108,7 @@
 }
 
 // update takes over what the list says. Another address is another endpoint under the same name.
-func (e *endpoint) update(vm platform.VM) {
+func (e *endpoint) update(vm infra.VM) {
 	if e.address != vm.Address {
 		e.address = vm.Address
 		e.saidLeaving = false
--- a/router/forward.go
+++ b/router/forward.go
@@ -7,7 +7,7 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 )
 
@@ -52,7 +52,7 @@
 	return vms
 }
 
-// forward makes one Forward call. An RPC error other than platform.ErrNotSent proves nothing: the request may have run.
+// forward makes one Forward call. An RPC error other than infra.ErrNotSent proves nothing: the request may have run.
 func (r *Router) forward(ctx context.Context, vm string, request Request) (Answer, *failure) {
 	deadline, _ := ctx.Deadline()
 	left := time.Until(deadline) - hopMargin
@@ -64,7 +64,7 @@
 		TimeoutMs: left.Milliseconds(), Body: request.Body, ContentType: request.ContentType, Urgency: request.Urgency,
 	})
 	switch {
-	case errors.Is(err, platform.ErrNotSent):
+	case errors.Is(err, infra.ErrNotSent):
 		r.metrics.forwarded.WithLabelValues("not_sent").Inc()
 		return Answer{}, &failure{refused: refusal.New(refusal.NoEndpoint, "VM %q: %v", vm, err)}
 	case err != nil && ctx.Err() != nil:
--- a/router/pool.go
+++ b/router/pool.go
@@ -9,7 +9,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/retrybudget"
 )
@@ -64,7 +64,7 @@
 }
 
 // list takes over the endpoints of the zone as the platform lists them.
-func (p *pool) list(vms []platform.VM) {
+func (p *pool) list(vms []infra.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := map[string]*endpoint{}
@@ -91,7 +91,7 @@
 	p.dispatch()
 }
 
-func (p *pool) newEndpoint(vm platform.VM) *endpoint {
+func (p *pool) newEndpoint(vm infra.VM) *endpoint {
 	return &endpoint{
 		name:        vm.Name,
 		address:     vm.Address,
--- a/router/refresh.go
+++ b/router/refresh.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 const (
@@ -57,11 +57,11 @@
 		r.metrics.listErrors.Inc()
 		return
 	}
-	local := map[string][]platform.VM{}
+	local := map[string][]infra.VM{}
 	remote := map[string][]string{}
 	for _, vm := range list.VMs {
 		switch {
-		case vm.Role != platform.RoleEndpoint:
+		case vm.Role != infra.RoleEndpoint:
 		case vm.Zone == r.options.Zone:
 			local[vm.Service] = append(local[vm.Service], vm)
 		case !vm.Leaving && !slices.Contains(remote[vm.Service], vm.Zone):
@@ -135,7 +135,7 @@
 	load, err := r.options.Endpoints.Load(ctx, t.name, t.address)
 	if err != nil {
 		r.metrics.loadErrors.Inc()
-		if errors.Is(err, platform.ErrNotSent) && ctx.Err() == nil {
+		if errors.Is(err, infra.ErrNotSent) && ctx.Err() == nil {
 			p.unreachable(t.name)
 		}
 		return
--- a/router/router.go
+++ b/router/router.go
@@ -15,7 +15,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/retrybudget"
 )
 
@@ -39,8 +39,8 @@
 	Incarnation int64
 	// EntryVMs are all configured entry VMs, this one included.
 	EntryVMs  []EntryVM
-	Endpoints platform.Endpoints
-	VMs       platform.VMList
+	Endpoints infra.Endpoints
+	VMs       infra.VMList
 	Clock     clock.Clock
 	// Services returns the services of the bundle in force.
 	Services func() []*siskinv1.Service
--- a/router/send.go
+++ b/router/send.go
@@ -11,7 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 )
 
@@ -160,12 +160,12 @@
 	ctx, span := r.tracer.Start(ctx, "endpoint.call", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("siskin.endpoint", h.name), attribute.String("siskin.attempt_id", id)))
 	defer span.End()
-	answer, err := r.options.Endpoints.Call(ctx, platform.EndpointRequest{
+	answer, err := r.options.Endpoints.Call(ctx, infra.EndpointRequest{
 		Endpoint: h.name, Address: h.address, RequestID: id, From: r.from,
 		Body: request.Body, ContentType: request.ContentType, Idempotent: request.Idempotent,
 	})
 	if err == nil && answer.RequestID != id {
-		err = platform.ErrAnswerMismatch
+		err = infra.ErrAnswerMismatch
 	}
 	if err == nil {
 		result = outcomeAnswered
@@ -178,10 +178,10 @@
 }
 
 func (r *Router) countDropped(err error) {
-	if errors.Is(err, platform.ErrAnswerMismatch) {
+	if errors.Is(err, infra.ErrAnswerMismatch) {
 		r.metrics.dropped.WithLabelValues(causeMismatch).Inc()
 	}
-	if errors.Is(err, platform.ErrAnswerIncomplete) {
+	if errors.Is(err, infra.ErrAnswerIncomplete) {
 		r.metrics.dropped.WithLabelValues(causeIncomplete).Inc()
 	}
 }
@@ -189,13 +189,13 @@
 // classify says what an error of an endpoint proves. Only three errors prove that the request did not run.
 func classify(ctx context.Context, err error) outcome {
 	switch {
-	case errors.Is(err, platform.ErrEndpointBusy):
+	case errors.Is(err, infra.ErrEndpointBusy):
 		return outcomeBusy
-	case errors.Is(err, platform.ErrEndpointLeaving):
+	case errors.Is(err, infra.ErrEndpointLeaving):
 		return outcomeLeaving
-	case errors.Is(err, platform.ErrNotSent) && ctx.Err() != nil:
+	case errors.Is(err, infra.ErrNotSent) && ctx.Err() != nil:
 		return outcomeNotRun
-	case errors.Is(err, platform.ErrNotSent):
+	case errors.Is(err, infra.ErrNotSent):
 		return outcomeNotSent
 	case ctx.Err() != nil:
 		return outcomeCut
--- a/router/slots.go
+++ b/router/slots.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/rendezvous"
 )
 
@@ -131,7 +131,7 @@
 
 // observation is one load answer with the times around it.
 type observation struct {
-	load  platform.EndpointLoad
+	load  infra.EndpointLoad
 	asked time.Time
 	// settled is the number of own calls that began settleTime before the question and were not over at the answer:
 	// the load certainly contains them.
@@ -179,7 +179,7 @@
 	return true
 }
 
-func usageByVM(load platform.EndpointLoad) map[string]int {
+func usageByVM(load infra.EndpointLoad) map[string]int {
 	usage := map[string]int{}
 	for from, n := range load.InFlight {
 		vm, _, _ := strings.Cut(from, incarnationMark)
--- a/router/slots_test.go
+++ b/router/slots_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	_ "siskinstack.example/siskinstack/testseed"
 )
 
@@ -111,7 +111,7 @@
 }
 
 func (m *slotModel) observe(vm string) {
-	load := platform.EndpointLoad{InFlight: map[string]int{}}
+	load := infra.EndpointLoad{InFlight: map[string]int{}}
 	for from, n := range m.running {
 		load.InFlight[from] = n
 	}
--- a/router/waiting_test.go
+++ b/router/waiting_test.go
@@ -10,7 +10,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // TestWaitingMatchesSortedList guards against a queue that serves or sheds another request than the first or last by
@@ -82,7 +82,7 @@
 	p := &pool{vm: "entry-0", zoneVMs: []string{"entry-0", "entry-1"}, clock: clock.NewFake(time.Unix(0, 0))}
 	for _, slots := range []int32{8, 4, 12} {
 		p.configure(&siskinv1.Service{Slots: slots})
-		p.list([]platform.VM{{Name: "e"}})
+		p.list([]infra.VM{{Name: "e"}})
 		assert.Equal(t, p.endpoints[0].slots.allowance, int(slots)/2)
 	}
 }
--- a/schedules/breaks_test.go
+++ b/schedules/breaks_test.go
@@ -10,15 +10,15 @@
 	"gotest.tools/v3/assert"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/owner"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/resource"
 )
 
 // earlyStore answers writes at once and does them later, in order. What a killed process has not written is lost.
 type earlyStore struct {
-	platform.Store
-	writes chan platform.PutRequest
+	infra.Store
+	writes chan infra.PutRequest
 }
 
 const (
@@ -26,8 +26,8 @@
 	earlyWrites = 10_000
 )
 
-func newEarlyStore(v *vm, store platform.Store) *earlyStore {
-	e := &earlyStore{Store: store, writes: make(chan platform.PutRequest, earlyWrites)}
+func newEarlyStore(v *vm, store infra.Store) *earlyStore {
+	e := &earlyStore{Store: store, writes: make(chan infra.PutRequest, earlyWrites)}
 	v.tasks.Go(func() {
 		for {
 			select {
@@ -43,8 +43,8 @@
 	return e
 }
 
-// Put implements platform.Store.
-func (e *earlyStore) Put(_ context.Context, request platform.PutRequest) (platform.Revision, error) {
+// Put implements infra.Store.
+func (e *earlyStore) Put(_ context.Context, request infra.PutRequest) (infra.Revision, error) {
 	e.writes <- request
 	return 1, nil
 }
@@ -97,7 +97,7 @@
 
 // leave announces on the platform's list that a worker leaves, so that nothing more is placed there.
 func (s *site) leave(worker string) {
-	s.list.Update(func(vms []platform.VM) []platform.VM {
+	s.list.Update(func(vms []infra.VM) []infra.VM {
 		for i := range vms {
 			vms[i].Leaving = vms[i].Leaving || vms[i].Name == worker
 		}
--- a/schedules/check_test.go
+++ b/schedules/check_test.go
@@ -8,7 +8,7 @@
 
 	"siskinstack.example/siskinstack/allowance"
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 )
 
@@ -88,9 +88,9 @@
 	s.checkRoom(runs)
 	s.checkCeilings(runs)
 	s.checkDrains(runs)
-	tasks := map[platform.TaskRef][]standin.TaskRun{}
+	tasks := map[infra.TaskRef][]standin.TaskRun{}
 	for _, run := range runs {
-		name := platform.TaskRef{Job: run.Task.Job, Index: run.Task.Index}
+		name := infra.TaskRef{Job: run.Task.Job, Index: run.Task.Index}
 		tasks[name] = append(tasks[name], run)
 	}
 	s.checkTasks(tasks)
@@ -108,7 +108,7 @@
 }
 
 // checkTasks fails if a task ran in two places at once, or a task that runs at most once ran twice.
-func (s *site) checkTasks(tasks map[platform.TaskRef][]standin.TaskRun) {
+func (s *site) checkTasks(tasks map[infra.TaskRef][]standin.TaskRun) {
 	for name, runs := range tasks {
 		for i, run := range runs {
 			for _, later := range runs[i+1:] {
@@ -275,7 +275,7 @@
 		if run.Ended.IsZero() {
 			s.fail("accepted: %v still runs on %s", run.Task, run.Worker)
 		}
-		if run.Phase == platform.PhaseSucceeded {
+		if run.Phase == infra.PhaseSucceeded {
 			succeeded[run.Task.Index]++
 			if succeeded[run.Task.Index] > 1 && !s.history.unreachable {
 				s.fail("accepted: %s/%d was done twice", j.id, run.Task.Index)
--- a/schedules/gate_test.go
+++ b/schedules/gate_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 var (
@@ -195,7 +195,7 @@
 func through[A any](ctx context.Context, g platformGate, to node, call func(context.Context) (A, error)) (A, error) {
 	var none A
 	if err := g.process.wait(); err != nil {
-		return none, eris.Wrap(platform.ErrNotSent, err.Error())
+		return none, eris.Wrap(infra.ErrNotSent, err.Error())
 	}
 	if err := g.network.pass(ctx, g.self, to); err != nil {
 		return none, err
--- a/schedules/site_test.go
+++ b/schedules/site_test.go
@@ -17,8 +17,8 @@
 	"siskinstack.example/siskinstack/bundle"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/configstore"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/ownership"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/sharding"
 	"siskinstack.example/siskinstack/standin"
@@ -102,7 +102,7 @@
 		defer jitterMu.Unlock()
 		return jitter.Float64()
 	}
-	var workers []platform.VM
+	var workers []infra.VM
 	for _, zone := range zoneNames {
 		s.shards = append(s.shards, ownership.Shard{Name: sharding.Name(zone, 0), Zone: zone})
 		for i := range vmsPerZone {
@@ -117,8 +117,8 @@
 			name := fmt.Sprintf("%s-w%d", zone, i)
 			s.workerNames = append(s.workerNames, name)
 			s.workerNodes[name] = node{name: name, zone: zone, kind: kindWorker}
-			workers = append(workers, platform.VM{
-				Name: name, Role: platform.RoleWorker, Zone: zone, Rack: zone + "-r0",
+			workers = append(workers, infra.VM{
+				Name: name, Role: infra.RoleWorker, Zone: zone, Rack: zone + "-r0",
 				Room: workerRoom,
 			})
 		}
@@ -171,7 +171,7 @@
 }
 
 // putBundle takes a bundle through proposal, review and sign-off.
-func (s *site) putBundle(store platform.Store, b *siskinv1.Bundle) error {
+func (s *site) putBundle(store infra.Store, b *siskinv1.Bundle) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	register := bundle.NewRegister(store, s.signers)
--- a/schedules/views_test.go
+++ b/schedules/views_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 )
 
@@ -22,45 +22,45 @@
 	return through(standin.WithCaller(ctx, s.self.name), s.platformGate, storeNode, call)
 }
 
-func (s *storeView) Get(ctx context.Context, key string) (platform.KeyValue, error) {
-	return storeCall(ctx, s, func(ctx context.Context) (platform.KeyValue, error) { return s.store.Get(ctx, key) })
+func (s *storeView) Get(ctx context.Context, key string) (infra.KeyValue, error) {
+	return storeCall(ctx, s, func(ctx context.Context) (infra.KeyValue, error) { return s.store.Get(ctx, key) })
 }
 
-func (s *storeView) List(ctx context.Context, prefix string) (platform.Listing, error) {
-	return storeCall(ctx, s, func(ctx context.Context) (platform.Listing, error) { return s.store.List(ctx, prefix) })
+func (s *storeView) List(ctx context.Context, prefix string) (infra.Listing, error) {
+	return storeCall(ctx, s, func(ctx context.Context) (infra.Listing, error) { return s.store.List(ctx, prefix) })
 }
 
-func (s *storeView) Put(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
-	return storeCall(ctx, s, func(ctx context.Context) (platform.Revision, error) { return s.store.Put(ctx, request) })
+func (s *storeView) Put(ctx context.Context, request infra.PutRequest) (infra.Revision, error) {
+	return storeCall(ctx, s, func(ctx context.Context) (infra.Revision, error) { return s.store.Put(ctx, request) })
 }
 
-func (s *storeView) Delete(ctx context.Context, key string, expected platform.Revision) error {
+func (s *storeView) Delete(ctx context.Context, key string, expected infra.Revision) error {
 	_, err := storeCall(ctx, s, func(ctx context.Context) (nothing, error) {
 		return nothing{}, s.store.Delete(ctx, key, expected)
 	})
 	return err
 }
 
-func (s *storeView) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	return storeCall(ctx, s, func(ctx context.Context) (platform.LeaseID, error) { return s.store.GrantLease(ctx, ttl) })
+func (s *storeView) GrantLease(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
+	return storeCall(ctx, s, func(ctx context.Context) (infra.LeaseID, error) { return s.store.GrantLease(ctx, ttl) })
 }
 
-func (s *storeView) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+func (s *storeView) RenewLease(ctx context.Context, lease infra.LeaseID) error {
 	_, err := storeCall(ctx, s, func(ctx context.Context) (nothing, error) {
 		return nothing{}, s.store.RenewLease(ctx, lease)
 	})
 	return err
 }
 
-func (s *storeView) RevokeLease(ctx context.Context, lease platform.LeaseID) error {
+func (s *storeView) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
 	_, err := storeCall(ctx, s, func(ctx context.Context) (nothing, error) {
 		return nothing{}, s.store.RevokeLease(ctx, lease)
 	})
 	return err
 }
 
-func (s *storeView) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
-	return storeCall(ctx, s, func(ctx context.Context) (platform.WatchResult, error) { return s.store.Watch(ctx, request) })
+func (s *storeView) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
+	return storeCall(ctx, s, func(ctx context.Context) (infra.WatchResult, error) { return s.store.Watch(ctx, request) })
 }
 
 // workersView is the workers as one VM reaches them.
@@ -71,14 +71,14 @@
 }
 
 // authority returns what a worker compares with the highest epoch that it has seen.
-func (w *workersView) authority(a platform.Authority) platform.Authority {
+func (w *workersView) authority(a infra.Authority) infra.Authority {
 	if w.site.broken.ignoreEpochs {
 		a.Epoch = 1 << 40
 	}
 	return a
 }
 
-func (w *workersView) Start(ctx context.Context, request platform.StartRequest) error {
+func (w *workersView) Start(ctx context.Context, request infra.StartRequest) error {
 	request.Authority = w.authority(request.Authority)
 	if late := w.site.lateStart(); late > 0 {
 		w.site.noteLateStart(request.Worker)
@@ -94,18 +94,18 @@
 	return err
 }
 
-func (w *workersView) Renew(ctx context.Context, request platform.RenewRequest) (platform.WorkerReport, error) {
+func (w *workersView) Renew(ctx context.Context, request infra.RenewRequest) (infra.WorkerReport, error) {
 	request.Authority = w.authority(request.Authority)
-	report, err := through(ctx, w.platformGate, w.site.workerNodes[request.Worker], func(ctx context.Context) (platform.WorkerReport, error) {
+	report, err := through(ctx, w.platformGate, w.site.workerNodes[request.Worker], func(ctx context.Context) (infra.WorkerReport, error) {
 		return w.workers.Renew(ctx, request)
 	})
 	if err != nil && w.site.broken.noHold {
-		return platform.WorkerReport{Worker: request.Worker, Room: workerRoom}, nil
+		return infra.WorkerReport{Worker: request.Worker, Room: workerRoom}, nil
 	}
 	return report, err
 }
 
-func (w *workersView) Stop(ctx context.Context, request platform.StopRequest) error {
+func (w *workersView) Stop(ctx context.Context, request infra.StopRequest) error {
 	request.Authority = w.authority(request.Authority)
 	_, err := through(ctx, w.platformGate, w.site.workerNodes[request.Worker], func(ctx context.Context) (nothing, error) {
 		return nothing{}, w.workers.Stop(ctx, request)
@@ -113,7 +113,7 @@
 	return err
 }
 
-func (w *workersView) Checkpoint(ctx context.Context, request platform.StopRequest) error {
+func (w *workersView) Checkpoint(ctx context.Context, request infra.StopRequest) error {
 	request.Authority = w.authority(request.Authority)
 	_, err := through(ctx, w.platformGate, w.site.workerNodes[request.Worker], func(ctx context.Context) (nothing, error) {
 		return nothing{}, w.workers.Checkpoint(ctx, request)
@@ -121,7 +121,7 @@
 	return err
 }
 
-func (w *workersView) Throttle(ctx context.Context, request platform.ThrottleRequest) error {
+func (w *workersView) Throttle(ctx context.Context, request infra.ThrottleRequest) error {
 	request.Authority = w.authority(request.Authority)
 	_, err := through(ctx, w.platformGate, w.site.workerNodes[request.Worker], func(ctx context.Context) (nothing, error) {
 		return nothing{}, w.workers.Throttle(ctx, request)
--- a/schedules/vm_test.go
+++ b/schedules/vm_test.go
@@ -15,11 +15,11 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/configview"
 	"siskinstack.example/siskinstack/fleet"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/membership"
 	"siskinstack.example/siskinstack/owner"
 	"siskinstack.example/siskinstack/ownership"
 	"siskinstack.example/siskinstack/peer"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/sharding"
@@ -38,7 +38,7 @@
 	process     *process
 
 	store     *storeclient.Client
-	workers   platform.Workers
+	workers   infra.Workers
 	config    *configview.View
 	members   *membership.Manager
 	fleet     *fleet.View
@@ -334,7 +334,7 @@
 		states[i] = configview.PeerState{
 			VM: member.VM, Reachable: member.Status == membership.Alive, AsOf: member.Confirmed,
 			State: configview.State{
-				Revision: platform.Revision(member.ConfigRevision), Age: member.ConfigAge, BundleVersion: member.BundleVersion,
+				Revision: infra.Revision(member.ConfigRevision), Age: member.ConfigAge, BundleVersion: member.BundleVersion,
 			},
 		}
 	}
--- a/shardlog/commit.go
+++ b/shardlog/commit.go
@@ -9,14 +9,14 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/storeclient"
 )
 
 // storedKey is a key of this shard in the store.
 type storedKey struct {
 	key      string
-	revision platform.Revision
+	revision infra.Revision
 	sequence int64
 }
 
@@ -133,11 +133,11 @@
 	switch {
 	case err == nil:
 		return true, l.accept(a, revision)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		return l.readBack(ctx, a)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, infra.ErrTooLarge):
 		return true, eris.Wrap(ErrTooLarge, a.key)
-	case !errors.Is(err, platform.ErrNotSent):
+	case !errors.Is(err, infra.ErrNotSent):
 		a.sent = true
 	}
 	return false, nil
@@ -145,7 +145,7 @@
 
 // accept takes the entry for durable, unless the answer came so late that a successor may have written, covered and
 // deleted an entry at this sequence in the meantime.
-func (l *Log) accept(a *attempt, revision platform.Revision) error {
+func (l *Log) accept(a *attempt, revision infra.Revision) error {
 	if l.options.Clock.Now().Sub(a.checked) >= l.rules.answerLimit {
 		return eris.Wrapf(ErrUnknown, "answer for %s came after %v", a.key, l.rules.answerLimit)
 	}
@@ -157,7 +157,7 @@
 // readBack tells an entry of this writer, whose answer was lost, from one of another owner.
 func (l *Log) readBack(ctx context.Context, a *attempt) (bool, error) {
 	kv, err := l.get(ctx, a.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return true, eris.Wrapf(ErrUnknown, "%s was deleted", a.key)
 	}
 	if err != nil {
@@ -195,13 +195,13 @@
 	return eris.Wrap(ErrUnknown, reason.Error())
 }
 
-func (l *Log) put(ctx context.Context, key string, value []byte) (platform.Revision, error) {
+func (l *Log) put(ctx context.Context, key string, value []byte) (infra.Revision, error) {
 	ctx, cancel := clock.WithTimeout(ctx, l.options.Clock, writeTimeout)
 	defer cancel()
-	return l.options.Store.Put(ctx, platform.PutRequest{Key: key, Value: value})
+	return l.options.Store.Put(ctx, infra.PutRequest{Key: key, Value: value})
 }
 
-func (l *Log) get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (l *Log) get(ctx context.Context, key string) (infra.KeyValue, error) {
 	ctx, cancel := clock.WithTimeout(ctx, l.options.Clock, writeTimeout)
 	defer cancel()
 	return l.options.Store.Get(ctx, key)
--- a/shardlog/durability_test.go
+++ b/shardlog/durability_test.go
@@ -13,7 +13,7 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/faultstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 )
 
@@ -181,7 +181,7 @@
 		panic(err)
 	}
 	key := entryKey(testShard, int64(first+1))
-	if _, err := t.store.Put(context.Background(), platform.PutRequest{Key: key, Value: value}); err != nil {
+	if _, err := t.store.Put(context.Background(), infra.PutRequest{Key: key, Value: value}); err != nil {
 		panic(err)
 	}
 	o.writes++
--- a/shardlog/log.go
+++ b/shardlog/log.go
@@ -27,7 +27,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/storeclient"
 )
 
@@ -83,9 +83,9 @@
 
 // Options configures a log.
 type Options struct {
-	Store platform.Store
+	Store infra.Store
 	// SnapshotStore is the store for snapshots and deletions; nil uses Store.
-	SnapshotStore platform.Store
+	SnapshotStore infra.Store
 	Clock         clock.Clock
 	Shard         string
 	// Writer is the identity of this owner: VM and incarnation.
--- a/shardlog/model_test.go
+++ b/shardlog/model_test.go
@@ -13,7 +13,7 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/faultstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 	_ "siskinstack.example/siskinstack/testseed"
 )
@@ -292,7 +292,7 @@
 		assert.NilError(t, err)
 		for _, kv := range listing.Entries {
 			spoilt := spoil(append([]byte(nil), kv.Value...))
-			put := platform.PutRequest{Key: kv.Key, Value: spoilt, Expected: kv.Revision}
+			put := infra.PutRequest{Key: kv.Key, Value: spoilt, Expected: kv.Revision}
 			revision, err := w.inner.Put(context.Background(), put)
 			assert.NilError(t, err)
 			_, err = load(context.Background(), Options{
@@ -303,7 +303,7 @@
 			after, err := w.inner.Get(context.Background(), kv.Key)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, after.Value, spoilt)
-			_, err = w.inner.Put(context.Background(), platform.PutRequest{Key: kv.Key, Value: kv.Value, Expected: revision})
+			_, err = w.inner.Put(context.Background(), infra.PutRequest{Key: kv.Key, Value: kv.Value, Expected: revision})
 			assert.NilError(t, err)
 		}
 	}
--- a/shardlog/replay.go
+++ b/shardlog/replay.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/storeclient"
 )
 
@@ -97,7 +97,7 @@
 func (l *Log) readHead(ctx context.Context, head *headState) error {
 	key := HeadKey(l.options.Shard)
 	kv, err := l.get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -121,7 +121,7 @@
 }
 
 // readChunks decodes the chunks that the manifest names. Readable chunks of other snapshots are noted for deletion.
-func (l *Log) readChunks(entries []platform.KeyValue, found *content) error {
+func (l *Log) readChunks(entries []infra.KeyValue, found *content) error {
 	prefix := chunkPrefix(l.options.Shard, found.head.sequence, found.head.nonce)
 	for _, kv := range entries {
 		chunk := &siskinv1.SnapshotChunk{}
@@ -148,7 +148,7 @@
 	return nil
 }
 
-func (l *Log) readEntries(entries []platform.KeyValue, found *content) error {
+func (l *Log) readEntries(entries []infra.KeyValue, found *content) error {
 	last := found.head.sequence
 	for _, kv := range entries {
 		entry, err := l.decodeEntry(kv)
@@ -170,7 +170,7 @@
 	return nil
 }
 
-func (l *Log) decodeEntry(kv platform.KeyValue) (*siskinv1.LogEntry, error) {
+func (l *Log) decodeEntry(kv infra.KeyValue) (*siskinv1.LogEntry, error) {
 	entry := &siskinv1.LogEntry{}
 	if err := decode(kindEntry, kv.Key, kv.Value, entry); err != nil {
 		return nil, err
--- a/shardlog/snapshot.go
+++ b/shardlog/snapshot.go
@@ -10,7 +10,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/storeclient"
 )
 
@@ -32,7 +32,7 @@
 
 // headState is the manifest and its chunks as last known.
 type headState struct {
-	revision platform.Revision
+	revision infra.Revision
 	sequence int64
 	nonce    string
 	count    int
@@ -47,7 +47,7 @@
 	nonce     string
 	chunks    [][]byte
 	head      []byte
-	expected  platform.Revision
+	expected  infra.Revision
 	obsolete  []storedKey
 	deletable []storedKey
 }
@@ -213,18 +213,18 @@
 func (l *Log) deletionPause() time.Duration { return l.options.CommitInterval * 9 / 10 }
 
 // putChunk writes a chunk. Its key holds the nonce of the snapshot, so an existing key is an earlier attempt of this one.
-func (l *Log) putChunk(ctx context.Context, key string, value []byte) (platform.Revision, error) {
+func (l *Log) putChunk(ctx context.Context, key string, value []byte) (infra.Revision, error) {
 	backoff := storeclient.NewBackoff(retryMin, retryMax, l.options.Random)
 	for {
 		if err := l.options.Check(); err != nil {
 			return 0, err
 		}
-		revision, err := l.putSnapshot(ctx, platform.PutRequest{Key: key, Value: value})
-		if errors.Is(err, platform.ErrConflict) {
+		revision, err := l.putSnapshot(ctx, infra.PutRequest{Key: key, Value: value})
+		if errors.Is(err, infra.ErrConflict) {
 			kv, getErr := l.getSnapshot(ctx, key)
 			revision, err = kv.Revision, getErr
 		}
-		if err == nil || errors.Is(err, platform.ErrNotFound) {
+		if err == nil || errors.Is(err, infra.ErrNotFound) {
 			return revision, err
 		}
 		if err := l.sleep(ctx, backoff.Next()); err != nil {
@@ -234,14 +234,14 @@
 }
 
 // putHead writes the manifest by compare-and-swap and resolves a conflict or a lost answer by reading it back.
-func (l *Log) putHead(ctx context.Context, plan *snapshotPlan) (platform.Revision, error) {
+func (l *Log) putHead(ctx context.Context, plan *snapshotPlan) (infra.Revision, error) {
 	key := HeadKey(l.options.Shard)
 	expected := plan.expected
 	for range maxHeadRounds {
 		if err := l.options.Check(); err != nil {
 			return 0, err
 		}
-		revision, err := l.putSnapshot(ctx, platform.PutRequest{Key: key, Value: plan.head, Expected: expected})
+		revision, err := l.putSnapshot(ctx, infra.PutRequest{Key: key, Value: plan.head, Expected: expected})
 		if err == nil {
 			return revision, nil
 		}
@@ -271,16 +271,16 @@
 	if err == nil {
 		l.options.Metrics.deleted.Inc()
 	}
-	return err == nil || errors.Is(err, platform.ErrNotFound)
+	return err == nil || errors.Is(err, infra.ErrNotFound)
 }
 
-func (l *Log) putSnapshot(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
+func (l *Log) putSnapshot(ctx context.Context, request infra.PutRequest) (infra.Revision, error) {
 	ctx, cancel := clock.WithTimeout(ctx, l.options.Clock, writeTimeout)
 	defer cancel()
 	return l.options.SnapshotStore.Put(ctx, request)
 }
 
-func (l *Log) getSnapshot(ctx context.Context, key string) (platform.KeyValue, error) {
+func (l *Log) getSnapshot(ctx context.Context, key string) (infra.KeyValue, error) {
 	ctx, cancel := clock.WithTimeout(ctx, l.options.Clock, writeTimeout)
 	defer cancel()
 	return l.options.SnapshotStore.Get(ctx, key)
--- a/sitetest/faults_test.go
+++ b/sitetest/faults_test.go
@@ -11,7 +11,7 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/apiclient"
 	"siskinstack.example/siskinstack/demo/promises"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
@@ -67,7 +67,7 @@
 }
 
 // awaitTakeover checks that a shard has a new owner within the target.
-func (c *cell) awaitTakeover(zone string, before platform.Revision, since time.Time) {
+func (c *cell) awaitTakeover(zone string, before infra.Revision, since time.Time) {
 	c.t.Helper()
 	c.waitFor(takeoverTarget-time.Since(since), "a takeover of "+zone, func() bool {
 		kv, ok := c.ownership(zone)
@@ -162,7 +162,7 @@
 // endpoint returns the n-th endpoint of the site.
 func (c *cell) endpoint(n int) string {
 	for _, vm := range c.platform.Fleet {
-		if vm.Role != platform.RoleEndpoint {
+		if vm.Role != infra.RoleEndpoint {
 			continue
 		}
 		if n == 0 {
@@ -177,7 +177,7 @@
 func (c *cell) leaveEndpoint(name string) {
 	left := promises.Leaving{Endpoint: name, At: time.Now()}
 	c.platform.Endpoints.SetLeaving(name)
-	c.platform.VMs.Update(func(vms []platform.VM) []platform.VM {
+	c.platform.VMs.Update(func(vms []infra.VM) []infra.VM {
 		for i := range vms {
 			vms[i].Leaving = vms[i].Leaving || vms[i].Name == name
 		}
--- a/sitetest/single_test.go
+++ b/sitetest/single_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"siskinstack.example/siskinstack/demo/promises"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 )
 
@@ -104,7 +104,7 @@
 }
 
 // farOff runs longer and uses more than declared.
-func farOff(request platform.StartRequest) standin.TaskPlan {
+func farOff(request infra.StartRequest) standin.TaskPlan {
 	plan := standin.CommandPlan(request)
 	plan.RunFor *= 3
 	plan.Used = plan.Used.Scale(4)
--- a/sitetest/site_test.go
+++ b/sitetest/site_test.go
@@ -18,7 +18,7 @@
 	"siskinstack.example/siskinstack/apiclient"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/daemon"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 	"siskinstack.example/siskinstack/standin"
 	"siskinstack.example/siskinstack/standin/server"
@@ -271,9 +271,9 @@
 	}
 	for _, machine := range c.platform.Fleet {
 		switch machine.Role {
-		case platform.RoleWorker:
+		case infra.RoleWorker:
 			c.platform.Workers.SetFaults(machine.Name, standin.WorkerFaults{})
-		case platform.RoleEndpoint:
+		case infra.RoleEndpoint:
 			c.platform.Endpoints.SetFaults(machine.Name, standin.EndpointFaults{})
 		}
 	}
@@ -293,7 +293,7 @@
 }
 
 // ownership returns the ownership key of a zone's shard.
-func (c *cell) ownership(zone string) (platform.KeyValue, bool) {
+func (c *cell) ownership(zone string) (infra.KeyValue, bool) {
 	kv, err := c.platform.Store.Get(standin.WithCaller(context.Background(), ownStore), "shards/"+zone+"-0")
 	return kv, err == nil
 }
--- a/standin/endpoints.go
+++ b/standin/endpoints.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // RequestRun is one run of a request at an endpoint.
@@ -29,7 +29,7 @@
 	From      string
 	RequestID string
 	At        time.Time
-	// Reason is platform.ErrEndpointBusy or platform.ErrEndpointLeaving.
+	// Reason is infra.ErrEndpointBusy or infra.ErrEndpointLeaving.
 	Reason error
 	// AfterLeaving is how long after the endpoint began to leave the request arrived; 0 before.
 	AfterLeaving time.Duration
@@ -80,10 +80,10 @@
 }
 
 // NewEndpoints returns endpoints for the VMs with the endpoint role.
-func NewEndpoints(c clock.Clock, vms []platform.VM, options EndpointOptions) *Endpoints {
+func NewEndpoints(c clock.Clock, vms []infra.VM, options EndpointOptions) *Endpoints {
 	e := &Endpoints{clock: c, options: options, endpoints: map[string]*endpoint{}}
 	for _, vm := range vms {
-		if vm.Role == platform.RoleEndpoint {
+		if vm.Role == infra.RoleEndpoint {
 			e.endpoints[vm.Name] = &endpoint{inFlight: map[string]int{}}
 		}
 	}
@@ -168,21 +168,21 @@
 }
 
 // Call runs one request.
-func (e *Endpoints) Call(ctx context.Context, request platform.EndpointRequest) (platform.EndpointAnswer, error) {
+func (e *Endpoints) Call(ctx context.Context, request infra.EndpointRequest) (infra.EndpointAnswer, error) {
 	run, faults, err := e.begin(request)
 	if err != nil {
-		return platform.EndpointAnswer{}, err
+		return infra.EndpointAnswer{}, err
 	}
 	wait := e.options.Work(request.Endpoint, request.Body) + faults.Delay + spread(request.RequestID, faults.Spread)
 	cut := e.clock.Sleep(ctx, wait)
 	e.finish(request, run, cut != nil)
 	if cut != nil {
-		return platform.EndpointAnswer{}, cut
+		return infra.EndpointAnswer{}, cut
 	}
 	if faults.LoseAnswers > 0 {
-		return platform.EndpointAnswer{}, errAnswerLost
+		return infra.EndpointAnswer{}, errAnswerLost
 	}
-	answer := platform.EndpointAnswer{
+	answer := infra.EndpointAnswer{
 		RequestID:   request.RequestID,
 		Status:      200,
 		Body:        append([]byte("done "), request.Body...),
@@ -205,18 +205,18 @@
 }
 
 // begin takes a slot. It returns the faults that apply to the answer.
-func (e *Endpoints) begin(request platform.EndpointRequest) (*RequestRun, EndpointFaults, error) {
+func (e *Endpoints) begin(request infra.EndpointRequest) (*RequestRun, EndpointFaults, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ep, ok := e.endpoints[request.Endpoint]
 	if !ok || ep.faults.Down {
-		return nil, EndpointFaults{}, platform.ErrNotSent
+		return nil, EndpointFaults{}, infra.ErrNotSent
 	}
 	if !ep.leaving.IsZero() {
-		return nil, EndpointFaults{}, e.refuse(request, ep, platform.ErrEndpointLeaving)
+		return nil, EndpointFaults{}, e.refuse(request, ep, infra.ErrEndpointLeaving)
 	}
 	if ep.total >= e.options.Slots {
-		return nil, EndpointFaults{}, e.refuse(request, ep, platform.ErrEndpointBusy)
+		return nil, EndpointFaults{}, e.refuse(request, ep, infra.ErrEndpointBusy)
 	}
 	ep.total++
 	ep.peak = max(ep.peak, ep.total)
@@ -233,7 +233,7 @@
 }
 
 // refuse records a refusal. The caller holds mu.
-func (e *Endpoints) refuse(request platform.EndpointRequest, ep *endpoint, reason error) error {
+func (e *Endpoints) refuse(request infra.EndpointRequest, ep *endpoint, reason error) error {
 	refusal := RequestRefusal{
 		Endpoint: request.Endpoint, From: request.From, RequestID: request.RequestID,
 		At: e.clock.Now(), Reason: reason,
@@ -245,7 +245,7 @@
 	return reason
 }
 
-func (e *Endpoints) finish(request platform.EndpointRequest, run *RequestRun, cut bool) {
+func (e *Endpoints) finish(request infra.EndpointRequest, run *RequestRun, cut bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ep := e.endpoints[request.Endpoint]
@@ -256,14 +256,14 @@
 }
 
 // Load returns what an endpoint has in flight.
-func (e *Endpoints) Load(_ context.Context, name, _ string) (platform.EndpointLoad, error) {
+func (e *Endpoints) Load(_ context.Context, name, _ string) (infra.EndpointLoad, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ep, ok := e.endpoints[name]
 	if !ok || ep.faults.Down {
-		return platform.EndpointLoad{}, platform.ErrNotSent
+		return infra.EndpointLoad{}, infra.ErrNotSent
 	}
-	load := platform.EndpointLoad{InFlight: map[string]int{}, Leaving: !ep.leaving.IsZero()}
+	load := infra.EndpointLoad{InFlight: map[string]int{}, Leaving: !ep.leaving.IsZero()}
 	for from, n := range ep.inFlight {
 		load.InFlight[from] = n
 	}
--- a/platform/httpplatform/client.go
+++ b/standin/httpclient/client.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpclient
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/telemetry"
 )
 
@@ -95,10 +95,10 @@
 func sendError(err error) error {
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
-		return eris.Wrap(platform.ErrNotSent, err.Error())
+		return eris.Wrap(infra.ErrNotSent, err.Error())
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return eris.Wrap(platform.ErrNotSent, err.Error())
+		return eris.Wrap(infra.ErrNotSent, err.Error())
 	}
 	return err
 }
@@ -119,48 +119,48 @@
 	return err
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.KeyValue, error) {
-	return post[KeyRequest, platform.KeyValue](ctx, c, PathGet, KeyRequest{Key: key})
+// Get implements infra.Store.
+func (c *Client) Get(ctx context.Context, key string) (infra.KeyValue, error) {
+	return post[KeyRequest, infra.KeyValue](ctx, c, PathGet, KeyRequest{Key: key})
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) (platform.Listing, error) {
-	return post[KeyRequest, platform.Listing](ctx, c, PathList, KeyRequest{Key: prefix})
+// List implements infra.Store.
+func (c *Client) List(ctx context.Context, prefix string) (infra.Listing, error) {
+	return post[KeyRequest, infra.Listing](ctx, c, PathList, KeyRequest{Key: prefix})
 }
 
-// Put implements platform.Store.
-func (c *Client) Put(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
-	return post[platform.PutRequest, platform.Revision](ctx, c, PathPut, request)
+// Put implements infra.Store.
+func (c *Client) Put(ctx context.Context, request infra.PutRequest) (infra.Revision, error) {
+	return post[infra.PutRequest, infra.Revision](ctx, c, PathPut, request)
 }
 
-// Delete implements platform.Store.
-func (c *Client) Delete(ctx context.Context, key string, expected platform.Revision) error {
+// Delete implements infra.Store.
+func (c *Client) Delete(ctx context.Context, key string, expected infra.Revision) error {
 	return noAnswer(ctx, c, PathDelete, KeyRequest{Key: key, Expected: expected})
 }
 
-// GrantLease implements platform.Store.
-func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	return post[LeaseRequest, platform.LeaseID](ctx, c, PathGrant, LeaseRequest{TTL: ttl})
+// GrantLease implements infra.Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
+	return post[LeaseRequest, infra.LeaseID](ctx, c, PathGrant, LeaseRequest{TTL: ttl})
 }
 
-// RenewLease implements platform.Store.
-func (c *Client) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+// RenewLease implements infra.Store.
+func (c *Client) RenewLease(ctx context.Context, lease infra.LeaseID) error {
 	return noAnswer(ctx, c, PathRenewLease, LeaseRequest{Lease: lease})
 }
 
-// RevokeLease implements platform.Store.
-func (c *Client) RevokeLease(ctx context.Context, lease platform.LeaseID) error {
+// RevokeLease implements infra.Store.
+func (c *Client) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
 	return noAnswer(ctx, c, PathRevoke, LeaseRequest{Lease: lease})
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
-	return post[platform.WatchRequest, platform.WatchResult](ctx, c, PathWatch, request)
+// Watch implements infra.Store.
+func (c *Client) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
+	return post[infra.WatchRequest, infra.WatchResult](ctx, c, PathWatch, request)
 }
 
 // VMs returns the platform's list of VMs behind its own interface.
-func (c *Client) VMs() platform.VMList { return &vmList{client: c} }
+func (c *Client) VMs() infra.VMList { return &vmList{client: c} }
 
 // vmList keeps the list read last: an unchanged list is not sent again, because at 9,800 workers it takes two megabytes.
 type vmList struct {
@@ -168,49 +168,49 @@
 
 	mu  sync.Mutex // guards tag and vms
 	tag string
-	vms []platform.VM
+	vms []infra.VM
 }
 
-// List implements platform.VMList.
-func (l *vmList) List(ctx context.Context) (platform.VMs, error) {
+// List implements infra.VMList.
+func (l *vmList) List(ctx context.Context) (infra.VMs, error) {
 	l.mu.Lock()
 	known := l.tag
 	l.mu.Unlock()
 	answer, err := post[VMsRequest, VMsAnswer](ctx, l.client, PathVMs, VMsRequest{Known: known})
 	if err != nil {
-		return platform.VMs{}, err
+		return infra.VMs{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !answer.Unchanged {
 		l.tag, l.vms = answer.Tag, answer.VMs
 	} else if answer.Tag != l.tag {
-		return platform.VMs{}, eris.New("list of VMs changed while it was read")
+		return infra.VMs{}, eris.New("list of VMs changed while it was read")
 	}
-	return platform.VMs{VMs: l.vms, Lag: answer.Lag}, nil
+	return infra.VMs{VMs: l.vms, Lag: answer.Lag}, nil
 }
 
-// Start implements platform.Workers.
-func (c *Client) Start(ctx context.Context, request platform.StartRequest) error {
+// Start implements infra.Workers.
+func (c *Client) Start(ctx context.Context, request infra.StartRequest) error {
 	return noAnswer(ctx, c, PathStart, request)
 }
 
-// Renew implements platform.Workers.
-func (c *Client) Renew(ctx context.Context, request platform.RenewRequest) (platform.WorkerReport, error) {
-	return post[platform.RenewRequest, platform.WorkerReport](ctx, c, PathRenew, request)
+// Renew implements infra.Workers.
+func (c *Client) Renew(ctx context.Context, request infra.RenewRequest) (infra.WorkerReport, error) {
+	return post[infra.RenewRequest, infra.WorkerReport](ctx, c, PathRenew, request)
 }
 
-// Stop implements platform.Workers.
-func (c *Client) Stop(ctx context.Context, request platform.StopRequest) error {
+// Stop implements infra.Workers.
+func (c *Client) Stop(ctx context.Context, request infra.StopRequest) error {
 	return noAnswer(ctx, c, PathStop, request)
 }
 
-// Checkpoint implements platform.Workers.
-func (c *Client) Checkpoint(ctx context.Context, request platform.StopRequest) error {
+// Checkpoint implements infra.Workers.
+func (c *Client) Checkpoint(ctx context.Context, request infra.StopRequest) error {
 	return noAnswer(ctx, c, PathCheckpoint, request)
 }
 
-// Throttle implements platform.Workers.
-func (c *Client) Throttle(ctx context.Context, request platform.ThrottleRequest) error {
+// Throttle implements infra.Workers.
+func (c *Client) Throttle(ctx context.Context, request infra.ThrottleRequest) error {
 	return noAnswer(ctx, c, PathThrottle, request)
 }
--- a/platform/httpplatform/client_test.go
+++ b/standin/httpclient/client_test.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpclient
 
 import (
 	"context"
@@ -12,14 +12,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // TestConnectionsAreUsedAgain guards against a new connection for every answer that is too large for one chunk.
 func TestConnectionsAreUsedAgain(t *testing.T) {
 	var connections atomic.Int64
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(platform.KeyValue{Key: strings.Repeat("k", 100_000)})
+		_ = json.NewEncoder(w).Encode(infra.KeyValue{Key: strings.Repeat("k", 100_000)})
 	}))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
@@ -42,19 +42,19 @@
 func TestErrorsKeepTheirMeaning(t *testing.T) {
 	ctx := context.Background()
 	closed := New("http://127.0.0.1:1")
-	_, err := closed.Put(ctx, platform.PutRequest{Key: "k"})
-	assert.ErrorIs(t, err, platform.ErrNotSent)
+	_, err := closed.Put(ctx, infra.PutRequest{Key: "k"})
+	assert.ErrorIs(t, err, infra.ErrNotSent)
 	for code, known := range Errors {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(HeaderError, code)
 			w.WriteHeader(http.StatusConflict)
 		}))
-		_, err := New(server.URL).Put(ctx, platform.PutRequest{Key: "k"})
+		_, err := New(server.URL).Put(ctx, infra.PutRequest{Key: "k"})
 		assert.ErrorIs(t, err, known)
 		server.Close()
 	}
 	cut := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer cut.Close()
-	_, err = New(cut.URL).Put(ctx, platform.PutRequest{Key: "k"})
+	_, err = New(cut.URL).Put(ctx, infra.PutRequest{Key: "k"})
 	assert.ErrorContains(t, err, "EOF")
 }
--- a/platform/httpplatform/endpoints.go
+++ b/standin/httpclient/endpoints.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpclient
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/telemetry"
 )
 
@@ -48,39 +48,39 @@
 // Close drops the idle connections.
 func (e *Endpoints) Close() { e.http.CloseIdleConnections() }
 
-// Call implements platform.Endpoints. The answer is read whole before it is returned. An answer that names another
+// Call implements infra.Endpoints. The answer is read whole before it is returned. An answer that names another
 // request closes its connection, because the answers that follow on it would be shifted as well.
-func (e *Endpoints) Call(ctx context.Context, request platform.EndpointRequest) (platform.EndpointAnswer, error) {
+func (e *Endpoints) Call(ctx context.Context, request infra.EndpointRequest) (infra.EndpointAnswer, error) {
 	var connection atomic.Pointer[net.Conn]
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info.Conn) },
 	})
 	call, err := e.newCall(traced, request)
 	if err != nil {
-		return platform.EndpointAnswer{}, err
+		return infra.EndpointAnswer{}, err
 	}
 	response, err := e.http.Do(call)
 	if err != nil && connection.Load() == nil {
-		return platform.EndpointAnswer{}, eris.Wrap(platform.ErrNotSent, err.Error())
+		return infra.EndpointAnswer{}, eris.Wrap(infra.ErrNotSent, err.Error())
 	}
 	if err != nil {
-		return platform.EndpointAnswer{}, eris.Wrap(err, "call endpoint")
+		return infra.EndpointAnswer{}, eris.Wrap(err, "call endpoint")
 	}
 	defer func() { _ = response.Body.Close() }()
 	if answered := response.Header.Get(HeaderRequestID); answered != request.RequestID {
 		_ = (*connection.Load()).Close()
-		return platform.EndpointAnswer{}, eris.Wrapf(platform.ErrAnswerMismatch, "sent %q, answered %q", request.RequestID, answered)
+		return infra.EndpointAnswer{}, eris.Wrapf(infra.ErrAnswerMismatch, "sent %q, answered %q", request.RequestID, answered)
 	}
 	if response.Header.Get(HeaderError) != "" {
-		return platform.EndpointAnswer{}, answerError(response)
+		return infra.EndpointAnswer{}, answerError(response)
 	}
 	return readAnswer(response)
 }
 
-func (e *Endpoints) newCall(ctx context.Context, request platform.EndpointRequest) (*http.Request, error) {
+func (e *Endpoints) newCall(ctx context.Context, request infra.EndpointRequest) (*http.Request, error) {
 	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+request.Address+PathCall, bytes.NewReader(request.Body))
 	if err != nil {
-		return nil, eris.Wrap(platform.ErrNotSent, err.Error())
+		return nil, eris.Wrap(infra.ErrNotSent, err.Error())
 	}
 	// Without GetBody the transport does not send the request a second time on its own.
 	call.GetBody = nil
@@ -99,21 +99,21 @@
 
 // readAnswer reads the whole body. A body that ends with the connection has no checkable length: a cut answer would
 // look complete, so it is refused.
-func readAnswer(response *http.Response) (platform.EndpointAnswer, error) {
+func readAnswer(response *http.Response) (infra.EndpointAnswer, error) {
 	if response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") {
-		return platform.EndpointAnswer{}, eris.Wrap(platform.ErrAnswerIncomplete, "answer has no length")
+		return infra.EndpointAnswer{}, eris.Wrap(infra.ErrAnswerIncomplete, "answer has no length")
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
 	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return platform.EndpointAnswer{}, eris.Wrap(platform.ErrAnswerIncomplete, err.Error())
+		return infra.EndpointAnswer{}, eris.Wrap(infra.ErrAnswerIncomplete, err.Error())
 	}
 	if err != nil {
-		return platform.EndpointAnswer{}, eris.Wrap(err, "read answer")
+		return infra.EndpointAnswer{}, eris.Wrap(err, "read answer")
 	}
 	if len(body) > MaxAnswerBytes {
-		return platform.EndpointAnswer{}, eris.Errorf("answer is larger than %d bytes", MaxAnswerBytes)
+		return infra.EndpointAnswer{}, eris.Errorf("answer is larger than %d bytes", MaxAnswerBytes)
 	}
-	return platform.EndpointAnswer{
+	return infra.EndpointAnswer{
 		RequestID:   response.Header.Get(HeaderRequestID),
 		Status:      response.StatusCode,
 		Body:        body,
@@ -121,9 +121,9 @@
 	}, nil
 }
 
-// Load implements platform.Endpoints.
-func (e *Endpoints) Load(ctx context.Context, _, address string) (platform.EndpointLoad, error) {
-	var load platform.EndpointLoad
+// Load implements infra.Endpoints.
+func (e *Endpoints) Load(ctx context.Context, _, address string) (infra.EndpointLoad, error) {
+	var load infra.EndpointLoad
 	call, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathLoad, nil)
 	if err != nil {
 		return load, eris.Wrap(err, "build request")
--- a/platform/httpplatform/endpoints_test.go
+++ b/standin/httpclient/endpoints_test.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpclient
 
 import (
 	"context"
@@ -14,17 +14,17 @@
 	"go.opentelemetry.io/otel/propagation"
 	"gotest.tools/v3/assert"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/telemetry"
 )
 
-func callEndpoint(t *testing.T, handler http.HandlerFunc) (platform.EndpointAnswer, error) {
+func callEndpoint(t *testing.T, handler http.HandlerFunc) (infra.EndpointAnswer, error) {
 	t.Helper()
 	s := httptest.NewServer(handler)
 	t.Cleanup(s.Close)
 	endpoints := NewEndpoints(4)
 	t.Cleanup(endpoints.Close)
-	return endpoints.Call(t.Context(), platform.EndpointRequest{Address: s.Listener.Addr().String(), RequestID: "r1"})
+	return endpoints.Call(t.Context(), infra.EndpointRequest{Address: s.Listener.Addr().String(), RequestID: "r1"})
 }
 
 // TestRefusalForAnotherRequestProvesNothing guards against a false "not run" from a shifted refusal.
@@ -33,7 +33,7 @@
 		w.Header().Set(HeaderError, "endpoint_busy")
 		w.Header().Set(HeaderRequestID, "r0")
 	})
-	assert.ErrorIs(t, err, platform.ErrAnswerMismatch)
+	assert.ErrorIs(t, err, infra.ErrAnswerMismatch)
 }
 
 // TestMismatchClosesConnection guards against a connection on which all later answers are shifted by one.
@@ -50,8 +50,8 @@
 	endpoints := NewEndpoints(4)
 	defer endpoints.Close()
 	for range 3 {
-		_, err := endpoints.Call(t.Context(), platform.EndpointRequest{Address: s.Listener.Addr().String(), RequestID: "r1"})
-		assert.ErrorIs(t, err, platform.ErrAnswerMismatch)
+		_, err := endpoints.Call(t.Context(), infra.EndpointRequest{Address: s.Listener.Addr().String(), RequestID: "r1"})
+		assert.ErrorIs(t, err, infra.ErrAnswerMismatch)
 	}
 	mu.Lock()
 	defer mu.Unlock()
@@ -81,7 +81,7 @@
 			_ = buffer.Flush()
 			_ = connection.Close()
 		})
-		assert.ErrorIs(t, err, platform.ErrAnswerIncomplete, "%q", head)
+		assert.ErrorIs(t, err, infra.ErrAnswerIncomplete, "%q", head)
 	}
 }
 
@@ -99,7 +99,7 @@
 	defer close(blocked)
 	endpoints := NewEndpoints(1)
 	defer endpoints.Close()
-	request := platform.EndpointRequest{Address: s.Listener.Addr().String(), RequestID: "r1"}
+	request := infra.EndpointRequest{Address: s.Listener.Addr().String(), RequestID: "r1"}
 	ctx, cancel := context.WithCancel(t.Context())
 	first := make(chan error, 1)
 	go func() {
@@ -111,13 +111,13 @@
 	short, cancelShort := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancelShort()
 	_, err := endpoints.Call(short, request)
-	assert.ErrorIs(t, err, platform.ErrNotSent)
+	assert.ErrorIs(t, err, infra.ErrNotSent)
 	cancel()
 	err = <-first
 	assert.ErrorIs(t, err, context.Canceled)
-	assert.Assert(t, !errors.Is(err, platform.ErrNotSent))
-	_, err = endpoints.Call(t.Context(), platform.EndpointRequest{Address: "127.0.0.1:1", RequestID: "r1"})
-	assert.ErrorIs(t, err, platform.ErrNotSent)
+	assert.Assert(t, !errors.Is(err, infra.ErrNotSent))
+	_, err = endpoints.Call(t.Context(), infra.EndpointRequest{Address: "127.0.0.1:1", RequestID: "r1"})
+	assert.ErrorIs(t, err, infra.ErrNotSent)
 }
 
 // TestTraceAndDeadlineReachEndpoint guards against a trace that ends before the endpoint, and against an endpoint that
@@ -135,7 +135,7 @@
 	ctx := telemetry.Propagator().Extract(t.Context(), propagation.MapCarrier{"traceparent": parent})
 	ctx, cancel := context.WithTimeout(ctx, time.Minute)
 	defer cancel()
-	_, err := endpoints.Call(ctx, platform.EndpointRequest{Address: s.Listener.Addr().String(), RequestID: "r1"})
+	_, err := endpoints.Call(ctx, infra.EndpointRequest{Address: s.Listener.Addr().String(), RequestID: "r1"})
 	assert.NilError(t, err)
 	assert.Equal(t, header.Get("traceparent"), parent)
 	left, err := strconv.Atoi(header.Get(HeaderTimeout))
--- a/platform/httpplatform/protocol.go
+++ b/standin/httpclient/protocol.go
@@ -1,11 +1,11 @@
-// Package httpplatform is the adapter to a platform that speaks HTTP/JSON. Every call is a POST with a JSON body;
+// Package httpclient is the adapter to a platform that speaks HTTP/JSON. Every call is a POST with a JSON body;
 // an error that the system must tell apart is named by the header Platform-Error.
-package httpplatform
+package httpclient
 
 import (
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // Paths of the platform's calls.
@@ -51,33 +51,33 @@
 	Tag       string
 	Unchanged bool
 	Lag       time.Duration
-	VMs       []platform.VM
+	VMs       []infra.VM
 }
 
 // KeyRequest names a key or a prefix.
 type KeyRequest struct {
 	Key      string
-	Expected platform.Revision
+	Expected infra.Revision
 }
 
 // LeaseRequest names a lease or the TTL of a new one.
 type LeaseRequest struct {
-	Lease platform.LeaseID
+	Lease infra.LeaseID
 	TTL   time.Duration
 }
 
 // Errors maps the values of HeaderError to errors.
 var Errors = map[string]error{
-	"not_found":        platform.ErrNotFound,
-	"conflict":         platform.ErrConflict,
-	"lease_expired":    platform.ErrLeaseExpired,
-	"compacted":        platform.ErrCompacted,
-	"too_large":        platform.ErrTooLarge,
-	"not_sent":         platform.ErrNotSent,
-	"stale_epoch":      platform.ErrStaleEpoch,
-	"stale_attempt":    platform.ErrStaleAttempt,
-	"no_room":          platform.ErrNoRoom,
-	"worker_gone":      platform.ErrWorkerGone,
-	"endpoint_busy":    platform.ErrEndpointBusy,
-	"endpoint_leaving": platform.ErrEndpointLeaving,
+	"not_found":        infra.ErrNotFound,
+	"conflict":         infra.ErrConflict,
+	"lease_expired":    infra.ErrLeaseExpired,
+	"compacted":        infra.ErrCompacted,
+	"too_large":        infra.ErrTooLarge,
+	"not_sent":         infra.ErrNotSent,
+	"stale_epoch":      infra.ErrStaleEpoch,
+	"stale_attempt":    infra.ErrStaleAttempt,
+	"no_room":          infra.ErrNoRoom,
+	"worker_gone":      infra.ErrWorkerGone,
+	"endpoint_busy":    infra.ErrEndpointBusy,
+	"endpoint_leaving": infra.ErrEndpointLeaving,
 }
--- a/platform/httpplatform/vms_test.go
+++ b/standin/httpclient/vms_test.go
@@ -1,4 +1,4 @@
-package httpplatform_test
+package httpclient_test
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/httpclient"
 	"siskinstack.example/siskinstack/standin/server"
 )
 
@@ -32,9 +32,9 @@
 // reader that misses a change.
 func TestUnchangedListIsNotSentAgain(t *testing.T) {
 	fake := clock.NewFake(time.Unix(0, 0))
-	vms := make([]platform.VM, 1000)
+	vms := make([]infra.VM, 1000)
 	for i := range vms {
-		vms[i] = platform.VM{Name: string(rune('a'+i%26)) + "worker", Role: platform.RoleWorker, Zone: "z"}
+		vms[i] = infra.VM{Name: string(rune('a'+i%26)) + "worker", Role: infra.RoleWorker, Zone: "z"}
 	}
 	list := standin.NewVMList(fake, time.Second, vms)
 	handler := server.New(standin.NewStore(fake), list, standin.NewWorkers(fake, nil, nil))
@@ -43,7 +43,7 @@
 		handler.ServeHTTP(countingWriter{w, &sent}, r)
 	}))
 	defer site.Close()
-	reader := httpplatform.New(site.URL).VMs()
+	reader := httpclient.New(site.URL).VMs()
 	read := func() (int, int64) {
 		before := sent.Load()
 		got, err := reader.List(context.Background())
@@ -55,7 +55,7 @@
 	n, second := read()
 	assert.Equal(t, n, 1000)
 	assert.Assert(t, second < 128, "%d bytes after %d", second, first)
-	list.Update(func(vms []platform.VM) []platform.VM { return vms[:999] })
+	list.Update(func(vms []infra.VM) []infra.VM { return vms[:999] })
 	fake.Advance(2 * time.Second)
 	n, _ = read()
 	assert.Equal(t, n, 999)
--- a/standin/server/endpoint.go
+++ b/standin/server/endpoint.go
@@ -6,17 +6,17 @@
 	"io"
 	"net/http"
 
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/standin/httpclient"
 )
 
 // NewEndpoint returns a handler for one endpoint.
-func NewEndpoint(name string, endpoints platform.Endpoints) http.Handler {
+func NewEndpoint(name string, endpoints infra.Endpoints) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+httpplatform.PathCall, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST "+httpclient.PathCall, func(w http.ResponseWriter, r *http.Request) {
 		serveCall(w, r, name, endpoints)
 	})
-	mux.HandleFunc("GET "+httpplatform.PathLoad, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+httpclient.PathLoad, func(w http.ResponseWriter, r *http.Request) {
 		load, err := endpoints.Load(r.Context(), name, "")
 		if err != nil {
 			writeError(w, err)
@@ -27,23 +27,23 @@
 	return mux
 }
 
-func serveCall(w http.ResponseWriter, r *http.Request, name string, endpoints platform.Endpoints) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpplatform.MaxAnswerBytes))
+func serveCall(w http.ResponseWriter, r *http.Request, name string, endpoints infra.Endpoints) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpclient.MaxAnswerBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	// Refusals are matched by request like answers.
-	w.Header().Set(httpplatform.HeaderRequestID, r.Header.Get(httpplatform.HeaderRequestID))
-	answer, err := endpoints.Call(r.Context(), platform.EndpointRequest{
+	w.Header().Set(httpclient.HeaderRequestID, r.Header.Get(httpclient.HeaderRequestID))
+	answer, err := endpoints.Call(r.Context(), infra.EndpointRequest{
 		Endpoint:    name,
-		RequestID:   r.Header.Get(httpplatform.HeaderRequestID),
-		From:        r.Header.Get(httpplatform.HeaderFrom),
+		RequestID:   r.Header.Get(httpclient.HeaderRequestID),
+		From:        r.Header.Get(httpclient.HeaderFrom),
 		Body:        body,
 		ContentType: r.Header.Get("Content-Type"),
-		Idempotent:  r.Header.Get(httpplatform.HeaderIdempotent) == "true",
+		Idempotent:  r.Header.Get(httpclient.HeaderIdempotent) == "true",
 	})
-	if errors.Is(err, platform.ErrNotSent) || errors.Is(err, platform.ErrEndpointBusy) || errors.Is(err, platform.ErrEndpointLeaving) {
+	if errors.Is(err, infra.ErrNotSent) || errors.Is(err, infra.ErrEndpointBusy) || errors.Is(err, infra.ErrEndpointLeaving) {
 		writeError(w, err)
 		return
 	}
@@ -51,7 +51,7 @@
 		// The outcome stays unknown to the caller: the connection ends without an answer.
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(httpplatform.HeaderRequestID, answer.RequestID)
+	w.Header().Set(httpclient.HeaderRequestID, answer.RequestID)
 	w.Header().Set("Content-Type", answer.ContentType)
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
--- a/standin/server/hostile.go
+++ b/standin/server/hostile.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/standin/httpclient"
 )
 
 // Fault is what a hostile endpoint does to one answer.
@@ -74,11 +74,11 @@
 		if err != nil {
 			return
 		}
-		if request.URL.Path == httpplatform.PathLoad {
+		if request.URL.Path == httpclient.PathLoad {
 			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"in_flight\":{}}")
 			continue
 		}
-		if !h.answer(connection, request.Header.Get(httpplatform.HeaderRequestID), string(body)) {
+		if !h.answer(connection, request.Header.Get(httpclient.HeaderRequestID), string(body)) {
 			return
 		}
 	}
@@ -99,9 +99,9 @@
 	case FaultTwice:
 		whole += whole
 	case FaultForeignRefusal:
-		whole = strings.Replace(rawAnswer("another", ""), "\r\n", "\r\n"+httpplatform.HeaderError+": endpoint_busy\r\n", 1)
+		whole = strings.Replace(rawAnswer("another", ""), "\r\n", "\r\n"+httpclient.HeaderError+": endpoint_busy\r\n", 1)
 	case FaultNoLength:
-		whole = "HTTP/1.1 200 OK\r\n" + httpplatform.HeaderRequestID + ": " + id + "\r\n\r\ndone half"
+		whole = "HTTP/1.1 200 OK\r\n" + httpclient.HeaderRequestID + ": " + id + "\r\n\r\ndone half"
 	case FaultSilent:
 		whole = ""
 	case FaultNone:
@@ -111,5 +111,5 @@
 }
 
 func rawAnswer(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", httpplatform.HeaderRequestID, id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", httpclient.HeaderRequestID, id, len(body), body)
 }
--- a/standin/server/links.go
+++ b/standin/server/links.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 )
 
@@ -21,7 +21,7 @@
 	network *standin.Network
 }
 
-func newLinks(c clock.Clock, zone time.Duration, fleet []platform.VM, network *standin.Network) *links {
+func newLinks(c clock.Clock, zone time.Duration, fleet []infra.VM, network *standin.Network) *links {
 	l := &links{clock: c, zone: zone, zones: map[string]string{}, network: network}
 	for _, vm := range fleet {
 		l.zones[vm.Name] = vm.Zone
@@ -60,115 +60,115 @@
 
 // linkedStore is as far from every VM as another zone.
 type linkedStore struct {
-	store platform.Store
+	store infra.Store
 	links *links
 }
 
-// Get implements platform.Store.
-func (s linkedStore) Get(ctx context.Context, key string) (platform.KeyValue, error) {
-	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.KeyValue, error) {
+// Get implements infra.Store.
+func (s linkedStore) Get(ctx context.Context, key string) (infra.KeyValue, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (infra.KeyValue, error) {
 		return s.store.Get(ctx, key)
 	})
 }
 
-// List implements platform.Store.
-func (s linkedStore) List(ctx context.Context, prefix string) (platform.Listing, error) {
-	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.Listing, error) {
+// List implements infra.Store.
+func (s linkedStore) List(ctx context.Context, prefix string) (infra.Listing, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (infra.Listing, error) {
 		return s.store.List(ctx, prefix)
 	})
 }
 
-// Put implements platform.Store.
-func (s linkedStore) Put(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
-	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.Revision, error) {
+// Put implements infra.Store.
+func (s linkedStore) Put(ctx context.Context, request infra.PutRequest) (infra.Revision, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (infra.Revision, error) {
 		return s.store.Put(ctx, request)
 	})
 }
 
-// Delete implements platform.Store.
-func (s linkedStore) Delete(ctx context.Context, key string, expected platform.Revision) error {
+// Delete implements infra.Store.
+func (s linkedStore) Delete(ctx context.Context, key string, expected infra.Revision) error {
 	return overNoAnswer(ctx, s.links, StoreName, func() error { return s.store.Delete(ctx, key, expected) })
 }
 
-// GrantLease implements platform.Store.
-func (s linkedStore) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.LeaseID, error) {
+// GrantLease implements infra.Store.
+func (s linkedStore) GrantLease(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (infra.LeaseID, error) {
 		return s.store.GrantLease(ctx, ttl)
 	})
 }
 
-// RenewLease implements platform.Store.
-func (s linkedStore) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+// RenewLease implements infra.Store.
+func (s linkedStore) RenewLease(ctx context.Context, lease infra.LeaseID) error {
 	return overNoAnswer(ctx, s.links, StoreName, func() error { return s.store.RenewLease(ctx, lease) })
 }
 
-// RevokeLease implements platform.Store.
-func (s linkedStore) RevokeLease(ctx context.Context, lease platform.LeaseID) error {
+// RevokeLease implements infra.Store.
+func (s linkedStore) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
 	return overNoAnswer(ctx, s.links, StoreName, func() error { return s.store.RevokeLease(ctx, lease) })
 }
 
-// Watch implements platform.Store.
-func (s linkedStore) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
-	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (platform.WatchResult, error) {
+// Watch implements infra.Store.
+func (s linkedStore) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
+	return over(ctx, s.links, standin.Caller(ctx), StoreName, func() (infra.WatchResult, error) {
 		return s.store.Watch(ctx, request)
 	})
 }
 
 type linkedVMs struct {
-	vms   platform.VMList
+	vms   infra.VMList
 	links *links
 }
 
-// List implements platform.VMList.
-func (v linkedVMs) List(ctx context.Context) (platform.VMs, error) {
-	return over(ctx, v.links, standin.Caller(ctx), StoreName, func() (platform.VMs, error) { return v.vms.List(ctx) })
+// List implements infra.VMList.
+func (v linkedVMs) List(ctx context.Context) (infra.VMs, error) {
+	return over(ctx, v.links, standin.Caller(ctx), StoreName, func() (infra.VMs, error) { return v.vms.List(ctx) })
 }
 
 type linkedWorkers struct {
-	workers platform.Workers
+	workers infra.Workers
 	links   *links
 }
 
-// Start implements platform.Workers.
-func (w linkedWorkers) Start(ctx context.Context, request platform.StartRequest) error {
+// Start implements infra.Workers.
+func (w linkedWorkers) Start(ctx context.Context, request infra.StartRequest) error {
 	return overNoAnswer(ctx, w.links, request.Worker, func() error { return w.workers.Start(ctx, request) })
 }
 
-// Renew implements platform.Workers.
-func (w linkedWorkers) Renew(ctx context.Context, request platform.RenewRequest) (platform.WorkerReport, error) {
-	return over(ctx, w.links, standin.Caller(ctx), request.Worker, func() (platform.WorkerReport, error) {
+// Renew implements infra.Workers.
+func (w linkedWorkers) Renew(ctx context.Context, request infra.RenewRequest) (infra.WorkerReport, error) {
+	return over(ctx, w.links, standin.Caller(ctx), request.Worker, func() (infra.WorkerReport, error) {
 		return w.workers.Renew(ctx, request)
 	})
 }
 
-// Stop implements platform.Workers.
-func (w linkedWorkers) Stop(ctx context.Context, request platform.StopRequest) error {
+// Stop implements infra.Workers.
+func (w linkedWorkers) Stop(ctx context.Context, request infra.StopRequest) error {
 	return overNoAnswer(ctx, w.links, request.Worker, func() error { return w.workers.Stop(ctx, request) })
 }
 
-// Checkpoint implements platform.Workers.
-func (w linkedWorkers) Checkpoint(ctx context.Context, request platform.StopRequest) error {
+// Checkpoint implements infra.Workers.
+func (w linkedWorkers) Checkpoint(ctx context.Context, request infra.StopRequest) error {
 	return overNoAnswer(ctx, w.links, request.Worker, func() error { return w.workers.Checkpoint(ctx, request) })
 }
 
-// Throttle implements platform.Workers.
-func (w linkedWorkers) Throttle(ctx context.Context, request platform.ThrottleRequest) error {
+// Throttle implements infra.Workers.
+func (w linkedWorkers) Throttle(ctx context.Context, request infra.ThrottleRequest) error {
 	return overNoAnswer(ctx, w.links, request.Worker, func() error { return w.workers.Throttle(ctx, request) })
 }
 
 type linkedEndpoints struct {
-	endpoints platform.Endpoints
+	endpoints infra.Endpoints
 	links     *links
 }
 
-// Call implements platform.Endpoints.
-func (e linkedEndpoints) Call(ctx context.Context, request platform.EndpointRequest) (platform.EndpointAnswer, error) {
-	return over(ctx, e.links, request.From, request.Endpoint, func() (platform.EndpointAnswer, error) {
+// Call implements infra.Endpoints.
+func (e linkedEndpoints) Call(ctx context.Context, request infra.EndpointRequest) (infra.EndpointAnswer, error) {
+	return over(ctx, e.links, request.From, request.Endpoint, func() (infra.EndpointAnswer, error) {
 		return e.endpoints.Call(ctx, request)
 	})
 }
 
-// Load implements platform.Endpoints.
-func (e linkedEndpoints) Load(ctx context.Context, endpoint, address string) (platform.EndpointLoad, error) {
+// Load implements infra.Endpoints.
+func (e linkedEndpoints) Load(ctx context.Context, endpoint, address string) (infra.EndpointLoad, error) {
 	return e.endpoints.Load(ctx, endpoint, address)
 }
--- a/standin/server/platform.go
+++ b/standin/server/platform.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 	"siskinstack.example/siskinstack/standin/site"
 )
@@ -34,7 +34,7 @@
 	VMs       *standin.VMList
 	Workers   *standin.Workers
 	Endpoints *standin.Endpoints
-	Fleet     []platform.VM
+	Fleet     []infra.VM
 	// Network holds the cuts between the VMs of the fleet, and between them and StoreName. Calls that name their VM are
 	// held back by them; connections between entry VMs are too if they are made with Network.Dialer.
 	Network *standin.Network
@@ -93,7 +93,7 @@
 func (p *Platform) listenEndpoints() (map[string]net.Listener, error) {
 	listeners := map[string]net.Listener{}
 	for i := range p.Fleet {
-		if p.Fleet[i].Role != platform.RoleEndpoint {
+		if p.Fleet[i].Role != infra.RoleEndpoint {
 			continue
 		}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -12,35 +12,35 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/standin/httpclient"
 )
 
 // maxBodyBytes bounds a request: a store value of a megabyte grows by a third in base64.
 const maxBodyBytes = 2 << 20
 
 // New returns a handler for the platform's parts.
-func New(store platform.Store, vms platform.VMList, workers platform.Workers) http.Handler {
+func New(store infra.Store, vms infra.VMList, workers infra.Workers) http.Handler {
 	mux := http.NewServeMux()
 	handleStore(mux, store)
 	handleWorkers(mux, workers)
-	handle(mux, httpplatform.PathVMs, func(ctx context.Context, r httpplatform.VMsRequest) (httpplatform.VMsAnswer, error) {
+	handle(mux, httpclient.PathVMs, func(ctx context.Context, r httpclient.VMsRequest) (httpclient.VMsAnswer, error) {
 		return listVMs(ctx, vms, r)
 	})
 	return mux
 }
 
 // listVMs leaves the list out if the caller has it already.
-func listVMs(ctx context.Context, vms platform.VMList, r httpplatform.VMsRequest) (httpplatform.VMsAnswer, error) {
+func listVMs(ctx context.Context, vms infra.VMList, r httpclient.VMsRequest) (httpclient.VMsAnswer, error) {
 	list, err := vms.List(ctx)
 	if err != nil {
-		return httpplatform.VMsAnswer{}, err
+		return httpclient.VMsAnswer{}, err
 	}
 	text, err := json.Marshal(list.VMs)
 	if err != nil {
-		return httpplatform.VMsAnswer{}, err
+		return httpclient.VMsAnswer{}, err
 	}
-	answer := httpplatform.VMsAnswer{Tag: strconv.FormatUint(xxhash.Sum64(text), 16), Lag: list.Lag}
+	answer := httpclient.VMsAnswer{Tag: strconv.FormatUint(xxhash.Sum64(text), 16), Lag: list.Lag}
 	if answer.Tag == r.Known {
 		answer.Unchanged = true
 		return answer, nil
@@ -49,35 +49,35 @@
 	return answer, nil
 }
 
-func handleStore(mux *http.ServeMux, store platform.Store) {
-	handle(mux, httpplatform.PathGet, func(ctx context.Context, r httpplatform.KeyRequest) (platform.KeyValue, error) {
+func handleStore(mux *http.ServeMux, store infra.Store) {
+	handle(mux, httpclient.PathGet, func(ctx context.Context, r httpclient.KeyRequest) (infra.KeyValue, error) {
 		return store.Get(ctx, r.Key)
 	})
-	handle(mux, httpplatform.PathList, func(ctx context.Context, r httpplatform.KeyRequest) (platform.Listing, error) {
+	handle(mux, httpclient.PathList, func(ctx context.Context, r httpclient.KeyRequest) (infra.Listing, error) {
 		return store.List(ctx, r.Key)
 	})
-	handle(mux, httpplatform.PathPut, store.Put)
-	handle(mux, httpplatform.PathDelete, func(ctx context.Context, r httpplatform.KeyRequest) (struct{}, error) {
+	handle(mux, httpclient.PathPut, store.Put)
+	handle(mux, httpclient.PathDelete, func(ctx context.Context, r httpclient.KeyRequest) (struct{}, error) {
 		return struct{}{}, store.Delete(ctx, r.Key, r.Expected)
 	})
-	handle(mux, httpplatform.PathGrant, func(ctx context.Context, r httpplatform.LeaseRequest) (platform.LeaseID, error) {
+	handle(mux, httpclient.PathGrant, func(ctx context.Context, r httpclient.LeaseRequest) (infra.LeaseID, error) {
 		return store.GrantLease(ctx, r.TTL)
 	})
-	handle(mux, httpplatform.PathRenewLease, func(ctx context.Context, r httpplatform.LeaseRequest) (struct{}, error) {
+	handle(mux, httpclient.PathRenewLease, func(ctx context.Context, r httpclient.LeaseRequest) (struct{}, error) {
 		return struct{}{}, store.RenewLease(ctx, r.Lease)
 	})
-	handle(mux, httpplatform.PathRevoke, func(ctx context.Context, r httpplatform.LeaseRequest) (struct{}, error) {
+	handle(mux, httpclient.PathRevoke, func(ctx context.Context, r httpclient.LeaseRequest) (struct{}, error) {
 		return struct{}{}, store.RevokeLease(ctx, r.Lease)
 	})
-	handle(mux, httpplatform.PathWatch, store.Watch)
+	handle(mux, httpclient.PathWatch, store.Watch)
 }
 
-func handleWorkers(mux *http.ServeMux, workers platform.Workers) {
-	handle(mux, httpplatform.PathStart, noAnswer(workers.Start))
-	handle(mux, httpplatform.PathRenew, workers.Renew)
-	handle(mux, httpplatform.PathStop, noAnswer(workers.Stop))
-	handle(mux, httpplatform.PathCheckpoint, noAnswer(workers.Checkpoint))
-	handle(mux, httpplatform.PathThrottle, noAnswer(workers.Throttle))
+func handleWorkers(mux *http.ServeMux, workers infra.Workers) {
+	handle(mux, httpclient.PathStart, noAnswer(workers.Start))
+	handle(mux, httpclient.PathRenew, workers.Renew)
+	handle(mux, httpclient.PathStop, noAnswer(workers.Stop))
+	handle(mux, httpclient.PathCheckpoint, noAnswer(workers.Checkpoint))
+	handle(mux, httpclient.PathThrottle, noAnswer(workers.Throttle))
 }
 
 func noAnswer[Q any](call func(context.Context, Q) error) func(context.Context, Q) (struct{}, error) {
@@ -124,9 +124,9 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	for code, known := range httpplatform.Errors {
+	for code, known := range httpclient.Errors {
 		if errors.Is(err, known) {
-			w.Header().Set(httpplatform.HeaderError, code)
+			w.Header().Set(httpclient.HeaderError, code)
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
 		}
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -8,9 +8,9 @@
 	"gotest.tools/v3/assert"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
-	"siskinstack.example/siskinstack/platform/httpplatform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
+	"siskinstack.example/siskinstack/standin/httpclient"
 	"siskinstack.example/siskinstack/standin/site"
 )
 
@@ -18,7 +18,7 @@
 	t.Helper()
 	p, err := Start(Options{
 		Site: site.Jadeleaf(), Clock: clock.Real{},
-		Plan: func(platform.StartRequest) standin.TaskPlan { return standin.TaskPlan{} },
+		Plan: func(infra.StartRequest) standin.TaskPlan { return standin.TaskPlan{} },
 		Work: func(string, []byte) time.Duration { return time.Millisecond },
 	})
 	assert.NilError(t, err)
@@ -30,16 +30,16 @@
 func TestCallersAreToldApart(t *testing.T) {
 	ctx := context.Background()
 	p := startTest(t)
-	a, b := httpplatform.New(p.URLFor("entry-0")), httpplatform.New(p.URLFor("entry-1"))
+	a, b := httpclient.New(p.URLFor("entry-0")), httpclient.New(p.URLFor("entry-1"))
 	defer a.Close()
 	defer b.Close()
 	p.Store.SetFaultsFor("entry-0", standin.StoreFaults{Down: true})
-	_, err := a.Put(ctx, platform.PutRequest{Key: "k"})
+	_, err := a.Put(ctx, infra.PutRequest{Key: "k"})
 	assert.ErrorContains(t, err, "unavailable")
-	_, err = b.Put(ctx, platform.PutRequest{Key: "k"})
+	_, err = b.Put(ctx, infra.PutRequest{Key: "k"})
 	assert.NilError(t, err)
-	_, err = b.Put(ctx, platform.PutRequest{Key: "k"})
-	assert.ErrorIs(t, err, platform.ErrConflict)
+	_, err = b.Put(ctx, infra.PutRequest{Key: "k"})
+	assert.ErrorIs(t, err, infra.ErrConflict)
 	list, err := b.VMs().List(ctx)
 	assert.NilError(t, err)
 	assert.Equal(t, len(list.VMs), 106)
@@ -48,7 +48,7 @@
 // TestCuts guards against cuts over HTTP that reach other VMs, fail at once, or undo a call whose answer they lose.
 func TestCuts(t *testing.T) {
 	p := startTest(t)
-	inside, outside := httpplatform.New(p.URLFor("entry-0")), httpplatform.New(p.URLFor("entry-1"))
+	inside, outside := httpclient.New(p.URLFor("entry-0")), httpclient.New(p.URLFor("entry-1"))
 	defer inside.Close()
 	defer outside.Close()
 	short := func() context.Context {
@@ -57,16 +57,16 @@
 		return ctx
 	}
 	p.Network.CutZone("taichung-1")
-	_, err := inside.Put(short(), platform.PutRequest{Key: "k"})
+	_, err := inside.Put(short(), infra.PutRequest{Key: "k"})
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
-	start := platform.StartRequest{Worker: "worker-0", Lease: time.Second}
+	start := infra.StartRequest{Worker: "worker-0", Lease: time.Second}
 	assert.NilError(t, inside.Start(context.Background(), start), "workers of the own zone are not cut off")
 	assert.ErrorIs(t, outside.Start(short(), start), context.DeadlineExceeded)
 	_, err = outside.Get(context.Background(), "k")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, infra.ErrNotFound)
 	p.Network.HealZone("taichung-1")
 	p.Network.Cut(StoreName, "entry-0")
-	_, err = inside.Put(short(), platform.PutRequest{Key: "k"})
+	_, err = inside.Put(short(), infra.PutRequest{Key: "k"})
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	_, err = outside.Get(context.Background(), "k")
 	assert.NilError(t, err, "the write took effect, only its answer was lost")
@@ -77,9 +77,9 @@
 	ctx := context.Background()
 	p := startTest(t)
 	vm := p.Fleet[len(p.Fleet)-1]
-	caller := httpplatform.NewEndpoints(2)
+	caller := httpclient.NewEndpoints(2)
 	defer caller.Close()
-	request := platform.EndpointRequest{
+	request := infra.EndpointRequest{
 		Endpoint: vm.Name, Address: vm.Address, RequestID: "r", From: "entry-1", Body: []byte("x"),
 	}
 	answer, err := caller.Call(ctx, request)
@@ -91,7 +91,7 @@
 	assert.ErrorContains(t, err, "EOF")
 	p.Endpoints.SetLeaving(vm.Name)
 	_, err = caller.Call(ctx, request)
-	assert.ErrorIs(t, err, platform.ErrEndpointLeaving)
+	assert.ErrorIs(t, err, infra.ErrEndpointLeaving)
 	assert.Equal(t, len(p.Endpoints.Runs()), 2)
 	assert.Assert(t, p.Endpoints.PeakConnections(vm.Name) > 0)
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -9,8 +9,8 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/examples"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/jsoncheck"
-	"siskinstack.example/siskinstack/platform"
 	"siskinstack.example/siskinstack/resource"
 )
 
@@ -129,21 +129,21 @@
 func (s Site) Zone(i int) string { return s.Zones[i%len(s.Zones)] }
 
 // Fleet returns all VMs; endpoints still need their addresses. Racks hold workers of one zone only.
-func (s Site) Fleet() []platform.VM {
-	var vms []platform.VM
+func (s Site) Fleet() []infra.VM {
+	var vms []infra.VM
 	for i := range s.EntryVMs {
-		vms = append(vms, platform.VM{Name: s.EntryVM(i), Role: platform.RoleEntry, Zone: s.Zone(i)})
+		vms = append(vms, infra.VM{Name: s.EntryVM(i), Role: infra.RoleEntry, Zone: s.Zone(i)})
 	}
 	for i := range s.Workers {
 		rack := i / len(s.Zones) / s.WorkersPerRack
-		vms = append(vms, platform.VM{
-			Name: fmt.Sprintf("worker-%d", i), Role: platform.RoleWorker, Zone: s.Zone(i),
+		vms = append(vms, infra.VM{
+			Name: fmt.Sprintf("worker-%d", i), Role: infra.RoleWorker, Zone: s.Zone(i),
 			Rack: fmt.Sprintf("%s-rack-%d", s.Zone(i), rack), Room: s.WorkerRoom,
 		})
 	}
 	for i := range s.Endpoints {
-		vms = append(vms, platform.VM{
-			Name: fmt.Sprintf("endpoint-%d", i), Role: platform.RoleEndpoint, Zone: s.Zone(i), Service: s.Service,
+		vms = append(vms, infra.VM{
+			Name: fmt.Sprintf("endpoint-%d", i), Role: infra.RoleEndpoint, Zone: s.Zone(i), Service: s.Service,
 		})
 	}
 	return vms
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // TestStoreFaultsPerVM guards against a cut between one VM and the store that reaches other VMs.
@@ -18,13 +18,13 @@
 	s := NewStore(clock.NewFake(origin))
 	a, b := WithCaller(context.Background(), "a"), WithCaller(context.Background(), "b")
 	s.SetFaultsFor("a", StoreFaults{Down: true})
-	_, err := s.Put(a, platform.PutRequest{Key: "k"})
+	_, err := s.Put(a, infra.PutRequest{Key: "k"})
 	assert.ErrorIs(t, err, errUnavailable)
-	_, err = s.Put(b, platform.PutRequest{Key: "k"})
+	_, err = s.Put(b, infra.PutRequest{Key: "k"})
 	assert.NilError(t, err)
 	s.Heal()
 	s.SetFaultsFor("a", StoreFaults{LoseAnswers: 1})
-	_, err = s.Put(a, platform.PutRequest{Key: "l"})
+	_, err = s.Put(a, infra.PutRequest{Key: "l"})
 	assert.ErrorIs(t, err, errAnswerLost)
 	_, err = s.Get(a, "l")
 	assert.NilError(t, err, "the write took effect")
@@ -39,12 +39,12 @@
 	s := NewStore(clock.NewFake(origin))
 	s.SetHistory(2)
 	for _, key := range []string{"a", "b", "c"} {
-		_, err := s.Put(ctx, platform.PutRequest{Key: key})
+		_, err := s.Put(ctx, infra.PutRequest{Key: key})
 		assert.NilError(t, err)
 	}
-	_, err := s.Watch(ctx, platform.WatchRequest{After: 0, Wait: time.Second})
-	assert.ErrorIs(t, err, platform.ErrCompacted)
-	result, err := s.Watch(ctx, platform.WatchRequest{After: 1, Wait: time.Second})
+	_, err := s.Watch(ctx, infra.WatchRequest{After: 0, Wait: time.Second})
+	assert.ErrorIs(t, err, infra.ErrCompacted)
+	result, err := s.Watch(ctx, infra.WatchRequest{After: 1, Wait: time.Second})
 	assert.NilError(t, err)
 	assert.Equal(t, len(result.Events), 2)
 }
@@ -54,7 +54,7 @@
 	s := NewStore(clock.NewFake(origin))
 	failed := make(chan error, 1)
 	go func() {
-		_, err := s.Watch(WithCaller(context.Background(), "a"), platform.WatchRequest{Wait: time.Minute})
+		_, err := s.Watch(WithCaller(context.Background(), "a"), infra.WatchRequest{Wait: time.Minute})
 		failed <- err
 	}()
 	for s.Counts().OpenWatches == 0 {
@@ -73,22 +73,22 @@
 	s := NewStore(fake)
 	lease, err := s.GrantLease(ctx, 3*time.Second)
 	assert.NilError(t, err)
-	_, err = s.Put(ctx, platform.PutRequest{Key: "k", Lease: lease})
+	_, err = s.Put(ctx, infra.PutRequest{Key: "k", Lease: lease})
 	assert.NilError(t, err)
 	fake.Advance(2 * time.Second)
 	assert.NilError(t, s.RenewLease(ctx, lease))
 	fake.Advance(3*time.Second + time.Millisecond)
 	_, err = s.Get(ctx, "k")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
-	assert.ErrorIs(t, s.RenewLease(ctx, lease), platform.ErrLeaseExpired)
+	assert.ErrorIs(t, err, infra.ErrNotFound)
+	assert.ErrorIs(t, s.RenewLease(ctx, lease), infra.ErrLeaseExpired)
 }
 
 // TestVMListLag guards against a list that shows changes at once.
 func TestVMListLag(t *testing.T) {
 	ctx := context.Background()
 	fake := clock.NewFake(origin)
-	l := NewVMList(fake, 2*time.Second, []platform.VM{{Name: "a"}})
-	l.Update(func([]platform.VM) []platform.VM { return nil })
+	l := NewVMList(fake, 2*time.Second, []infra.VM{{Name: "a"}})
+	l.Update(func([]infra.VM) []infra.VM { return nil })
 	seen, err := l.List(ctx)
 	assert.NilError(t, err)
 	assert.Equal(t, len(seen.VMs), 1)
@@ -100,7 +100,7 @@
 
 func testEndpoints() (*Endpoints, *clock.Fake) {
 	fake := clock.NewFake(origin)
-	return NewEndpoints(fake, []platform.VM{{Name: "e", Role: platform.RoleEndpoint}}, EndpointOptions{
+	return NewEndpoints(fake, []infra.VM{{Name: "e", Role: infra.RoleEndpoint}}, EndpointOptions{
 		Slots: 1, Connections: 1, Work: func(string, []byte) time.Duration { return time.Second },
 	}), fake
 }
@@ -111,21 +111,21 @@
 	ctx, cut := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		_, err := e.Call(ctx, platform.EndpointRequest{Endpoint: "e", RequestID: "1", From: "vm"})
+		_, err := e.Call(ctx, infra.EndpointRequest{Endpoint: "e", RequestID: "1", From: "vm"})
 		done <- err
 	}()
 	for fake.Sleepers() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	_, err := e.Call(ctx, platform.EndpointRequest{Endpoint: "e", RequestID: "2"})
-	assert.ErrorIs(t, err, platform.ErrEndpointBusy)
+	_, err := e.Call(ctx, infra.EndpointRequest{Endpoint: "e", RequestID: "2"})
+	assert.ErrorIs(t, err, infra.ErrEndpointBusy)
 	load, err := e.Load(ctx, "e", "")
 	assert.NilError(t, err)
 	assert.Equal(t, load.InFlight["vm"], 1)
 	e.SetLeaving("e")
 	fake.Advance(500 * time.Millisecond)
-	_, err = e.Call(ctx, platform.EndpointRequest{Endpoint: "e", RequestID: "3"})
-	assert.ErrorIs(t, err, platform.ErrEndpointLeaving)
+	_, err = e.Call(ctx, infra.EndpointRequest{Endpoint: "e", RequestID: "3"})
+	assert.ErrorIs(t, err, infra.ErrEndpointLeaving)
 	assert.Equal(t, e.Refusals()[1].AfterLeaving, 500*time.Millisecond)
 	cut()
 	assert.ErrorIs(t, <-done, context.Canceled)
--- a/standin/store.go
+++ b/standin/store.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // maxStoreEvents bounds the history that a watch can start from.
@@ -71,15 +71,15 @@
 	gate  *gate
 
 	mu        sync.Mutex // guards all fields below
-	revision  platform.Revision
-	keys      map[string]platform.KeyValue
-	leases    map[platform.LeaseID]*storeLease
-	nextLease platform.LeaseID
-	events    []platform.Event
+	revision  infra.Revision
+	keys      map[string]infra.KeyValue
+	leases    map[infra.LeaseID]*storeLease
+	nextLease infra.LeaseID
+	events    []infra.Event
 	changed   chan struct{} // closed and replaced on every change
 	counts    StoreCounts
 	// compacted is the highest revision that is no longer in events; historyBytes is the size of events.
-	compacted    platform.Revision
+	compacted    infra.Revision
 	maxEvents    int
 	historyBytes int
 }
@@ -95,8 +95,8 @@
 		clock:     c,
 		gate:      newGate(c),
 		maxEvents: maxStoreEvents,
-		keys:      map[string]platform.KeyValue{},
-		leases:    map[platform.LeaseID]*storeLease{},
+		keys:      map[string]infra.KeyValue{},
+		leases:    map[infra.LeaseID]*storeLease{},
 		changed:   make(chan struct{}),
 		counts:    StoreCounts{Kinds: map[StoreCall]int64{}, VMs: map[string]int64{}},
 	}
@@ -143,9 +143,9 @@
 }
 
 // Get returns one key.
-func (s *Store) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (s *Store) Get(ctx context.Context, key string) (infra.KeyValue, error) {
 	if err := s.gate.enter(ctx); err != nil {
-		return platform.KeyValue{}, err
+		return infra.KeyValue{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,21 +153,21 @@
 	s.expireLeases()
 	kv, ok := s.keys[key]
 	if !ok {
-		return platform.KeyValue{}, platform.ErrNotFound
+		return infra.KeyValue{}, infra.ErrNotFound
 	}
 	return kv, nil
 }
 
 // List returns all keys with a prefix in order.
-func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
+func (s *Store) List(ctx context.Context, prefix string) (infra.Listing, error) {
 	if err := s.gate.enter(ctx); err != nil {
-		return platform.Listing{}, err
+		return infra.Listing{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.count(ctx, CallList)
 	s.expireLeases()
-	listing := platform.Listing{Revision: s.revision}
+	listing := infra.Listing{Revision: s.revision}
 	for key, kv := range s.keys {
 		if strings.HasPrefix(key, prefix) {
 			listing.Entries = append(listing.Entries, kv)
@@ -178,7 +178,7 @@
 }
 
 // Put writes a key if it has the expected revision.
-func (s *Store) Put(ctx context.Context, request platform.PutRequest) (platform.Revision, error) {
+func (s *Store) Put(ctx context.Context, request infra.PutRequest) (infra.Revision, error) {
 	if err := s.gate.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -186,29 +186,29 @@
 	defer s.mu.Unlock()
 	s.counts.count(ctx, CallPut)
 	s.expireLeases()
-	if len(request.Value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(request.Value) > infra.MaxValueBytes {
+		return 0, infra.ErrTooLarge
 	}
 	if s.keys[request.Key].Revision != request.Expected {
-		return 0, platform.ErrConflict
+		return 0, infra.ErrConflict
 	}
 	if request.Lease != 0 && s.leases[request.Lease] == nil {
-		return 0, platform.ErrLeaseExpired
+		return 0, infra.ErrLeaseExpired
 	}
 	s.revision++
-	kv := platform.KeyValue{
+	kv := infra.KeyValue{
 		Key:      request.Key,
 		Value:    append([]byte(nil), request.Value...),
 		Revision: s.revision,
 		Lease:    request.Lease,
 	}
 	s.keys[request.Key] = kv
-	s.record(platform.Event{KeyValue: kv})
+	s.record(infra.Event{KeyValue: kv})
 	return kv.Revision, s.gate.loseAnswer(ctx)
 }
 
 // Delete removes a key if it has the expected revision.
-func (s *Store) Delete(ctx context.Context, key string, expected platform.Revision) error {
+func (s *Store) Delete(ctx context.Context, key string, expected infra.Revision) error {
 	if err := s.gate.enter(ctx); err != nil {
 		return err
 	}
@@ -218,17 +218,17 @@
 	s.expireLeases()
 	kv, ok := s.keys[key]
 	if !ok {
-		return platform.ErrNotFound
+		return infra.ErrNotFound
 	}
 	if kv.Revision != expected {
-		return platform.ErrConflict
+		return infra.ErrConflict
 	}
 	s.remove(key)
 	return s.gate.loseAnswer(ctx)
 }
 
 // GrantLease starts a lease.
-func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	if err := s.gate.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -241,7 +241,7 @@
 }
 
 // RenewLease extends a lease by its TTL.
-func (s *Store) RenewLease(ctx context.Context, id platform.LeaseID) error {
+func (s *Store) RenewLease(ctx context.Context, id infra.LeaseID) error {
 	if err := s.gate.enter(ctx); err != nil {
 		return err
 	}
@@ -251,14 +251,14 @@
 	s.expireLeases()
 	lease, ok := s.leases[id]
 	if !ok {
-		return platform.ErrLeaseExpired
+		return infra.ErrLeaseExpired
 	}
 	lease.expires = s.clock.Now().Add(lease.ttl)
 	return s.gate.loseAnswer(ctx)
 }
 
 // RevokeLease ends a lease and removes its keys.
-func (s *Store) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+func (s *Store) RevokeLease(ctx context.Context, id infra.LeaseID) error {
 	if err := s.gate.enter(ctx); err != nil {
 		return err
 	}
@@ -279,7 +279,7 @@
 	}
 }
 
-func (s *Store) endLease(id platform.LeaseID) {
+func (s *Store) endLease(id infra.LeaseID) {
 	if _, ok := s.leases[id]; !ok {
 		return
 	}
@@ -294,10 +294,10 @@
 func (s *Store) remove(key string) {
 	s.revision++
 	delete(s.keys, key)
-	s.record(platform.Event{KeyValue: platform.KeyValue{Key: key, Revision: s.revision}, Deleted: true})
+	s.record(infra.Event{KeyValue: infra.KeyValue{Key: key, Revision: s.revision}, Deleted: true})
 }
 
-func (s *Store) record(event platform.Event) {
+func (s *Store) record(event infra.Event) {
 	s.events = append(s.events, event)
 	s.historyBytes += len(event.Value)
 	s.trimHistory()
@@ -309,7 +309,7 @@
 	for len(s.events) > s.maxEvents || s.historyBytes > maxHistoryBytes && len(s.events) > 1 {
 		s.compacted = s.events[0].Revision
 		s.historyBytes -= len(s.events[0].Value)
-		s.events[0] = platform.Event{}
+		s.events[0] = infra.Event{}
 		s.events = s.events[1:]
 	}
 }
