--- a/standin/store_watch.go
+++ b/standin/store_watch.go
@@ -6,16 +6,16 @@
 	"strings"
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // leaseSweepInterval is how often a waiting watch looks for expired leases.
 const leaseSweepInterval = 50 * time.Millisecond
 
 // Watch returns the changes after a revision, waiting for the first one up to the requested time.
-func (s *Store) Watch(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, error) {
+func (s *Store) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
 	if err := s.gate.enter(ctx); err != nil {
-		return platform.WatchResult{}, err
+		return infra.WatchResult{}, err
 	}
 	s.openWatch(ctx)
 	defer s.closeWatch()
@@ -30,7 +30,7 @@
 			continue
 		}
 		if ctx.Err() != nil {
-			return platform.WatchResult{}, ctx.Err()
+			return infra.WatchResult{}, ctx.Err()
 		}
 		result, _, err = s.changesAfter(ctx, request)
 		return result, err
@@ -63,17 +63,17 @@
 	}
 }
 
-func (s *Store) changesAfter(ctx context.Context, request platform.WatchRequest) (platform.WatchResult, <-chan struct{}, error) {
+func (s *Store) changesAfter(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, <-chan struct{}, error) {
 	if s.gate.down(ctx) {
-		return platform.WatchResult{}, nil, errUnavailable
+		return infra.WatchResult{}, nil, errUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLeases()
 	if request.After < s.compacted {
-		return platform.WatchResult{}, nil, platform.ErrCompacted
+		return infra.WatchResult{}, nil, infra.ErrCompacted
 	}
-	result := platform.WatchResult{Revision: s.revision}
+	result := infra.WatchResult{Revision: s.revision}
 	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Revision > request.After })
 	for _, event := range s.events[first:] {
 		if strings.HasPrefix(event.Key, request.Prefix) {
--- a/standin/task.go
+++ b/standin/task.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 )
 
 // task is one task on a worker. Its state is settled up to a moment, and moved on when it is looked at.
 type task struct {
-	request platform.StartRequest
+	request infra.StartRequest
 	plan    TaskPlan
 	run     *TaskRun
 
@@ -35,7 +35,7 @@
 
 // CommandPlan reads the behaviour of a task from its command: "sleep 5s", "fail 5s", or "serve" until it is stopped.
 // Further words have no effect. The task uses what it declared.
-func CommandPlan(request platform.StartRequest) TaskPlan {
+func CommandPlan(request infra.StartRequest) TaskPlan {
 	plan := TaskPlan{RunFor: defaultRunFor, Used: request.Room}
 	if len(request.Command) == 0 {
 		return plan
@@ -53,11 +53,11 @@
 	return plan
 }
 
-func newTask(now time.Time, request platform.StartRequest, plan TaskPlan, resumed time.Duration) *task {
+func newTask(now time.Time, request infra.StartRequest, plan TaskPlan, resumed time.Duration) *task {
 	run := &TaskRun{
 		Task: request.Task, Team: request.Team, Worker: request.Worker,
 		Shard: request.Shard, Epoch: request.Epoch, Room: request.Room, AtMostOnce: request.AtMostOnce,
-		Command: request.Command, Started: now, Phase: platform.PhaseRunning, Resumed: resumed, Progress: resumed,
+		Command: request.Command, Started: now, Phase: infra.PhaseRunning, Resumed: resumed, Progress: resumed,
 	}
 	return &task{
 		request: request, plan: plan, run: run, settled: now, speed: 1, leaseLeft: request.Lease,
@@ -65,18 +65,18 @@
 	}
 }
 
-func (t *task) running() bool { return t.run.Phase == platform.PhaseRunning }
+func (t *task) running() bool { return t.run.Phase == infra.PhaseRunning }
 
 // settle moves the task on to now and ends it at the first of: work done, lease over, stop.
 func (t *task) settle(now time.Time, pace float64) {
-	end, phase := t.settled.Add(scale(t.leaseLeft, 1/pace)), platform.PhaseStopped
+	end, phase := t.settled.Add(scale(t.leaseLeft, 1/pace)), infra.PhaseStopped
 	if !t.stopAt.IsZero() && t.stopAt.Before(end) {
 		end = t.stopAt
 	}
 	if finish, ok := t.finish(); ok && !finish.After(end) {
-		end, phase = finish, platform.PhaseSucceeded
+		end, phase = finish, infra.PhaseSucceeded
 		if t.plan.Fails {
-			phase = platform.PhaseFailed
+			phase = infra.PhaseFailed
 		}
 	}
 	if now.Before(end) {
@@ -132,17 +132,17 @@
 	t.usage = append(t.usage, usageChange{now, used})
 }
 
-func (t *task) end(at time.Time, phase platform.TaskPhase) {
+func (t *task) end(at time.Time, phase infra.TaskPhase) {
 	t.run.Ended = at
 	t.run.Phase = phase
 }
 
-func (t *task) report(now time.Time, lag time.Duration) platform.TaskReport {
+func (t *task) report(now time.Time, lag time.Duration) infra.TaskReport {
 	end := now
 	if !t.run.Ended.IsZero() {
 		end = t.run.Ended
 	}
-	return platform.TaskReport{
+	return infra.TaskReport{
 		Task: t.request.Task, Team: t.request.Team, Room: t.request.Room, Phase: t.run.Phase,
 		Used: t.usedAt(now.Add(-lag)), UsageLag: lag, RunFor: end.Sub(t.run.Started),
 	}
--- a/standin/vms.go
+++ b/standin/vms.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // VMList is a list of VMs whose readers see every change Lag later.
@@ -21,12 +21,12 @@
 
 type vmVersion struct {
 	at  time.Time
-	vms []platform.VM
+	vms []infra.VM
 }
 
 // NewVMList returns a list that shows changes after lag; the first contents are visible at once.
-func NewVMList(c clock.Clock, lag time.Duration, vms []platform.VM) *VMList {
-	first := vmVersion{at: c.Now().Add(-lag), vms: append([]platform.VM(nil), vms...)}
+func NewVMList(c clock.Clock, lag time.Duration, vms []infra.VM) *VMList {
+	first := vmVersion{at: c.Now().Add(-lag), vms: append([]infra.VM(nil), vms...)}
 	return &VMList{clock: c, lag: lag, gate: newGate(c), versions: []vmVersion{first}}
 }
 
@@ -37,18 +37,18 @@
 func (l *VMList) SetFaultsFor(vm string, faults Faults) { l.gate.setFor(vm, faults) }
 
 // Update changes the list; readers see it after the lag.
-func (l *VMList) Update(change func(vms []platform.VM) []platform.VM) {
+func (l *VMList) Update(change func(vms []infra.VM) []infra.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	latest := l.versions[len(l.versions)-1].vms
-	next := change(append([]platform.VM(nil), latest...))
+	next := change(append([]infra.VM(nil), latest...))
 	l.versions = append(l.versions, vmVersion{at: l.clock.Now(), vms: next})
 }
 
 // List returns the VMs as they were Lag ago.
-func (l *VMList) List(ctx context.Context) (platform.VMs, error) {
+func (l *VMList) List(ctx context.Context) (infra.VMs, error) {
 	if err := l.gate.enter(ctx); err != nil {
-		return platform.VMs{}, err
+		return infra.VMs{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -60,5 +60,5 @@
 		}
 	}
 	l.versions = l.versions[newest:]
-	return platform.VMs{VMs: append([]platform.VM(nil), l.versions[0].vms...), Lag: l.lag}, nil
+	return infra.VMs{VMs: append([]infra.VM(nil), l.versions[0].vms...), Lag: l.lag}, nil
 }
--- a/standin/worker_faults.go
+++ b/standin/worker_faults.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // WorkerFaults are faults to order for the calls to one worker.
@@ -50,7 +50,7 @@
 	w.settle(machine)
 	for _, t := range machine.tasks {
 		if t.running() {
-			t.end(w.clock.Now(), platform.PhaseStopped)
+			t.end(w.clock.Now(), infra.PhaseStopped)
 		}
 		// An ended task is kept until its result is acknowledged, so what is still here is lost.
 		t.run.Lost = true
@@ -93,7 +93,7 @@
 	defer w.mu.Unlock()
 	machine, ok := w.workers[name]
 	if !ok {
-		return platform.ErrWorkerGone
+		return infra.ErrWorkerGone
 	}
 	if machine.faults.Unreachable {
 		return errUnavailable
--- a/standin/workers.go
+++ b/standin/workers.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 )
 
 // RunPlan decides how a task behaves: how long it runs, what it uses and whether it succeeds.
-type RunPlan func(request platform.StartRequest) TaskPlan
+type RunPlan func(request infra.StartRequest) TaskPlan
 
 // TaskPlan is the behaviour of one task.
 type TaskPlan struct {
@@ -25,7 +25,7 @@
 
 // TaskRun is one run of a task, as the workers recorded it.
 type TaskRun struct {
-	Task       platform.TaskRef
+	Task       infra.TaskRef
 	Team       string
 	Worker     string
 	Zone       string
@@ -37,7 +37,7 @@
 	Started    time.Time
 	// Ended is zero while the task runs.
 	Ended time.Time
-	Phase platform.TaskPhase
+	Phase infra.TaskPhase
 	// Resumed is the work that a checkpoint of an earlier attempt had saved; Progress is the work done at the end.
 	Resumed  time.Duration
 	Progress time.Duration
@@ -69,7 +69,7 @@
 }
 
 type worker struct {
-	vm     platform.VM
+	vm     infra.VM
 	faults WorkerFaults
 	// pace is the speed of the worker's own clock, by which leases end.
 	pace  float64
@@ -99,13 +99,13 @@
 }
 
 // NewWorkers returns workers for the VMs with the worker role.
-func NewWorkers(c clock.Clock, vms []platform.VM, plan RunPlan) *Workers {
+func NewWorkers(c clock.Clock, vms []infra.VM, plan RunPlan) *Workers {
 	w := &Workers{
 		clock: c, plan: plan, usageLag: defaultUsageLag,
 		workers: map[string]*worker{}, saved: map[taskName]time.Duration{},
 	}
 	for _, vm := range vms {
-		if vm.Role == platform.RoleWorker {
+		if vm.Role == infra.RoleWorker {
 			w.workers[vm.Name] = &worker{vm: vm, pace: 1, epoch: map[string]int64{},
 				tasks: map[taskName]*task{}, closed: map[taskName]attemptID{}}
 		}
@@ -150,18 +150,18 @@
 }
 
 // admit checks the epoch of a call that has reached a worker. The caller holds mu.
-func (w *Workers) admit(machine *worker, authority platform.Authority) error {
+func (w *Workers) admit(machine *worker, authority infra.Authority) error {
 	w.settle(machine)
 	if authority.Epoch < machine.epoch[authority.Shard] {
 		w.counts.StaleEpochs++
-		return platform.ErrStaleEpoch
+		return infra.ErrStaleEpoch
 	}
 	machine.epoch[authority.Shard] = authority.Epoch
 	return nil
 }
 
 // Start runs a task under a lease.
-func (w *Workers) Start(ctx context.Context, request platform.StartRequest) error {
+func (w *Workers) Start(ctx context.Context, request infra.StartRequest) error {
 	return w.deliver(ctx, request.Worker, func(machine *worker) error {
 		w.counts.Starts++
 		if err := w.admit(machine, request.Authority); err != nil {
@@ -171,12 +171,12 @@
 	})
 }
 
-func (w *Workers) start(machine *worker, request platform.StartRequest) error {
+func (w *Workers) start(machine *worker, request infra.StartRequest) error {
 	name := taskName{request.Task.Job, request.Task.Index}
 	id := attemptID{request.Epoch, request.Task.Attempt}
 	if closed, ok := machine.closed[name]; ok && !id.after(closed) {
 		w.counts.StaleAttempts++
-		return platform.ErrStaleAttempt
+		return infra.ErrStaleAttempt
 	}
 	if held, ok := machine.tasks[name]; ok {
 		if held.request.Task.Attempt == request.Task.Attempt {
@@ -184,12 +184,12 @@
 		}
 		if held.request.Task.Attempt > request.Task.Attempt || held.running() {
 			w.counts.StaleAttempts++
-			return platform.ErrStaleAttempt
+			return infra.ErrStaleAttempt
 		}
 	}
 	if !machine.inUse().Add(request.Room).Fits(machine.vm.Room) {
 		w.counts.NoRoom++
-		return platform.ErrNoRoom
+		return infra.ErrNoRoom
 	}
 	var resumed time.Duration
 	if request.Checkpointable {
@@ -205,8 +205,8 @@
 }
 
 // Renew extends the leases of a shard's tasks on a worker and reports them.
-func (w *Workers) Renew(ctx context.Context, request platform.RenewRequest) (platform.WorkerReport, error) {
-	var report platform.WorkerReport
+func (w *Workers) Renew(ctx context.Context, request infra.RenewRequest) (infra.WorkerReport, error) {
+	var report infra.WorkerReport
 	err := w.deliver(ctx, request.Worker, func(machine *worker) error {
 		w.counts.Renewals++
 		if err := w.admit(machine, request.Authority); err != nil {
@@ -216,15 +216,15 @@
 		return nil
 	})
 	if err != nil {
-		return platform.WorkerReport{}, err
+		return infra.WorkerReport{}, err
 	}
 	return report, nil
 }
 
-func (w *Workers) renew(machine *worker, request platform.RenewRequest) platform.WorkerReport {
+func (w *Workers) renew(machine *worker, request infra.RenewRequest) infra.WorkerReport {
 	machine.forget(request.Acknowledged, request.Epoch)
 	now := w.clock.Now()
-	report := platform.WorkerReport{Worker: request.Worker, Room: machine.vm.Room}
+	report := infra.WorkerReport{Worker: request.Worker, Room: machine.vm.Room}
 	for _, t := range machine.tasks {
 		if t.request.Shard != request.Shard {
 			continue
@@ -238,7 +238,7 @@
 }
 
 // Stop ends a task within its grace time.
-func (w *Workers) Stop(ctx context.Context, request platform.StopRequest) error {
+func (w *Workers) Stop(ctx context.Context, request infra.StopRequest) error {
 	return w.deliver(ctx, request.Worker, func(machine *worker) error {
 		w.counts.Stops++
 		t, err := w.find(machine, request.Authority, request.Task)
@@ -257,7 +257,7 @@
 }
 
 // Checkpoint saves the progress of a checkpointable task.
-func (w *Workers) Checkpoint(ctx context.Context, request platform.StopRequest) error {
+func (w *Workers) Checkpoint(ctx context.Context, request infra.StopRequest) error {
 	return w.deliver(ctx, request.Worker, func(machine *worker) error {
 		w.counts.Checkpoints++
 		t, err := w.find(machine, request.Authority, request.Task)
@@ -270,7 +270,7 @@
 }
 
 // Throttle limits the processor time of a task, which slows it.
-func (w *Workers) Throttle(ctx context.Context, request platform.ThrottleRequest) error {
+func (w *Workers) Throttle(ctx context.Context, request infra.ThrottleRequest) error {
 	return w.deliver(ctx, request.Worker, func(machine *worker) error {
 		w.counts.Throttles++
 		t, err := w.find(machine, request.Authority, request.Task)
@@ -283,7 +283,7 @@
 }
 
 // find returns the running task of a call; nil if the worker does not run that attempt. The caller holds mu.
-func (w *Workers) find(machine *worker, authority platform.Authority, ref platform.TaskRef) (*task, error) {
+func (w *Workers) find(machine *worker, authority infra.Authority, ref infra.TaskRef) (*task, error) {
 	if err := w.admit(machine, authority); err != nil {
 		return nil, err
 	}
@@ -325,7 +325,7 @@
 	return used
 }
 
-func (m *worker) forget(acknowledged []platform.TaskRef, epoch int64) {
+func (m *worker) forget(acknowledged []infra.TaskRef, epoch int64) {
 	for _, ref := range acknowledged {
 		name := taskName{ref.Job, ref.Index}
 		t, ok := m.tasks[name]
--- a/standin/workers_test.go
+++ b/standin/workers_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/resource"
 )
 
@@ -18,27 +18,27 @@
 
 func testWorkers(plan TaskPlan) (*Workers, *clock.Fake) {
 	fake := clock.NewFake(origin)
-	vms := []platform.VM{{
-		Name: "w", Role: platform.RoleWorker, Zone: "z", Room: resource.Vector{MilliCPU: 4000, MemoryBytes: 1 << 30},
+	vms := []infra.VM{{
+		Name: "w", Role: infra.RoleWorker, Zone: "z", Room: resource.Vector{MilliCPU: 4000, MemoryBytes: 1 << 30},
 	}}
-	return NewWorkers(fake, vms, func(platform.StartRequest) TaskPlan { return plan }), fake
+	return NewWorkers(fake, vms, func(infra.StartRequest) TaskPlan { return plan }), fake
 }
 
-func startOf(index, attempt int32, epoch int64) platform.StartRequest {
-	return platform.StartRequest{
-		Authority: platform.Authority{Shard: "z-0", Epoch: epoch}, Worker: "w",
-		Task: platform.TaskRef{Job: "j", Index: index, Attempt: attempt}, Checkpointable: true,
+func startOf(index, attempt int32, epoch int64) infra.StartRequest {
+	return infra.StartRequest{
+		Authority: infra.Authority{Shard: "z-0", Epoch: epoch}, Worker: "w",
+		Task: infra.TaskRef{Job: "j", Index: index, Attempt: attempt}, Checkpointable: true,
 		Room: resource.Vector{MilliCPU: 2000}, Lease: testLease,
 	}
 }
 
-func stopOf(start platform.StartRequest) platform.StopRequest {
-	return platform.StopRequest{Authority: start.Authority, Worker: "w", Task: start.Task}
+func stopOf(start infra.StartRequest) infra.StopRequest {
+	return infra.StopRequest{Authority: start.Authority, Worker: "w", Task: start.Task}
 }
 
-func renewOf(epoch int64) platform.RenewRequest {
-	return platform.RenewRequest{
-		Authority: platform.Authority{Shard: "z-0", Epoch: epoch}, Worker: "w", Lease: testLease,
+func renewOf(epoch int64) infra.RenewRequest {
+	return infra.RenewRequest{
+		Authority: infra.Authority{Shard: "z-0", Epoch: epoch}, Worker: "w", Lease: testLease,
 	}
 }
 
@@ -48,10 +48,10 @@
 	w, _ := testWorkers(TaskPlan{})
 	assert.NilError(t, w.Start(ctx, startOf(0, 1, 5)))
 	assert.NilError(t, w.Start(ctx, startOf(0, 1, 5)), "a repeated start has no effect")
-	assert.ErrorIs(t, w.Start(ctx, startOf(0, 2, 5)), platform.ErrStaleAttempt)
-	assert.ErrorIs(t, w.Start(ctx, startOf(1, 1, 4)), platform.ErrStaleEpoch)
+	assert.ErrorIs(t, w.Start(ctx, startOf(0, 2, 5)), infra.ErrStaleAttempt)
+	assert.ErrorIs(t, w.Start(ctx, startOf(1, 1, 4)), infra.ErrStaleEpoch)
 	assert.NilError(t, w.Start(ctx, startOf(1, 1, 5)))
-	assert.ErrorIs(t, w.Start(ctx, startOf(2, 1, 5)), platform.ErrNoRoom)
+	assert.ErrorIs(t, w.Start(ctx, startOf(2, 1, 5)), infra.ErrNoRoom)
 	assert.Equal(t, len(w.Runs()), 2)
 	counts := w.Counts()
 	assert.Equal(t, counts.NoRoom+counts.StaleEpochs+counts.StaleAttempts, int64(3))
@@ -65,9 +65,9 @@
 		w.SetPace("w", pace)
 		assert.NilError(t, w.Start(ctx, startOf(0, 1, 1)))
 		fake.Advance(want - time.Millisecond)
-		assert.Equal(t, w.Runs()[0].Phase, platform.PhaseRunning)
+		assert.Equal(t, w.Runs()[0].Phase, infra.PhaseRunning)
 		fake.Advance(time.Millisecond)
-		assert.Equal(t, w.Runs()[0].Phase, platform.PhaseStopped)
+		assert.Equal(t, w.Runs()[0].Phase, infra.PhaseStopped)
 		assert.Equal(t, w.Runs()[0].Ended.Sub(origin), want)
 	}
 }
@@ -82,13 +82,13 @@
 	stop := stopOf(first)
 	stop.Checkpoint, stop.Grace = true, 5*time.Second
 	assert.NilError(t, w.Stop(ctx, stop))
-	assert.Equal(t, w.Runs()[0].Phase, platform.PhaseRunning, "the task has its grace time")
+	assert.Equal(t, w.Runs()[0].Phase, infra.PhaseRunning, "the task has its grace time")
 	fake.Advance(time.Second)
-	assert.Equal(t, w.Runs()[0].Phase, platform.PhaseStopped)
+	assert.Equal(t, w.Runs()[0].Phase, infra.PhaseStopped)
 	assert.NilError(t, w.Start(ctx, startOf(0, 2, 1)))
 	fake.Advance(3 * time.Second)
 	runs := w.Runs()
-	assert.Equal(t, runs[1].Phase, platform.PhaseSucceeded)
+	assert.Equal(t, runs[1].Phase, infra.PhaseSucceeded)
 	assert.Equal(t, runs[1].Resumed, 7*time.Second)
 }
 
@@ -98,7 +98,7 @@
 	w, fake := testWorkers(TaskPlan{RunFor: 10 * time.Second, Used: resource.Vector{MilliCPU: 2000}})
 	start := startOf(0, 1, 1)
 	assert.NilError(t, w.Start(ctx, start))
-	throttle := platform.ThrottleRequest{Authority: start.Authority, Worker: "w", Task: start.Task, MilliCPU: 1000}
+	throttle := infra.ThrottleRequest{Authority: start.Authority, Worker: "w", Task: start.Task, MilliCPU: 1000}
 	fake.Advance(4 * time.Second)
 	assert.NilError(t, w.Throttle(ctx, throttle))
 	report, err := w.Renew(ctx, renewOf(1))
@@ -121,7 +121,7 @@
 	assert.ErrorIs(t, w.Start(ctx, startOf(0, 1, 1)), errAnswerLost)
 	assert.Equal(t, len(w.Runs()), 1, "the call took effect")
 	fake.Advance(time.Second)
-	assert.Equal(t, w.Runs()[0].Phase, platform.PhaseFailed)
+	assert.Equal(t, w.Runs()[0].Phase, infra.PhaseFailed)
 
 	w.SetFaults("w", WorkerFaults{Late: 1, LateBy: time.Second})
 	assert.ErrorIs(t, w.Start(ctx, startOf(1, 1, 1)), errAnswerLost)
--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"siskinstack.example/siskinstack/clock"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 const (
@@ -38,7 +38,7 @@
 
 // Client admits, bounds and counts the calls to one store.
 type Client struct {
-	store   platform.Store
+	store   infra.Store
 	options Options
 	gate    *gate
 	health  *health
@@ -48,7 +48,7 @@
 }
 
 // New returns a client for store.
-func New(store platform.Store, options Options) *Client {
+func New(store infra.Store, options Options) *Client {
 	options = options.withDefaults()
 	c := &Client{store: store, options: options, gate: newGate(options)}
 	c.health = newHealth(options.Clock, options.Random)
@@ -79,14 +79,14 @@
 	return o
 }
 
-// Close refuses all waiting and later calls with platform.ErrNotSent.
+// Close refuses all waiting and later calls with infra.ErrNotSent.
 func (c *Client) Close() { c.stop() }
 
 // State returns the health of the store.
 func (c *Client) State() State { return c.health.state() }
 
 // For returns the store for calls of one kind.
-func (c *Client) For(kind Kind) platform.Store { return &view{client: c, kind: kind} }
+func (c *Client) For(kind Kind) infra.Store { return &view{client: c, kind: kind} }
 
 // call describes one call to the store.
 type call struct {
--- a/storeclient/client_test.go
+++ b/storeclient/client_test.go
@@ -15,7 +15,7 @@
 
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/faultstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 )
 
@@ -47,26 +47,26 @@
 	store := f.client.For(KindLog)
 	ctx := context.Background()
 	_, err := store.Get(ctx, "a")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, infra.ErrNotFound)
 	f.faults.Order(faultstore.Fault{LoseAnswer: true})
-	_, err = store.Put(ctx, platform.PutRequest{Key: "a"})
-	assert.Assert(t, err != nil && !errors.Is(err, platform.ErrNotSent))
-	_, err = store.Put(ctx, platform.PutRequest{Key: "a"})
-	assert.ErrorIs(t, err, platform.ErrConflict)
-	assert.ErrorIs(t, store.RenewLease(ctx, 99), platform.ErrLeaseExpired)
+	_, err = store.Put(ctx, infra.PutRequest{Key: "a"})
+	assert.Assert(t, err != nil && !errors.Is(err, infra.ErrNotSent))
+	_, err = store.Put(ctx, infra.PutRequest{Key: "a"})
+	assert.ErrorIs(t, err, infra.ErrConflict)
+	assert.ErrorIs(t, store.RenewLease(ctx, 99), infra.ErrLeaseExpired)
 }
 
 // Guards against a call that is refused for its rate but still reaches the store.
 func TestRateLimitedCallIsNotSent(t *testing.T) {
 	f := newFixture(t, Options{WritesPerSecond: 1})
 	store := f.client.For(KindSnapshot)
-	_, err := store.Put(context.Background(), platform.PutRequest{Key: "a"})
+	_, err := store.Put(context.Background(), infra.PutRequest{Key: "a"})
 	assert.NilError(t, err)
 	f.client.gate.tokens[classWrite] = -1e9
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err = store.Put(ctx, platform.PutRequest{Key: "b"})
-	assert.ErrorIs(t, err, platform.ErrNotSent)
+	_, err = store.Put(ctx, infra.PutRequest{Key: "b"})
+	assert.ErrorIs(t, err, infra.ErrNotSent)
 	assert.Equal(t, f.faults.Calls(), 1)
 }
 
@@ -79,7 +79,7 @@
 	for range 300 {
 		_, err := f.client.For(KindLog).Get(ctx, "a")
 		if errors.Is(err, ErrDown) {
-			assert.ErrorIs(t, err, platform.ErrNotSent)
+			assert.ErrorIs(t, err, infra.ErrNotSent)
 			refused++
 		}
 		_ = f.clock.Sleep(ctx, 100*time.Millisecond)
@@ -93,7 +93,7 @@
 	f.faults.SetCut(false)
 	_ = f.clock.Sleep(ctx, probeMaximum)
 	_, err := f.client.For(KindLog).Get(ctx, "a")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, infra.ErrNotFound)
 	assert.Equal(t, f.client.State().Condition, Healthy)
 	assert.Equal(t, f.client.State().LastAnswer, f.clock.Now())
 }
@@ -104,7 +104,7 @@
 	for range 20 {
 		f.faults.Order(faultstore.Fault{Before: 400 * time.Millisecond})
 		_, err := f.client.For(KindLog).Get(context.Background(), "a")
-		assert.ErrorIs(t, err, platform.ErrNotFound)
+		assert.ErrorIs(t, err, infra.ErrNotFound)
 	}
 	assert.Equal(t, f.client.State().Condition, Slow)
 }
@@ -156,7 +156,7 @@
 func TestEveryCallIsCounted(t *testing.T) {
 	registry := prometheus.NewRegistry()
 	f := newFixture(t, Options{Registerer: registry})
-	_, _ = f.client.For(KindConfig).Watch(context.Background(), platform.WatchRequest{Prefix: "config/"})
+	_, _ = f.client.For(KindConfig).Watch(context.Background(), infra.WatchRequest{Prefix: "config/"})
 	_, _ = f.client.For(KindClaim).Get(context.Background(), "a")
 	calls := f.client.metrics.calls
 	assert.Equal(t, testutil.ToFloat64(calls.WithLabelValues("config", "watch", "ok")), 1.0)
@@ -181,7 +181,7 @@
 	for range callers {
 		group.Go(func() {
 			_, err := client.For(KindLog).Get(context.Background(), "a")
-			assert.Check(t, errors.Is(err, platform.ErrNotFound))
+			assert.Check(t, errors.Is(err, infra.ErrNotFound))
 		})
 	}
 	group.Wait()
--- a/storeclient/kind.go
+++ b/storeclient/kind.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // Kind is the purpose of a call. A lower kind has priority over a higher one.
@@ -36,7 +36,7 @@
 	return kindNames[k]
 }
 
-// ErrDown is the reason of a call that was refused while the store is down. It always comes with platform.ErrNotSent.
+// ErrDown is the reason of a call that was refused while the store is down. It always comes with infra.ErrNotSent.
 var ErrDown = eris.New("store is down")
 
 // class separates the two budgets of the store.
@@ -60,7 +60,7 @@
 )
 
 var answers = []error{
-	platform.ErrNotFound, platform.ErrConflict, platform.ErrLeaseExpired, platform.ErrCompacted, platform.ErrTooLarge,
+	infra.ErrNotFound, infra.ErrConflict, infra.ErrLeaseExpired, infra.ErrCompacted, infra.ErrTooLarge,
 }
 
 // resultOf sorts an error. callerGone reports that the caller's own context has ended.
@@ -73,7 +73,7 @@
 			return resultRefused
 		}
 	}
-	if errors.Is(err, platform.ErrNotSent) {
+	if errors.Is(err, infra.ErrNotSent) {
 		return resultNotSent
 	}
 	if callerGone {
@@ -82,12 +82,12 @@
 	return resultUnknown
 }
 
-// notSentError carries a reason and is platform.ErrNotSent.
+// notSentError carries a reason and is infra.ErrNotSent.
 type notSentError struct{ reason error }
 
-func (e *notSentError) Error() string { return platform.ErrNotSent.Error() + ": " + e.reason.Error() }
+func (e *notSentError) Error() string { return infra.ErrNotSent.Error() + ": " + e.reason.Error() }
 
-func (e *notSentError) Is(target error) bool { return target == platform.ErrNotSent }
+func (e *notSentError) Is(target error) bool { return target == infra.ErrNotSent }
 
 func (e *notSentError) Unwrap() error { return e.reason }
 
--- a/storeclient/view.go
+++ b/storeclient/view.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 )
 
 // view is the store for calls of one kind.
@@ -13,10 +13,10 @@
 	kind   Kind
 }
 
-var _ platform.Store = (*view)(nil)
+var _ infra.Store = (*view)(nil)
 
-// Get implements platform.Store.
-func (v *view) Get(ctx context.Context, key string) (kv platform.KeyValue, err error) {
+// Get implements infra.Store.
+func (v *view) Get(ctx context.Context, key string) (kv infra.KeyValue, err error) {
 	err = v.read(ctx, "get", func(ctx context.Context) (e error) {
 		kv, e = v.client.store.Get(ctx, key)
 		return e
@@ -24,8 +24,8 @@
 	return kv, err
 }
 
-// List implements platform.Store.
-func (v *view) List(ctx context.Context, prefix string) (listing platform.Listing, err error) {
+// List implements infra.Store.
+func (v *view) List(ctx context.Context, prefix string) (listing infra.Listing, err error) {
 	err = v.read(ctx, "list", func(ctx context.Context) (e error) {
 		listing, e = v.client.store.List(ctx, prefix)
 		return e
@@ -33,10 +33,10 @@
 	return listing, err
 }
 
-// Put implements platform.Store.
-func (v *view) Put(ctx context.Context, request platform.PutRequest) (revision platform.Revision, err error) {
-	if len(request.Value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+// Put implements infra.Store.
+func (v *view) Put(ctx context.Context, request infra.PutRequest) (revision infra.Revision, err error) {
+	if len(request.Value) > infra.MaxValueBytes {
+		return 0, infra.ErrTooLarge
 	}
 	err = v.write(ctx, "put", func(ctx context.Context) (e error) {
 		revision, e = v.client.store.Put(ctx, request)
@@ -45,15 +45,15 @@
 	return revision, err
 }
 
-// Delete implements platform.Store.
-func (v *view) Delete(ctx context.Context, key string, expected platform.Revision) error {
+// Delete implements infra.Store.
+func (v *view) Delete(ctx context.Context, key string, expected infra.Revision) error {
 	return v.write(ctx, "delete", func(ctx context.Context) error {
 		return v.client.store.Delete(ctx, key, expected)
 	})
 }
 
-// GrantLease implements platform.Store.
-func (v *view) GrantLease(ctx context.Context, ttl time.Duration) (lease platform.LeaseID, err error) {
+// GrantLease implements infra.Store.
+func (v *view) GrantLease(ctx context.Context, ttl time.Duration) (lease infra.LeaseID, err error) {
 	err = v.write(ctx, "grant_lease", func(ctx context.Context) (e error) {
 		lease, e = v.client.store.GrantLease(ctx, ttl)
 		return e
@@ -61,22 +61,22 @@
 	return lease, err
 }
 
-// RenewLease implements platform.Store.
-func (v *view) RenewLease(ctx context.Context, lease platform.LeaseID) error {
+// RenewLease implements infra.Store.
+func (v *view) RenewLease(ctx context.Context, lease infra.LeaseID) error {
 	return v.write(ctx, "renew_lease", func(ctx context.Context) error {
 		return v.client.store.RenewLease(ctx, lease)
 	})
 }
 
-// RevokeLease implements platform.Store.
-func (v *view) RevokeLease(ctx context.Context, lease platform.LeaseID) error {
+// RevokeLease implements infra.Store.
+func (v *view) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
 	return v.write(ctx, "revoke_lease", func(ctx context.Context) error {
 		return v.client.store.RevokeLease(ctx, lease)
 	})
 }
 
-// Watch implements platform.Store. An open watch counts as one read.
-func (v *view) Watch(ctx context.Context, request platform.WatchRequest) (result platform.WatchResult, err error) {
+// Watch implements infra.Store. An open watch counts as one read.
+func (v *view) Watch(ctx context.Context, request infra.WatchRequest) (result infra.WatchResult, err error) {
 	what := call{name: "watch", class: classRead, timeout: request.Wait, watch: true}
 	err = v.client.do(ctx, v.kind, what, func(ctx context.Context) (e error) {
 		result, e = v.client.store.Watch(ctx, request)
--- a/teamkey/register.go
+++ b/teamkey/register.go
@@ -9,18 +9,18 @@
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/clock"
 	"siskinstack.example/siskinstack/configstore"
-	"siskinstack.example/siskinstack/platform"
+	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/refusal"
 )
 
 // Register keeps the keys of teams in the store. All errors are refusals.
 type Register struct {
-	store platform.Store
+	store infra.Store
 	clock clock.Clock
 }
 
 // NewRegister returns a register that keeps its keys in store.
-func NewRegister(store platform.Store, c clock.Clock) *Register {
+func NewRegister(store infra.Store, c clock.Clock) *Register {
 	return &Register{store: store, clock: c}
 }
 
@@ -64,7 +64,7 @@
 	return stored, err
 }
 
-func (r *Register) write(ctx context.Context, key *siskinv1.TeamKey, expected platform.Revision, isOurs func(*siskinv1.TeamKey) bool) error {
+func (r *Register) write(ctx context.Context, key *siskinv1.TeamKey, expected infra.Revision, isOurs func(*siskinv1.TeamKey) bool) error {
 	value, err := configstore.Encode(key)
 	if err != nil {
 		return refusal.New(refusal.InternalError, "%v", err)
