--- a/cmd/siskind/main.go
+++ b/cmd/siskind/main.go
@@ -45,6 +45,7 @@
 		ErrWriter: stderr,
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "serve until a signal arrives", Flags: config(), Action: run},
+			{Name: "node", Usage: "serve one machine of the platform until a signal arrives", Action: serveNode},
 			{Name: "validate", Usage: "report all findings about the settings", Flags: config(), Action: validate},
 		},
 	}
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,262 @@
+// Package controller acts on the decisions of package dispatch while this machine is the controller. It recovers the
+// state from the store, follows new jobs and workers, makes each change durable before anything depends on it, and sends
+// the orders. All state is rebuilt by the next controller from the store and from what the workers list.
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/dispatch"
+	"siskinstack.example/siskinstack/election"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/policy"
+)
+
+const (
+	// tick is the longest time between two plans; due times and expired leases are looked at then.
+	tick = 50 * time.Millisecond
+	// commitInterval is the least time between two groups of commits. Each commit is a priced call to the store, and a
+	// longer interval delays every start and every end by half of it.
+	commitInterval = 12 * time.Millisecond
+	// storeTimeout bounds one call to the store; in its slow periods it answers within a quarter second.
+	storeTimeout = time.Second
+	// storePause is the pause after a call that failed.
+	storePause = 50 * time.Millisecond
+	// expireInterval is how often the records of jobs past their retention are looked for.
+	expireInterval = time.Second
+)
+
+// Bounds are those of the deployment.
+type Bounds struct {
+	dispatch.Limits
+	// LeaseMax is the longest lease that a worker grants.
+	LeaseMax time.Duration
+}
+
+// Peers asks the advisor through other machines.
+type Peers interface {
+	Advise(ctx context.Context, address, step string, workers []string) (infra.Advice, error)
+}
+
+// Options configures a controller.
+type Options struct {
+	Store   infra.TxnStore
+	Fleet   infra.Fleet
+	Advisor infra.Advisor
+	Peers   Peers
+	// Clock runs while the machine is suspended.
+	Clock  clock.Clock
+	Log    logr.Logger
+	Policy *policy.View
+	Bounds Bounds
+	// WorkersPrefix and DecodeWorker read the entries of workers.
+	WorkersPrefix string
+	DecodeWorker  func(infra.KeyValue) (infra.FleetWorker, error)
+	// Machine and Zone are those of this machine.
+	Machine string
+	Zone    string
+	Metrics *Metrics
+}
+
+// Controller serves the terms of one machine.
+type Controller struct {
+	options Options
+
+	mu   sync.Mutex // guards term
+	term *term
+}
+
+// New returns a controller without a term.
+func New(options Options) *Controller { return &Controller{options: options} }
+
+// Serve acts as the controller until ctx ends.
+func (c *Controller) Serve(ctx context.Context, lead *election.Term) {
+	t := newTerm(c.options, lead)
+	c.setTerm(t)
+	defer c.setTerm(nil)
+	t.run(ctx)
+}
+
+func (c *Controller) setTerm(t *term) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.term = t
+}
+
+// current returns the term if this machine is the controller and has recovered the state.
+func (c *Controller) current() *term {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term == nil || !c.term.isRecovered() || !c.term.lead.Valid() {
+		return nil
+	}
+	return c.term
+}
+
+// Lookup returns what callers are shown of a job. authoritative is false if this machine cannot tell.
+func (c *Controller) Lookup(id string) (phase siskinv1.WorkflowPhase, known, authoritative bool) {
+	t := c.current()
+	if t == nil {
+		return 0, false, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	j := t.state.Job(id)
+	if j == nil {
+		return 0, false, true
+	}
+	return j.ShownPhase(), true, true
+}
+
+// Pending returns how many jobs of a queue have not started.
+func (c *Controller) Pending(queue string) (pending int, authoritative bool) {
+	t := c.current()
+	if t == nil {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.Pending(queue), true
+}
+
+// term is the work of one controller. Its goroutines end with the context of run.
+type term struct {
+	Options
+	lead *election.Term
+	log  logr.Logger
+	wake chan struct{}
+
+	tasks sync.WaitGroup
+
+	mu        sync.Mutex // guards all fields below
+	state     *dispatch.State
+	recovered bool
+	links     map[*dispatch.Worker]*link
+	lanes     map[string]*lane
+
+	head headState // used by the loop alone
+}
+
+func newTerm(options Options, lead *election.Term) *term {
+	log := options.Log.WithValues("epoch", lead.Epoch)
+	t := &term{
+		Options: options, lead: lead, log: log, wake: make(chan struct{}, 1),
+		links: map[*dispatch.Worker]*link{}, lanes: map[string]*lane{},
+	}
+	t.state = dispatch.New(options.Bounds.Limits, decisionLog{log: log, metrics: options.Metrics})
+	return t
+}
+
+func (t *term) isRecovered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recovered
+}
+
+// kick makes the loop plan soon.
+func (t *term) kick() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (t *term) now() time.Time { return t.Clock.Now() }
+
+func unixMs() int64 { return time.Now().UnixMilli() }
+
+func (t *term) run(ctx context.Context) {
+	defer t.tasks.Wait()
+	started := t.now()
+	intake, workers, err := t.recover(ctx)
+	if err != nil {
+		t.log.Info("controller did not recover", "reason", err.Error())
+		return
+	}
+	t.log.Info("controller recovered", "ms", t.now().Sub(started).Milliseconds())
+	t.tasks.Go(func() { t.followIntake(ctx, intake) })
+	t.tasks.Go(func() { t.followWorkers(ctx, workers) })
+	t.tasks.Go(func() { t.expireRecords(ctx) })
+	t.loop(ctx)
+}
+
+// loop plans, commits and orders until the term ends.
+func (t *term) loop(ctx context.Context) {
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		timer.Reset(tick)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+		case <-timer.C:
+			t.markTick()
+		}
+		began := time.Now()
+		t.cycle(ctx)
+		if rest := commitInterval - time.Since(began); rest > 0 {
+			_ = t.Clock.Sleep(ctx, rest)
+		}
+	}
+}
+
+// markTick makes the next plan look at due times, leases and suspensions even if nothing was reported.
+func (t *term) markTick() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.Touch()
+}
+
+// cycle makes one plan and carries it out.
+func (t *term) cycle(ctx context.Context) {
+	if !t.lead.Valid() {
+		return
+	}
+	t.mu.Lock()
+	now := t.now()
+	t.state.SetPolicy(t.Policy.Current())
+	t.state.SetEvacuated(t.Policy.Evacuated())
+	t.state.Expire(now)
+	plan := t.state.Plan(now, unixMs(), t.adviceSlots(now))
+	t.sendAdvice(ctx, plan.Advice)
+	batch := t.state.Take()
+	t.mu.Unlock()
+	for _, stop := range plan.Stops {
+		t.tasks.Go(func() { t.stop(ctx, stop) })
+	}
+	if t.commit(ctx, batch) {
+		t.acknowledge(batch)
+	}
+}
+
+func (t *term) acknowledge(batch dispatch.Batch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range t.state.Acknowledge(batch) {
+		if l := t.links[w]; l != nil {
+			l.signal()
+		}
+	}
+}
+
+// decisionLog writes the decisions of the core.
+type decisionLog struct {
+	log     logr.Logger
+	metrics *Metrics
+}
+
+// Decision implements dispatch.Log.
+func (d decisionLog) Decision(event, job string, values ...any) {
+	d.metrics.decision(event)
+	if job != "" {
+		values = append([]any{"job", job}, values...)
+	}
+	d.log.Info(event, values...)
+}
--- /dev/null
+++ b/controller/keys.go
@@ -0,0 +1,30 @@
+package controller
+
+import "strings"
+
+// Keys of the product in the store.
+const (
+	// headKey is replaced by each commit of a controller, so that a commit whose answer was lost cannot take effect after
+	// a later one.
+	headKey = "commit/head"
+	// intakePrefix holds what any machine writes for the controller to see.
+	intakePrefix   = "in/"
+	jobPrefix      = intakePrefix + "job/"
+	cancelPrefix   = intakePrefix + "cancel/"
+	memberPrefix   = intakePrefix + "member/"
+	progressPrefix = "progress/"
+)
+
+// JobKey returns the key of an accepted job.
+func JobKey(id string) string { return jobPrefix + id }
+
+// CancelKey returns the key that asks to cancel a job.
+func CancelKey(id string) string { return cancelPrefix + id }
+
+// MemberKey returns the key under which a machine is found by the controller.
+func MemberKey(machine string) string { return memberPrefix + machine }
+
+// ProgressKey returns the key of a job's progress.
+func ProgressKey(id string) string { return progressPrefix + id }
+
+func cutPrefix(key, prefix string) (string, bool) { return strings.CutPrefix(key, prefix) }
--- /dev/null
+++ b/controller/recover.go
@@ -0,0 +1,246 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
+)
+
+const (
+	// watchWait is how long the store holds a watch open; watchSlack is how much longer an answer may take.
+	watchWait  = time.Second
+	watchSlack = 700 * time.Millisecond
+	// listTimeout bounds the reading of all keys with a prefix, page by page.
+	listTimeout = 5 * time.Second
+)
+
+// recover fences earlier controllers in the store, and reads everything that was accepted. It returns the revisions from
+// which the intake and the workers are watched.
+func (t *term) recover(ctx context.Context) (intake, workers infra.Revision, err error) {
+	if err := t.takeHead(ctx); err != nil {
+		return 0, 0, err
+	}
+	progress, err := t.list(ctx, progressPrefix)
+	if err != nil {
+		return 0, 0, err
+	}
+	jobs, err := t.list(ctx, intakePrefix)
+	if err != nil {
+		return 0, 0, err
+	}
+	fleet, err := t.list(ctx, t.WorkersPrefix)
+	if err != nil {
+		return 0, 0, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state.SetPolicy(t.Policy.Current())
+	t.state.SetEvacuated(t.Policy.Evacuated())
+	t.load(jobs.Entries, progress.Entries)
+	t.state.AssumeLeases(t.now().Add(t.leaseBound()))
+	t.applyWorkers(ctx, fleet.Entries, true)
+	t.recovered = true
+	return jobs.Revision, fleet.Revision, nil
+}
+
+// takeHead replaces the head, so that no commit of an earlier controller can take effect any more.
+func (t *term) takeHead(ctx context.Context) error {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		head, err := t.Store.Get(call, headKey)
+		cancel()
+		if err == nil || errors.Is(err, infra.ErrNotFound) {
+			t.head.revision = head.Revision
+			return t.write(ctx, nil, nil)
+		}
+		t.log.V(1).Info("head not read", "reason", err.Error())
+		_ = t.Clock.Sleep(ctx, storePause)
+	}
+	return ctx.Err()
+}
+
+// list reads all keys with a prefix, as often as needed.
+func (t *term) list(ctx context.Context, prefix string) (infra.Listing, error) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, listTimeout)
+		listing, err := t.Store.List(call, prefix)
+		cancel()
+		if err == nil {
+			return listing, nil
+		}
+		t.log.Info("keys not listed", "prefix", prefix, "reason", err.Error())
+		_ = t.Clock.Sleep(ctx, storePause)
+	}
+	return infra.Listing{}, ctx.Err()
+}
+
+// load adds the accepted jobs in the order of their acceptance, then the cancellations.
+func (t *term) load(intake, progress []infra.KeyValue) {
+	known := map[string]*siskinv1.WorkflowProgress{}
+	for _, entry := range progress {
+		id, _ := cutPrefix(entry.Key, progressPrefix)
+		p := &siskinv1.WorkflowProgress{}
+		if err := proto.Unmarshal(entry.Value, p); err != nil {
+			t.log.Error(err, "progress cannot be read; the job is left alone", "job", id)
+			known[id] = nil
+			continue
+		}
+		known[id] = p
+	}
+	var records []*siskinv1.Workflow
+	for _, entry := range intake {
+		if id, ok := cutPrefix(entry.Key, jobPrefix); ok {
+			if record := t.decodeJob(id, entry.Value); record != nil {
+				if p, listed := known[id]; !listed || p != nil {
+					records = append(records, record)
+				}
+			}
+		}
+	}
+	slices.SortFunc(records, func(a, b *siskinv1.Workflow) int {
+		return cmp.Or(cmp.Compare(a.GetAcceptedUnixMs(), b.GetAcceptedUnixMs()), cmp.Compare(a.GetId(), b.GetId()))
+	})
+	for _, record := range records {
+		t.state.AddJob(record, known[record.GetId()])
+	}
+	for _, entry := range intake {
+		t.applyIntake(infra.Event{KeyValue: entry})
+	}
+}
+
+func (t *term) decodeJob(id string, value []byte) *siskinv1.Workflow {
+	record := &siskinv1.Workflow{}
+	if err := proto.Unmarshal(value, record); err != nil || record.GetId() != id {
+		t.log.Info("job cannot be read; it is left alone", "job", id)
+		return nil
+	}
+	return record
+}
+
+// applyIntake takes in a new job, a cancellation or a machine. The caller holds mu.
+func (t *term) applyIntake(event infra.Event) {
+	if machine, ok := cutPrefix(event.Key, memberPrefix); ok {
+		t.applyMember(machine, event)
+		return
+	}
+	if event.Deleted {
+		return
+	}
+	if id, ok := cutPrefix(event.Key, jobPrefix); ok && t.state.Job(id) == nil {
+		if record := t.decodeJob(id, event.Value); record != nil {
+			t.state.AddJob(record, nil)
+			t.log.Info("job taken in", "job", id, "queue", record.GetQueue().GetName(), "team", record.GetTeam(),
+				"steps", len(record.GetSteps()), "age_ms", unixMs()-record.GetAcceptedUnixMs())
+		}
+	}
+	if id, ok := cutPrefix(event.Key, cancelPrefix); ok {
+		t.state.Cancel(id, unixMs())
+	}
+}
+
+// followIntake watches for new jobs until the term ends.
+func (t *term) followIntake(ctx context.Context, after infra.Revision) {
+	t.follow(ctx, intakePrefix, after, func(events []infra.Event) {
+		for _, event := range events {
+			t.applyIntake(event)
+		}
+	}, func(entries []infra.KeyValue) {
+		for _, entry := range entries {
+			t.applyIntake(infra.Event{KeyValue: entry})
+		}
+	})
+}
+
+// followWorkers watches the entries of workers until the term ends.
+func (t *term) followWorkers(ctx context.Context, after infra.Revision) {
+	t.follow(ctx, t.WorkersPrefix, after, func(events []infra.Event) {
+		for _, event := range events {
+			t.applyWorker(ctx, event)
+		}
+	}, func(entries []infra.KeyValue) { t.applyWorkers(ctx, entries, false) })
+}
+
+// follow watches a prefix. After a gap it lists the prefix anew. Both functions are called under the lock.
+func (t *term) follow(
+	ctx context.Context, prefix string, after infra.Revision, apply func([]infra.Event), replace func([]infra.KeyValue),
+) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		result, err := t.Store.Watch(call, infra.WatchRequest{Prefix: prefix, After: after, Wait: watchWait})
+		cancel()
+		if err == nil {
+			after = result.Revision
+			if len(result.Events) > 0 {
+				t.locked(func() { apply(result.Events) })
+			}
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		t.log.V(1).Info("watch interrupted", "prefix", prefix, "reason", err.Error())
+		_ = t.Clock.Sleep(ctx, storePause)
+		if !errors.Is(err, infra.ErrCompacted) {
+			continue
+		}
+		listing, err := t.list(ctx, prefix)
+		if err != nil {
+			return
+		}
+		after = listing.Revision
+		t.locked(func() { replace(listing.Entries) })
+	}
+}
+
+// locked runs a change of the state and makes the loop plan.
+func (t *term) locked(change func()) {
+	t.mu.Lock()
+	change()
+	t.mu.Unlock()
+	t.kick()
+}
+
+// applyWorkers takes in all entries of workers; others are gone. The caller holds mu.
+func (t *term) applyWorkers(ctx context.Context, entries []infra.KeyValue, first bool) {
+	listed := map[string]bool{}
+	for _, entry := range entries {
+		listed[entry.Key[len(t.WorkersPrefix):]] = true
+		t.applyWorker(ctx, infra.Event{KeyValue: entry})
+	}
+	for id := range t.state.Workers() {
+		if !listed[id] {
+			t.state.RemoveWorker(id)
+			if first {
+				// A worker without an entry may still run tasks, but its address is not known any more.
+				t.log.Info("tasks on a worker without an entry", "worker", id)
+			}
+		}
+	}
+}
+
+// applyWorker takes in one entry of a worker. The caller holds mu.
+func (t *term) applyWorker(ctx context.Context, event infra.Event) {
+	id := event.Key[len(t.WorkersPrefix):]
+	if event.Deleted {
+		t.state.RemoveWorker(id)
+		t.log.Info("worker gone", "worker", id)
+		return
+	}
+	info, err := t.DecodeWorker(event.KeyValue)
+	if err != nil {
+		t.log.Info("entry names no worker", "key", event.Key, "reason", err.Error())
+		return
+	}
+	w, isNew := t.state.SetWorker(info)
+	if isNew || t.links[w] == nil {
+		t.log.Info("worker known", "worker", id, "zone", info.Zone, "service", info.Service, "draining", info.Draining)
+		t.connect(ctx, w)
+	}
+}
--- /dev/null
+++ b/dispatch/advice.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
+)
+
+const (
+	// maxNamed is the largest number of workers in one call for advice.
+	maxNamed = 100
+	// minNamed is the least number of workers named, so that a small step finds an allowed one.
+	minNamed = 6
+	// firstShare is the part of named workers that is taken to be allowed before a queue's advice is known.
+	firstShare = 0.5
+	// shareWeight is how much one answer counts in the learned part.
+	shareWeight = 0.2
+	// sureFactor names more workers than needed on average, because the part allowed varies.
+	sureFactor = 1.3
+	// ticketMargin is taken off the validity of tickets for the way from the advisor and to the worker.
+	ticketMargin = 300 * time.Millisecond
+	// adviceRetry is the pause after a call for advice without an answer.
+	adviceRetry = 100 * time.Millisecond
+)
+
+// advice is what is known about where a step may run. The set of allowed workers of a step does not change; only the
+// tickets expire.
+type advice struct {
+	tickets map[string]ticket
+	// asked are the workers that were named, with whether they are allowed.
+	asked    map[string]bool
+	underway bool
+	after    time.Time
+}
+
+type ticket struct {
+	text        string
+	incarnation int64
+	until       time.Time
+}
+
+// holds reports whether a ticket is good for a start now.
+func (k ticket) holds(w *Worker, now time.Time) bool {
+	return k.incarnation == w.Info.Incarnation && now.Before(k.until)
+}
+
+// quickDecision is the longest decision of the advisor for which the slots kept for quick queues may be used.
+const quickDecision = 100 * time.Millisecond
+
+// AdviceSlots are the calls for advice that may be sent now. Some are kept for queues whose decisions are quick, so that
+// these do not wait behind slow ones.
+type AdviceSlots struct {
+	Free int
+	// KeptForQuick of the free ones are for quick decisions only.
+	KeptForQuick int
+}
+
+func isQuick(policy *siskinv1.AdvicePolicy) bool {
+	return policy.GetDecideMs() <= float64(quickDecision/time.Millisecond)
+}
+
+func (a *AdviceSlots) open(policy *siskinv1.AdvicePolicy) bool {
+	if isQuick(policy) {
+		return a.Free > 0
+	}
+	return a.Free > a.KeptForQuick
+}
+
+func (a *AdviceSlots) take(policy *siskinv1.AdvicePolicy) {
+	a.Free--
+	if isQuick(policy) && a.KeptForQuick > 0 {
+		a.KeptForQuick--
+	}
+}
+
+// AdviceRequest asks which workers may run a step.
+type AdviceRequest struct {
+	step    *Step
+	Step    string
+	Job     string
+	Workers []string
+	lives   map[string]int64
+	Cost    time.Duration
+}
+
+// wantAdvice returns a request if tasks of a step wait for want of tickets.
+func (s *State) wantAdvice(r ranked, now time.Time, slots *AdviceSlots) *AdviceRequest {
+	step := r.step
+	policy := s.queue(step.job).GetAdvice()
+	if policy == nil || step.waiting == 0 || step.advice.underway || now.Before(step.advice.after) || !s.mayRunMore(step) {
+		return nil
+	}
+	if !slots.open(policy) {
+		// The step asks when a call of another one has been answered.
+		s.changed = true
+		return nil
+	}
+	named := s.toName(step, now)
+	if len(named) == 0 {
+		return nil
+	}
+	slots.take(policy)
+	request := &AdviceRequest{step: step, Step: step.name, Job: step.job.Record.GetId(), lives: map[string]int64{}}
+	for _, w := range named {
+		request.Workers = append(request.Workers, w.Info.ID)
+		request.lives[w.Info.ID] = w.Info.Incarnation
+	}
+	ms := policy.GetDecideMs() + policy.GetPerWorkerMs()*float64(len(named))
+	request.Cost = time.Duration(ms * float64(time.Millisecond))
+	step.advice.underway = true
+	return request
+}
+
+// toName returns the workers to ask about: those with room for tasks that wait and no ticket, the allowed ones first,
+// enough of them that the allowed ones should do.
+func (s *State) toName(step *Step, now time.Time) []*Worker {
+	need := float64(step.waiting) * sureFactor
+	var known, fresh []*Worker
+	for _, w := range s.workers {
+		if k, ok := step.advice.tickets[w.Info.ID]; ok && k.holds(w, now) {
+			continue
+		}
+		allowed, asked := step.advice.asked[w.Info.ID]
+		if asked && !allowed || !s.fits(step, w, now) {
+			continue
+		}
+		if asked {
+			known = append(known, w)
+		} else {
+			fresh = append(fresh, w)
+		}
+	}
+	byRoom := func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(s.askScore(step, a), s.askScore(step, b)), cmp.Compare(a.Info.ID, b.Info.ID))
+	}
+	slices.SortFunc(known, byRoom)
+	slices.SortFunc(fresh, byRoom)
+	var named []*Worker
+	for _, w := range known {
+		if need <= 0 || len(named) >= maxNamed {
+			return named
+		}
+		named = append(named, w)
+		need -= float64(s.copies(step, w))
+	}
+	share := s.share(step)
+	for _, w := range fresh {
+		if need <= 0 && len(named) >= minNamed || len(named) >= maxNamed {
+			break
+		}
+		named = append(named, w)
+		need -= float64(s.copies(step, w)) * share
+	}
+	return named
+}
+
+// askScore puts the workers with the most room first; the preferred rack comes before all others.
+func (s *State) askScore(step *Step, w *Worker) int64 {
+	score := -w.free().MilliCPU
+	if rack := step.spec.GetPreferredRack(); rack != "" && !w.hasLabel(rack) {
+		score += remotePenalty
+	}
+	return score
+}
+
+// copies returns how many tasks of a step fit on a worker.
+func (s *State) copies(step *Step, w *Worker) int64 {
+	need, free := taskRoom(step.spec), w.free()
+	n := int64(step.waiting)
+	if most := int64(step.spec.GetMaxPerWorker()); most > 0 {
+		n = min(n, most)
+	}
+	for _, pair := range [][2]int64{
+		{need.MilliCPU, free.MilliCPU}, {need.MemoryBytes, free.MemoryBytes}, {need.Accelerators, free.Accelerators},
+	} {
+		if pair[0] > 0 {
+			n = min(n, pair[1]/pair[0])
+		}
+	}
+	return max(n, 0)
+}
+
+// share returns the part of named workers that the advice of a step's queue allows.
+func (s *State) share(step *Step) float64 {
+	if learned, ok := s.learned[step.job.Record.GetQueue().GetName()]; ok {
+		return max(learned, 1.0/maxNamed)
+	}
+	return firstShare
+}
+
+// Advised takes in the answer to a request for advice.
+func (s *State) Advised(r *AdviceRequest, answer infra.Advice, err error, now time.Time) {
+	step := r.step
+	step.advice.underway = false
+	s.changed = true
+	if err != nil {
+		step.advice.after = now.Add(adviceRetry)
+		s.log.Decision("no advice", r.Job, "step", r.Step, "workers", len(r.Workers), "reason", err.Error())
+		return
+	}
+	if step.advice.asked == nil {
+		step.advice.asked, step.advice.tickets = map[string]bool{}, map[string]ticket{}
+	}
+	fresh := 0
+	for _, id := range r.Workers {
+		if _, asked := step.advice.asked[id]; !asked {
+			step.advice.asked[id] = false
+			fresh++
+		}
+	}
+	allowed := 0
+	for _, k := range answer.Tickets {
+		if !step.advice.asked[k.Worker] {
+			allowed++
+		}
+		step.advice.asked[k.Worker] = true
+		step.advice.tickets[k.Worker] = ticket{
+			text: k.Ticket, incarnation: r.lives[k.Worker], until: now.Add(answer.Valid - ticketMargin),
+		}
+	}
+	if fresh > 0 {
+		queue := step.job.Record.GetQueue().GetName()
+		old := s.share(step)
+		s.learned[queue] = old + shareWeight*(float64(allowed)/float64(fresh)-old)
+	}
+	s.log.Decision("advised", r.Job, "step", r.Step, "workers", len(r.Workers), "allowed", len(answer.Tickets))
+}
+
+// ticketFor returns the ticket of a task for its worker.
+func (t *Task) ticketFor() string { return t.step.advice.tickets[t.WorkerID()].text }
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,341 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/resource"
+)
+
+const (
+	// lateFactor is the multiple of the objective after which an occurrence is worth nothing to its user.
+	lateFactor = 3
+	// stopRetry is the pause before an unanswered stop is ordered again, stopAgain that before an answered one is whose
+	// run is still listed.
+	stopRetry = 200 * time.Millisecond
+	stopAgain = 2 * time.Second
+)
+
+// Plan is what is to be done now.
+type Plan struct {
+	Stops  []*Task
+	Advice []*AdviceRequest
+}
+
+// rank is the place of a step in the order of starts; the lowest comes first.
+type rank struct {
+	late, excess bool
+	priority     int32
+	deadline     int64
+	name         string
+}
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(
+		compareBool(r.late, o.late), compareBool(r.excess, o.excess), cmp.Compare(r.priority, o.priority),
+		cmp.Compare(r.deadline, o.deadline), strings.Compare(r.name, o.name),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+type ranked struct {
+	rank rank
+	step *Step
+}
+
+// Changed reports whether anything happened since the last plan.
+func (s *State) Changed() bool { return s.changed }
+
+// Plan places waiting tasks and returns what else is to be done. The placed tasks are ordered after the next commit.
+func (s *State) Plan(now time.Time, unixMs int64, slots AdviceSlots) Plan {
+	s.changed = false
+	var plan Plan
+	s.planStops(&plan, now)
+	for _, r := range s.readySteps(now, unixMs) {
+		s.placeStep(r.step, now, unixMs)
+		if request := s.wantAdvice(r, now, &slots); request != nil {
+			plan.Advice = append(plan.Advice, request)
+		}
+	}
+	return plan
+}
+
+func (s *State) planStops(plan *Plan, now time.Time) {
+	for _, w := range s.workers {
+		for t := range w.tasks {
+			due := now.After(t.stopAfter)
+			if t.stop && !t.stopping && t.phase != phasePlanned && due && w.reachable {
+				t.stopping = true
+				plan.Stops = append(plan.Stops, t)
+			}
+		}
+	}
+}
+
+// readySteps returns the steps with tasks that may start, in order.
+func (s *State) readySteps(now time.Time, unixMs int64) []ranked {
+	var steps []ranked
+	for _, j := range s.open {
+		if j.Ended() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, step := range o.steps {
+				if step.waiting > 0 && step.ready(unixMs, 0) {
+					if step.readyAt.IsZero() {
+						step.readyAt = now
+					}
+					steps = append(steps, ranked{s.rankOf(step, unixMs), step})
+				}
+			}
+		}
+	}
+	slices.SortFunc(steps, func(a, b ranked) int { return a.rank.compare(b.rank) })
+	return steps
+}
+
+func (s *State) rankOf(step *Step, unixMs int64) rank {
+	o := step.occurrence
+	span := o.deadlineUnixMs - o.dueUnixMs
+	return rank{
+		late:   !step.spec.GetLongRunning() && unixMs > o.dueUnixMs+lateFactor*span,
+		excess: step.job.excess, priority: s.queue(step.job).GetPriority(), deadline: o.deadlineUnixMs, name: step.name,
+	}
+}
+
+// placeStep places as many waiting tasks of a step as possible, or all of a gang.
+func (s *State) placeStep(step *Step, now time.Time, unixMs int64) {
+	if step.spec.GetGang() {
+		s.placeGang(step, now)
+		return
+	}
+	for i := range step.tasks {
+		t := &step.tasks[i]
+		if !t.isWaiting() {
+			continue
+		}
+		w := s.choose(step, t, nil, now)
+		if w == nil {
+			if t.avoid == "" {
+				return
+			}
+			continue
+		}
+		s.assign(t, w)
+	}
+}
+
+// placeGang places all tasks of a gang or none.
+func (s *State) placeGang(step *Step, now time.Time) {
+	if step.waiting < len(step.tasks) {
+		return
+	}
+	for _, rack := range s.gangRacks(step) {
+		if s.tryGang(step, rack, now) {
+			return
+		}
+	}
+}
+
+// gangRacks returns the racks to try one by one for a gang that works faster on one rack, then "" for all racks.
+func (s *State) gangRacks(step *Step) []string {
+	var racks []string
+	if step.spec.GetSameRack() {
+		seen := map[string]bool{}
+		for _, w := range s.workers {
+			if !seen[w.rack()] && w.rack() != "" {
+				seen[w.rack()] = true
+				racks = append(racks, w.rack())
+			}
+		}
+		slices.Sort(racks)
+	}
+	return append(racks, "")
+}
+
+func (s *State) tryGang(step *Step, rack string, now time.Time) bool {
+	run := int32(0)
+	placed := 0
+	for i := range step.tasks {
+		t := &step.tasks[i]
+		w := s.choose(step, t, func(w *Worker) bool { return rack == "" || w.rack() == rack }, now)
+		if w == nil {
+			break
+		}
+		s.place(t, w)
+		placed++
+	}
+	if placed < len(step.tasks) {
+		for i := range placed {
+			s.unplace(&step.tasks[i])
+		}
+		return false
+	}
+	for i := range step.tasks {
+		run = max(run, step.tasks[i].run)
+	}
+	for i := range step.tasks {
+		t := &step.tasks[i]
+		t.run, t.checkpoint = run, step.checkpoint
+		s.ordered(t)
+	}
+	return true
+}
+
+// unplace takes a task off a worker that was never told about it.
+func (s *State) unplace(t *Task) {
+	w := t.worker
+	w.remove(t)
+	t.worker = nil
+	t.step.waiting++
+	t.step.job.placed--
+	use := s.team(t.step.job.Record.GetTeam())
+	use.running = use.running.Sub(stepRoom(t.step.spec))
+}
+
+// assign plans a run of a task on a worker.
+func (s *State) assign(t *Task, w *Worker) {
+	s.place(t, w)
+	s.ordered(t)
+}
+
+// ordered gives the run of a placed task its number and leaves the order for the commit.
+func (s *State) ordered(t *Task) {
+	t.run++
+	t.phase = phasePlanned
+	t.incarnation = t.worker.Info.Incarnation
+	if t.worker.onTrial {
+		t.worker.trialStarts++
+	}
+	j := t.step.job
+	j.orders = append(j.orders, t)
+	s.markDirty(j)
+}
+
+// choose returns the worker for a task, or nil. Workers on the preferred rack come first, then the one with the least
+// room left, so that large tasks find room elsewhere.
+func (s *State) choose(step *Step, t *Task, only func(*Worker) bool, now time.Time) *Worker {
+	if !s.mayRunMore(step) {
+		return nil
+	}
+	var best *Worker
+	var bestScore int64
+	for _, w := range s.candidates(step, now) {
+		if only != nil && !only(w) || !s.fits(step, w, now) || w.Info.ID == t.avoid {
+			continue
+		}
+		score := s.score(step, w)
+		if best == nil || score < bestScore || score == bestScore && w.Info.ID < best.Info.ID {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// candidates returns the workers that the queue's policy allows for a step now.
+func (s *State) candidates(step *Step, now time.Time) []*Worker {
+	var workers []*Worker
+	if s.queue(step.job).GetAdvice() == nil {
+		for _, w := range s.workers {
+			workers = append(workers, w)
+		}
+		return workers
+	}
+	for id, ticket := range step.advice.tickets {
+		if w := s.workers[id]; w != nil && ticket.holds(w, now) {
+			workers = append(workers, w)
+		}
+	}
+	return workers
+}
+
+const (
+	// remotePenalty puts every worker away from the preferred rack behind all others; it exceeds any worker's size.
+	remotePenalty = 1 << 40
+	// crowdPenalty spreads tasks with a latency objective, and backfill tasks, over workers.
+	crowdPenalty = 1 << 20
+)
+
+// score orders the workers on which a task fits; the lowest is taken.
+func (s *State) score(step *Step, w *Worker) int64 {
+	score := w.free().MilliCPU
+	switch {
+	case step.spec.GetBackfill():
+		score = -(w.free().MilliCPU - w.backfill) + int64(w.fillers)*crowdPenalty
+	case step.spec.GetLatencyObjectiveMs() > 0:
+		score = int64(w.serving) * crowdPenalty
+	}
+	if rack := step.spec.GetPreferredRack(); rack != "" && !w.hasLabel(rack) {
+		score += remotePenalty
+	}
+	return score
+}
+
+// mayRunMore reports whether the team's ceiling allows one more task of a step.
+func (s *State) mayRunMore(step *Step) bool {
+	team := step.job.Record.GetTeam()
+	if team == "" || s.policy == nil {
+		return true
+	}
+	ceiling := s.policy.Teams[team].Ceiling
+	next := s.team(team).running.Add(stepRoom(step.spec))
+	within := func(amount, limit int64) bool { return limit == 0 || amount <= limit }
+	return within(next.MilliCPU, ceiling.MilliCPU) && within(next.MemoryBytes, ceiling.MemoryBytes) &&
+		within(next.Accelerators, ceiling.Accelerators)
+}
+
+// fits reports whether one task of a step may start on a worker.
+func (s *State) fits(step *Step, w *Worker, now time.Time) bool {
+	return w.takes(now) && s.suits(step, w) && taskRoom(step.spec).Fits(w.free()) && s.below(step, w) && undisturbed(step, w)
+}
+
+// suits reports whether a worker could ever run a step as things are.
+func (s *State) suits(step *Step, w *Worker) bool {
+	return w.Info.Service == s.queue(step.job).GetService() && !s.evacuated[w.Info.Zone] &&
+		w.hasLabel(step.spec.GetRequiredLabel())
+}
+
+// undisturbed keeps backfill tasks apart from tasks with a latency objective.
+func undisturbed(step *Step, w *Worker) bool {
+	if step.spec.GetBackfill() {
+		return w.serving == 0
+	}
+	return step.spec.GetLatencyObjectiveMs() == 0 || w.fillers == 0
+}
+
+// below reports whether a worker may hold one more task of a step.
+func (s *State) below(step *Step, w *Worker) bool {
+	most := step.spec.GetMaxPerWorker()
+	if most <= 0 {
+		return true
+	}
+	n := int32(0)
+	for t := range w.tasks {
+		if t.step == step {
+			n++
+		}
+	}
+	return n < most
+}
+
+// taskRoom is what a task of a step takes from a worker's capacity.
+func taskRoom(spec *siskinv1.WorkflowStep) resource.Vector {
+	room := stepRoom(spec)
+	if spec.GetBackfill() {
+		room.MilliCPU = 0
+	}
+	return room
+}
--- /dev/null
+++ b/dispatch/report.go
@@ -0,0 +1,321 @@
+package dispatch
+
+import (
+	"errors"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
+)
+
+const (
+	// stallMin is how long the progress of a run may stand still at least, and stallShare the part of its estimate. One
+	// percent of the longest tasks takes less, also on a worker that is several times slower than usual.
+	stallMin   = 2 * time.Second
+	stallShare = 15
+	// fullPercent is the progress of a long-running task that is at work.
+	fullPercent = 100
+)
+
+// SetWorker notes what a worker reports about itself. It returns the worker, and whether it is new.
+func (s *State) SetWorker(info infra.FleetWorker) (*Worker, bool) {
+	s.changed = true
+	w, known := s.workers[info.ID]
+	if !known {
+		w = newWorker(info)
+		s.workers[info.ID] = w
+		return w, true
+	}
+	isNew := w.Info.Address != info.Address
+	incarnation := w.Info.Incarnation
+	w.Info = info
+	if incarnation != 0 {
+		// The incarnation of a report says what the worker knows; an entry may be newer or older than that.
+		w.Info.Incarnation = incarnation
+	}
+	w.Listed = true
+	return w, isNew
+}
+
+// RemoveWorker notes that the entry of a worker is gone. Its tasks are lost once its lease has ended.
+func (s *State) RemoveWorker(id string) {
+	if w := s.workers[id]; w != nil {
+		w.Listed = false
+		s.changed = true
+	}
+}
+
+// RenewSent notes that a lease was extended; until is when it ends at the latest, on the controller's clock.
+func (s *State) RenewSent(w *Worker, until time.Time) {
+	if until.After(w.leaseEnd) {
+		w.leaseEnd = until
+	}
+}
+
+// RenewFailed notes that a worker did not answer.
+func (s *State) RenewFailed(w *Worker) {
+	w.reachable = false
+	s.changed = true
+}
+
+// Expire takes the tasks off workers whose lease has ended without an answer, and forgets workers that are gone.
+func (s *State) Expire(now time.Time) {
+	for id, w := range s.workers {
+		if w.reachable || now.Before(w.leaseEnd) {
+			continue
+		}
+		for t := range w.tasks {
+			if t.phase != phasePlanned {
+				s.log.Decision("run lost", t.JobID(), "task", t.ID(), "run", t.run, "worker", id, "reason", "lease ended")
+				s.release(t)
+			}
+		}
+		if !w.Listed && len(w.tasks) == 0 {
+			delete(s.workers, id)
+		}
+	}
+}
+
+// Report takes in what a worker answered to a renewal that was sent at a time. A run that the worker does not list has
+// ended, or has not begun and never will, if the order to stop it was answered before the renewal was sent.
+func (s *State) Report(w *Worker, report infra.RunReport, sent, now time.Time, unixMs int64) {
+	if w.Info.Incarnation != report.Incarnation && report.Incarnation != 0 {
+		if w.reported {
+			w.seen, w.acknowledged = 0, 0
+			s.log.Decision("worker restarted", "", "worker", w.Info.ID, "incarnation", report.Incarnation)
+		}
+		w.Info.Incarnation = report.Incarnation
+	}
+	first := !w.reported
+	if first || !w.reachable {
+		s.changed = true
+	}
+	w.reported, w.reachable = true, true
+	for _, end := range report.Ended {
+		if end.Number > w.seen {
+			w.seen = end.Number
+			s.end(w, end, now, unixMs)
+		}
+	}
+	listed := make(map[*Task]bool, len(report.Active))
+	for _, active := range report.Active {
+		if t := s.active(w, active, now); t != nil {
+			listed[t] = true
+		}
+	}
+	for t := range w.tasks {
+		if !listed[t] {
+			s.missing(w, t, first, sent)
+		}
+	}
+}
+
+// find returns the task of a run on a worker, or nil if the run is not the newest one of its task or is elsewhere.
+func (s *State) find(w *Worker, name string, run int32) *Task {
+	job, place, ok := parseTask(name)
+	if !ok || s.jobs[job] == nil {
+		return nil
+	}
+	t := s.jobs[job].task(place)
+	if t == nil || t.worker != w || t.run != run {
+		return nil
+	}
+	return t
+}
+
+// active takes in a run that a worker lists.
+func (s *State) active(w *Worker, active infra.ActiveRun, now time.Time) *Task {
+	t := s.find(w, active.Task, active.Run)
+	if t == nil {
+		return nil
+	}
+	if t.phase != phaseActive {
+		t.phase, t.progressAt = phaseActive, now
+		t.orderedAt = now
+		t.step.job.started = true
+	}
+	t.doubtful = false
+	t.incarnation = w.Info.Incarnation
+	if active.Checkpoint != "" {
+		t.checkpoint = active.Checkpoint
+		if t.step.spec.GetGang() {
+			t.step.checkpoint = active.Checkpoint
+		}
+	}
+	t.load = active.Load
+	if active.Percent > t.percent || t.progressAt.IsZero() {
+		t.percent, t.progressAt = active.Percent, now
+	}
+	s.checkStall(t, now)
+	return t
+}
+
+// checkStall stops a run that stands still, so that the task goes on elsewhere from its checkpoint.
+func (s *State) checkStall(t *Task, now time.Time) {
+	spec := t.step.spec
+	limit := max(stallMin, time.Duration(spec.GetEstimateMs())*time.Millisecond/stallShare)
+	if t.done || spec.GetBackfill() || t.pace < fullPace || now.Sub(t.progressAt) < limit {
+		return
+	}
+	if spec.GetLongRunning() && t.percent >= fullPercent {
+		return
+	}
+	if !t.stop {
+		s.log.Decision("run stalled", t.JobID(), "task", t.ID(), "run", t.run, "worker", t.WorkerID(), "percent", t.percent)
+		t.avoid = t.WorkerID()
+		t.worker.suspend(now)
+		t.wantStop("stalled")
+		s.changed = true
+	}
+}
+
+// missing takes in that a worker does not list a run that may be there.
+func (s *State) missing(w *Worker, t *Task, first bool, sent time.Time) {
+	answered := func(at time.Time) bool { return !at.IsZero() && at.Before(sent) }
+	switch {
+	case t.phase == phasePlanned:
+	case first:
+		// The renewal has fenced the worker, so no order of an earlier controller can take effect any more.
+		s.release(t)
+	case answered(t.stopAnswer):
+		s.release(t)
+	case t.phase == phaseActive && t.incarnation != w.Info.Incarnation:
+		s.log.Decision("run lost", t.JobID(), "task", t.ID(), "run", t.run, "worker", w.Info.ID, "reason", "worker restarted")
+		s.release(t)
+	case answered(t.orderedAt):
+		// An order without an answer may be carried out later, so the worker is told never to begin the run.
+		t.wantStop("not listed")
+		s.changed = true
+	}
+}
+
+// end takes in the end of a run.
+func (s *State) end(w *Worker, end infra.EndedRun, now time.Time, unixMs int64) {
+	t := s.find(w, end.Task, end.Run)
+	if t == nil {
+		s.lateEnd(end, unixMs)
+		return
+	}
+	if end.Checkpoint != "" {
+		t.checkpoint = end.Checkpoint
+		if t.step.spec.GetGang() {
+			t.step.checkpoint = end.Checkpoint
+		}
+	}
+	s.log.Decision("run ended", t.JobID(), "task", end.Task, "run", end.Run, "worker", w.Info.ID, "outcome", int(end.Outcome))
+	s.release(t)
+	switch end.Outcome {
+	case infra.OutcomeSucceeded:
+		w.succeeded()
+		s.succeed(t, unixMs)
+	case infra.OutcomeFailed:
+		w.failed(now)
+		t.avoid = w.Info.ID
+		s.fail(t, unixMs)
+	case infra.OutcomeGangBroken, infra.OutcomeGangIncomplete, infra.OutcomeStopped, infra.OutcomeExpired:
+	case infra.OutcomeUnknown:
+		s.log.Decision("outcome not understood", t.JobID(), "task", end.Task, "run", end.Run)
+	}
+}
+
+// lateEnd takes in the end of a run that is not the newest one of its task. A success counts if the task waits.
+func (s *State) lateEnd(end infra.EndedRun, unixMs int64) {
+	job, place, ok := parseTask(end.Task)
+	if !ok || s.jobs[job] == nil || end.Outcome != infra.OutcomeSucceeded {
+		return
+	}
+	if t := s.jobs[job].task(place); t != nil && t.isWaiting() && !t.step.spec.GetLongRunning() {
+		s.succeed(t, unixMs)
+	}
+}
+
+func (s *State) succeed(t *Task, unixMs int64) {
+	step := t.step
+	if step.spec.GetLongRunning() {
+		return
+	}
+	if step.spec.GetGang() {
+		for i := range step.tasks {
+			step.tasks[i].finish()
+		}
+	}
+	t.finish()
+	j := step.job
+	s.markDirty(j)
+	if step.open > 0 || j.Ended() {
+		return
+	}
+	step.occurrence.refresh()
+	for _, o := range j.occurrences {
+		if !o.done {
+			return
+		}
+	}
+	s.endJob(j, siskinv1.WorkflowPhase_WORKFLOW_PHASE_SUCCEEDED, unixMs)
+	s.log.Decision("succeeded", j.Record.GetId(), "ms", unixMs-j.Record.GetAcceptedUnixMs())
+}
+
+// fail counts a failed run. A gang has one count, kept by its first task.
+func (s *State) fail(t *Task, unixMs int64) {
+	step := t.step
+	s.markDirty(step.job)
+	if step.spec.GetLongRunning() || step.job.Ended() {
+		return
+	}
+	counter := t
+	if step.spec.GetGang() {
+		counter = &step.tasks[0]
+	}
+	counter.failures++
+	if most := s.queue(step.job).GetMaxAttempts(); most > 0 && counter.failures >= most {
+		s.log.Decision("failed", step.job.Record.GetId(), "task", t.ID(), "failures", counter.failures)
+		s.endJob(step.job, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED, unixMs)
+	}
+}
+
+// Started takes in the answer to the order to start a run.
+func (s *State) Started(t *Task, run int32, err error, now time.Time) {
+	if t.run != run || t.worker == nil || t.phase == phaseActive {
+		return
+	}
+	w := t.worker
+	t.orderedAt = now
+	switch {
+	case err == nil:
+		t.phase, t.progressAt, t.incarnation = phaseActive, now, w.Info.Incarnation
+		t.step.job.started = true
+	case errors.Is(err, infra.ErrTicketInvalid):
+		delete(t.step.advice.tickets, w.Info.ID)
+		s.release(t)
+	case errors.Is(err, infra.ErrWorkerUnhealthy), errors.Is(err, infra.ErrWorkerFull):
+		w.suspend(now)
+		s.release(t)
+	case errors.Is(err, infra.ErrOrderInvalid), errors.Is(err, infra.ErrOtherWorker):
+		w.suspend(now)
+		s.release(t)
+	case errors.Is(err, infra.ErrNotSent):
+		w.reachable = false
+		s.release(t)
+	case errors.Is(err, infra.ErrOldRun), errors.Is(err, infra.ErrLeaseOver), errors.Is(err, infra.ErrFenced):
+		s.release(t)
+	default:
+		// Whether the order arrived is not known. The run is called off; if it has begun, it ends with a checkpoint.
+		t.doubtful = true
+		t.wantStop("no answer to the start")
+	}
+	s.changed = true
+}
+
+// Stopped takes in the answer to the order to stop a run.
+func (s *State) Stopped(t *Task, run int32, err error, now time.Time) {
+	if t.run != run || t.worker == nil {
+		return
+	}
+	t.stopping = false
+	s.changed = true
+	if err == nil || errors.Is(err, infra.ErrOldRun) {
+		t.stopAnswer, t.stopAfter = now, now.Add(stopAgain)
+		return
+	}
+	t.stopAfter = now.Add(stopRetry)
+}
--- /dev/null
+++ b/dispatch/state.go
@@ -0,0 +1,305 @@
+// Package dispatch decides which task runs on which worker. It is a pure core: it has no clock, network or store of its
+// own. What is learned goes in (jobs, workers, reports, advice, answers to orders), and a plan comes out (starts, stops,
+// requests for advice). A start is ordered only after the commit that names its worker, so that the controller that
+// comes next knows every worker on which a task may run.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/policy"
+	"siskinstack.example/siskinstack/resource"
+)
+
+const (
+	// maxTasksPerStep bounds the memory of one step.
+	maxTasksPerStep = 10_000
+	// fullPace is the pace of a task that is not slowed, in percent.
+	fullPace = 100
+)
+
+var errNoSteps = eris.New("workflow has no steps")
+
+// Limits are the bounds of a deployment.
+type Limits struct {
+	// Early is how long before its due time an occurrence may start.
+	Early time.Duration
+	// StatusKept is how long the state of an ended job can be asked for.
+	StatusKept time.Duration
+	// RemoteFactor is how much longer a task takes away from its preferred rack.
+	RemoteFactor float64
+}
+
+// Log receives the decisions.
+type Log interface {
+	Decision(event, job string, values ...any)
+}
+
+// State is everything that the controller knows. It is not safe for concurrent use.
+type State struct {
+	limits    Limits
+	log       Log
+	policy    *policy.Policy
+	evacuated map[string]bool
+	workers   map[string]*Worker
+	jobs      map[string]*Job
+	// open are the jobs that need something done.
+	open  map[string]*Job
+	teams map[string]*teamUse
+	dirty map[string]*Job
+	// learned is how many of the named workers a queue's advice allowed, by queue.
+	learned map[string]float64
+	// changed is true if something happened since the last plan that could lead to another one.
+	changed bool
+}
+
+// teamUse is what a team has running and how many jobs it may count on.
+type teamUse struct {
+	running resource.Vector
+	// budget is the number of jobs that are not in excess; it refills at the team's share a second.
+	budget   float64
+	budgetAt int64
+}
+
+// New returns an empty state.
+func New(limits Limits, log Log) *State {
+	return &State{
+		limits: limits, log: log, evacuated: map[string]bool{}, workers: map[string]*Worker{}, jobs: map[string]*Job{},
+		open: map[string]*Job{}, teams: map[string]*teamUse{}, dirty: map[string]*Job{}, learned: map[string]float64{},
+	}
+}
+
+// SetPolicy brings a version of the configuration into force.
+func (s *State) SetPolicy(p *policy.Policy) {
+	s.policy = p
+	s.changed = true
+}
+
+// SetEvacuated replaces the set of evacuated availability zones.
+func (s *State) SetEvacuated(zones map[string]bool) {
+	s.evacuated = zones
+	s.changed = true
+}
+
+// queue returns the newest policy of a job's queue; a queue that was removed keeps the one under which the job came.
+func (s *State) queue(j *Job) *siskinv1.QueuePolicy {
+	if s.policy != nil {
+		if q := s.policy.Queue(j.Record.GetQueue().GetName()); q != nil {
+			return q
+		}
+	}
+	return j.Record.GetQueue()
+}
+
+// AddJob adds an accepted job. A job that is known already changes nothing.
+func (s *State) AddJob(record *siskinv1.Workflow, progress *siskinv1.WorkflowProgress) *Job {
+	if known := s.jobs[record.GetId()]; known != nil {
+		return known
+	}
+	j := newJob(record, progress, s.restorePlace)
+	s.jobs[record.GetId()] = j
+	j.excess = s.overRate(j)
+	if !j.Ended() || j.placed > 0 {
+		s.open[record.GetId()] = j
+		s.changed = true
+	}
+	return j
+}
+
+// restorePlace puts a task back on the worker that the store names for it. The worker may be unknown so far.
+func (s *State) restorePlace(t *Task, saved *siskinv1.TaskProgress) {
+	w := s.workers[saved.GetWorker()]
+	if w == nil {
+		w = newWorker(infra.FleetWorker{ID: saved.GetWorker(), Incarnation: saved.GetIncarnation()})
+		w.Listed = false
+		s.workers[saved.GetWorker()] = w
+	}
+	s.place(t, w)
+	t.phase = phaseOrdered
+}
+
+// overRate reports whether a job exceeds the rate that its team may count on, and takes it from the budget otherwise.
+func (s *State) overRate(j *Job) bool {
+	team := j.Record.GetTeam()
+	if team == "" || s.policy == nil {
+		return false
+	}
+	rate := float64(s.policy.Teams[team].Share)
+	if rate <= 0 {
+		return false
+	}
+	use := s.team(team)
+	at := j.Record.GetAcceptedUnixMs()
+	if use.budgetAt == 0 {
+		use.budget, use.budgetAt = rate, at
+	}
+	if at > use.budgetAt {
+		use.budget = min(rate, use.budget+rate*float64(at-use.budgetAt)/1000)
+		use.budgetAt = at
+	}
+	if use.budget < 1 {
+		return true
+	}
+	use.budget--
+	return false
+}
+
+func (s *State) team(name string) *teamUse {
+	use := s.teams[name]
+	if use == nil {
+		use = &teamUse{}
+		s.teams[name] = use
+	}
+	return use
+}
+
+// Job returns a job, or nil.
+func (s *State) Job(id string) *Job { return s.jobs[id] }
+
+// Phase returns what callers are shown of a job.
+func (j *Job) ShownPhase() siskinv1.WorkflowPhase {
+	switch {
+	case ended(j.DurablePhase):
+		return j.DurablePhase
+	case j.Phase == siskinv1.WorkflowPhase_WORKFLOW_PHASE_CANCELLED:
+		return j.Phase
+	case j.started:
+		return siskinv1.WorkflowPhase_WORKFLOW_PHASE_RUNNING
+	default:
+		return siskinv1.WorkflowPhase_WORKFLOW_PHASE_QUEUED
+	}
+}
+
+// Pending returns how many jobs of a queue have not started. Jobs with due times are not counted.
+func (s *State) Pending(queue string) int {
+	n := 0
+	for _, j := range s.open {
+		if j.Record.GetQueue().GetName() == queue && !j.started && !j.Ended() && j.Record.GetOccurrences() == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Cancel ends a job that has not ended.
+func (s *State) Cancel(id string, unixMs int64) {
+	j := s.jobs[id]
+	if j == nil || j.Ended() {
+		return
+	}
+	s.endJob(j, siskinv1.WorkflowPhase_WORKFLOW_PHASE_CANCELLED, unixMs)
+	s.log.Decision("cancelled", id, "running", j.placed)
+}
+
+// endJob ends a job and stops what runs of it.
+func (s *State) endJob(j *Job, phase siskinv1.WorkflowPhase, unixMs int64) {
+	j.Phase, j.EndedUnixMs = phase, unixMs
+	s.markDirty(j)
+	for _, o := range j.occurrences {
+		for _, step := range o.steps {
+			for i := range step.tasks {
+				step.tasks[i].wantStop("job ended")
+			}
+		}
+	}
+	s.closeIfOver(j)
+}
+
+// closeIfOver forgets the steps of a job that has ended everywhere.
+func (s *State) closeIfOver(j *Job) {
+	if j.Ended() && j.placed == 0 {
+		delete(s.open, j.Record.GetId())
+		j.occurrences = nil
+		s.markDirty(j)
+	}
+}
+
+func (s *State) markDirty(j *Job) {
+	s.dirty[j.Record.GetId()] = j
+	s.changed = true
+}
+
+// place puts a task on a worker.
+func (s *State) place(t *Task, w *Worker) {
+	t.worker = w
+	if !t.done {
+		t.step.waiting--
+	}
+	t.step.job.placed++
+	w.add(t)
+	use := s.team(t.step.job.Record.GetTeam())
+	use.running = use.running.Add(stepRoom(t.step.spec))
+}
+
+// release takes a task off its worker.
+func (s *State) release(t *Task) {
+	w := t.worker
+	if w == nil {
+		return
+	}
+	w.remove(t)
+	t.worker, t.phase = nil, phaseNone
+	t.doubtful, t.stop, t.stopping, t.stopReason = false, false, false, ""
+	t.stopAnswer, t.stopAfter, t.orderedAt = time.Time{}, time.Time{}, time.Time{}
+	t.percent, t.progressAt, t.pace = 0, time.Time{}, fullPace
+	j := t.step.job
+	if !t.done {
+		t.step.waiting++
+	}
+	j.placed--
+	use := s.team(j.Record.GetTeam())
+	use.running = use.running.Sub(stepRoom(t.step.spec))
+	s.markDirty(j)
+	s.closeIfOver(j)
+	if !w.Listed && len(w.tasks) == 0 {
+		s.changed = true
+	}
+}
+
+func (t *Task) wantStop(reason string) {
+	if t.worker == nil || t.stop {
+		return
+	}
+	t.stop, t.stopReason = true, reason
+}
+
+// Expired returns jobs whose state need no longer be kept, and forgets them.
+func (s *State) Expired(unixMs int64, most int) []string {
+	var expired []string
+	for id, j := range s.jobs {
+		if len(expired) >= most {
+			break
+		}
+		old := unixMs-j.EndedUnixMs > s.limits.StatusKept.Milliseconds()
+		if j.Ended() && j.placed == 0 && ended(j.DurablePhase) && old && s.dirty[id] == nil {
+			expired = append(expired, id)
+		}
+	}
+	return expired
+}
+
+// Forget removes a job whose records were deleted.
+func (s *State) Forget(id string) { delete(s.jobs, id) }
+
+// Worker returns a worker, or nil.
+func (s *State) Worker(id string) *Worker { return s.workers[id] }
+
+// Workers returns all workers by identifier. The map is not changed by the caller.
+func (s *State) Workers() map[string]*Worker { return s.workers }
+
+// Touch makes the next plan look at everything again.
+func (s *State) Touch() { s.changed = true }
+
+// AssumeLeases notes that an earlier controller may have extended the lease of every worker until a time.
+func (s *State) AssumeLeases(until time.Time) {
+	for _, w := range s.workers {
+		s.RenewSent(w, until)
+	}
+}
+
+// Unacknowledged reports whether ends that the worker listed are not durable yet.
+func (w *Worker) Unacknowledged() bool { return w.seen != w.acknowledged }
--- /dev/null
+++ b/dispatch/worker.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/resource"
+)
+
+const (
+	// failuresToSuspend is how many runs in a row must fail on a worker before it is suspended. With one task in ten
+	// failing by its own fault, three in a row are one in a thousand.
+	failuresToSuspend = 3
+	// suspendMin and suspendMax bound the pause of a worker that fails or declines; it doubles each time.
+	suspendMin = 500 * time.Millisecond
+	suspendMax = 8 * time.Second
+	// trialTasks is how many tasks a worker gets after a suspension until one succeeds.
+	trialTasks = 2
+)
+
+// Worker is a worker with what runs on it.
+type Worker struct {
+	Info infra.FleetWorker
+	// Listed is false once the worker's entry has been removed.
+	Listed bool
+	// reported is true once the worker has answered under this controller's epoch.
+	reported bool
+	// reachable is false after a renewal failed, until the next answer.
+	reachable bool
+	// leaseEnd is when everything on the worker has ended if it does not hear from the controller again.
+	leaseEnd time.Time
+	// seen is the number of the last end taken into the state, Acknowledged the last one that is durable.
+	seen         int64
+	acknowledged int64
+
+	used     resource.Vector
+	backfill int64 // milli-CPU declared by backfill tasks
+	// serving is the number of tasks with a latency objective, fillers that of backfill tasks.
+	serving, fillers int
+	tasks            map[*Task]struct{}
+
+	failures       int
+	suspensions    int
+	suspendedUntil time.Time
+	onTrial        bool
+	// newStarts counts the tasks placed since the suspension ended.
+	trialStarts int
+}
+
+func newWorker(info infra.FleetWorker) *Worker {
+	return &Worker{Info: info, Listed: true, tasks: map[*Task]struct{}{}}
+}
+
+// Acknowledged returns the number up to which the worker may forget ends.
+func (w *Worker) Acknowledged() int64 { return w.acknowledged }
+
+// Reachable reports whether the worker answered its last renewal.
+func (w *Worker) Reachable() bool { return w.reachable }
+
+// free returns the room that is left.
+func (w *Worker) free() resource.Vector { return w.Info.Capacity.Sub(w.used) }
+
+// hasLabel reports whether the worker has a label; every worker has the empty one.
+func (w *Worker) hasLabel(label string) bool {
+	return label == "" || slices.Contains(w.Info.Labels, label)
+}
+
+// rack returns the rack of the worker, which is its last label.
+func (w *Worker) rack() string {
+	if len(w.Info.Labels) == 0 {
+		return ""
+	}
+	return w.Info.Labels[len(w.Info.Labels)-1]
+}
+
+// takes reports whether the worker may get new tasks at all.
+func (w *Worker) takes(now time.Time) bool {
+	if !w.Listed || !w.reported || !w.reachable || w.Info.Draining || now.Before(w.suspendedUntil) {
+		return false
+	}
+	return !w.onTrial || w.trialStarts < trialTasks
+}
+
+func (w *Worker) add(t *Task) {
+	w.tasks[t] = struct{}{}
+	w.used = w.used.Add(t.room())
+	if t.step.spec.GetBackfill() {
+		w.backfill += t.step.spec.GetMilliCpu()
+		w.fillers++
+	}
+	if t.step.spec.GetLatencyObjectiveMs() > 0 {
+		w.serving++
+	}
+}
+
+func (w *Worker) remove(t *Task) {
+	if _, ok := w.tasks[t]; !ok {
+		return
+	}
+	delete(w.tasks, t)
+	w.used = w.used.Sub(t.room())
+	if t.step.spec.GetBackfill() {
+		w.backfill -= t.step.spec.GetMilliCpu()
+		w.fillers--
+	}
+	if t.step.spec.GetLatencyObjectiveMs() > 0 {
+		w.serving--
+	}
+}
+
+// suspend keeps new tasks from the worker for a while.
+func (w *Worker) suspend(now time.Time) {
+	pause := min(suspendMin<<min(w.suspensions, 8), suspendMax)
+	w.suspensions++
+	w.suspendedUntil = now.Add(pause)
+	w.onTrial, w.trialStarts = true, 0
+}
+
+// succeeded notes that a run succeeded on the worker.
+func (w *Worker) succeeded() {
+	w.failures, w.suspensions, w.onTrial = 0, 0, false
+}
+
+// failed notes that a run failed on the worker.
+func (w *Worker) failed(now time.Time) {
+	w.failures++
+	if w.failures >= failuresToSuspend || w.onTrial {
+		w.suspend(now)
+	}
+}
--- /dev/null
+++ b/election/elector.go
@@ -0,0 +1,231 @@
+package election
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
+)
+
+const (
+	// leaderKey names the controller.
+	leaderKey = "lead/owner"
+	// watchWait is how long the store holds a watch open. A lost answer delays the news by no more.
+	watchWait = time.Second
+	// watchSlack is how much longer an answer to a watch may take.
+	watchSlack = 700 * time.Millisecond
+)
+
+// Term is the time during which this machine is the controller.
+type Term struct {
+	// Epoch rises from controller to controller.
+	Epoch int64
+	// Condition holds for the store as long as the term lasts.
+	Condition infra.Condition
+	lease     infra.LeaseID
+	session   *Session
+	end       context.CancelFunc
+}
+
+// Valid reports whether no other machine can be the controller now. It is checked immediately before each act.
+func (t *Term) Valid() bool { return t.session.Holds(t.lease) }
+
+// Lost ends the term, because another controller was seen.
+func (t *Term) Lost() { t.end() }
+
+// Elector makes this machine the controller when there is none.
+type Elector struct {
+	Store   infra.TxnStore
+	Session *Session
+	Clock   clock.Clock
+	Log     logr.Logger
+	Self    *siskinv1.Leadership
+	// Serve acts as the controller until its context ends.
+	Serve func(ctx context.Context, term *Term)
+
+	mu     sync.Mutex // guards leader
+	leader *siskinv1.Leadership
+}
+
+// Leader returns the machine that is the controller as far as known, or nil.
+func (e *Elector) Leader() *siskinv1.Leadership {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader
+}
+
+func (e *Elector) setLeader(leader *siskinv1.Leadership) {
+	e.mu.Lock()
+	changed := e.leader.GetMachine() != leader.GetMachine() || e.leader.GetIncarnation() != leader.GetIncarnation()
+	e.leader = leader
+	e.mu.Unlock()
+	if changed {
+		e.Log.Info("controller known", "machine", leader.GetMachine(), "incarnation", leader.GetIncarnation())
+	}
+}
+
+// view is what the store says about the controller.
+type view struct {
+	entry    infra.KeyValue
+	exists   bool
+	revision infra.Revision
+}
+
+// Run follows the leadership, and takes it when it is free, until ctx ends.
+func (e *Elector) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		v, err := e.read(ctx)
+		if err != nil {
+			_ = e.Clock.Sleep(ctx, retryPause)
+			continue
+		}
+		e.follow(ctx, v)
+	}
+}
+
+// read returns the present entry.
+func (e *Elector) read(ctx context.Context) (view, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	listing, err := e.Store.List(call, leaderKey)
+	if err != nil {
+		return view{}, err
+	}
+	v := view{revision: listing.Revision}
+	for _, entry := range listing.Entries {
+		if entry.Key == leaderKey {
+			v.entry, v.exists = entry, true
+		}
+	}
+	return v, nil
+}
+
+// follow acts on the entry and waits for its changes until a watch fails.
+func (e *Elector) follow(ctx context.Context, v view) {
+	for ctx.Err() == nil {
+		e.act(ctx, v)
+		if ctx.Err() != nil {
+			return
+		}
+		next, err := e.watch(ctx, v)
+		if err != nil {
+			return
+		}
+		v = next
+	}
+}
+
+func (e *Elector) watch(ctx context.Context, v view) (view, error) {
+	call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	result, err := e.Store.Watch(call, infra.WatchRequest{Prefix: leaderKey, After: v.revision, Wait: watchWait})
+	if err != nil {
+		return v, err
+	}
+	for _, event := range result.Events {
+		if event.Key == leaderKey {
+			v.entry, v.exists = event.KeyValue, !event.Deleted
+		}
+	}
+	v.revision = result.Revision
+	return v, nil
+}
+
+// act takes the leadership if it is free, and serves while it is this machine's.
+func (e *Elector) act(ctx context.Context, v view) {
+	owner := &siskinv1.Leadership{}
+	if v.exists {
+		if err := proto.Unmarshal(v.entry.Value, owner); err != nil {
+			e.Log.Error(err, "entry of the controller cannot be read; it is replaced when its lease ends")
+			return
+		}
+	}
+	lease, valid := e.Session.Lease()
+	mine := v.exists && owner.GetMachine() == e.Self.GetMachine()
+	switch {
+	case mine && owner.GetIncarnation() == e.Self.GetIncarnation() && v.entry.Lease == lease && valid:
+		e.setLeader(owner)
+		e.serve(ctx, v.entry)
+	case !valid:
+		e.setLeader(owner)
+	case !v.exists || mine:
+		// An entry of an earlier process of this machine is replaced at once: that process is gone.
+		e.acquire(ctx, v, lease)
+	default:
+		e.setLeader(owner)
+	}
+}
+
+func (e *Elector) acquire(ctx context.Context, v view, lease infra.LeaseID) {
+	value, err := proto.Marshal(e.Self)
+	if err != nil {
+		e.Log.Error(err, "encode leadership")
+		return
+	}
+	condition := infra.Condition{Key: leaderKey}
+	if v.exists {
+		condition.Revision = v.entry.Revision
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	revision, err := e.Store.Commit(call, infra.Txn{
+		Conditions: []infra.Condition{condition},
+		Writes:     []infra.Write{{Key: leaderKey, Value: value, Lease: lease}},
+	})
+	if err != nil {
+		// Whatever became of the write, the watch shows it.
+		e.Log.V(1).Info("leadership not acquired", "reason", err.Error())
+		if !errors.Is(err, infra.ErrConflict) {
+			_ = e.Clock.Sleep(ctx, retryPause)
+		}
+		return
+	}
+	e.setLeader(e.Self)
+	e.serve(ctx, infra.KeyValue{Key: leaderKey, Revision: revision, Lease: lease})
+}
+
+// serve acts as the controller until ctx ends, the lease is lost or another controller is seen.
+func (e *Elector) serve(ctx context.Context, entry infra.KeyValue) {
+	termContext, end := context.WithCancel(ctx)
+	defer end()
+	term := &Term{
+		Epoch: int64(entry.Revision), Condition: infra.Condition{Key: leaderKey, Revision: entry.Revision},
+		lease: entry.Lease, session: e.Session, end: end,
+	}
+	e.Log.Info("controller term begins", "epoch", term.Epoch)
+	changed := e.Session.Changed()
+	if !term.Valid() {
+		return
+	}
+	go func() {
+		select {
+		case <-changed:
+			end()
+		case <-termContext.Done():
+		}
+	}()
+	e.Serve(termContext, term)
+	e.Log.Info("controller term ends", "epoch", term.Epoch, "valid", term.Valid())
+	if ctx.Err() != nil {
+		e.resign(entry)
+	}
+}
+
+// resign frees the leadership of a machine that stops, so that another one takes it at once.
+func (e *Elector) resign(entry infra.KeyValue) {
+	call, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err := e.Store.Commit(call, infra.Txn{
+		Conditions: []infra.Condition{{Key: leaderKey, Revision: entry.Revision}}, Removes: []string{leaderKey},
+	})
+	if err != nil {
+		e.Log.Info("leadership not given up; it ends with the lease", "reason", err.Error())
+	}
+}
--- /dev/null
+++ b/election/session.go
@@ -0,0 +1,134 @@
+// Package election chooses the machine that acts as the controller. The store holds one key that names it, under the
+// machine's lease; the key's revision is the controller's epoch.
+package election
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
+)
+
+const (
+	// renewals is how many renewals fit into the time to live of a lease.
+	renewals = 5
+	// callTimeout bounds a call to the store about a lease. Slow periods of the store answer within a quarter second.
+	callTimeout = 700 * time.Millisecond
+	// retryPause is the pause after a failed call.
+	retryPause = 100 * time.Millisecond
+	// rightMargin is taken off a lease for the drift between the clocks of the store and the machine.
+	rightMargin = 200 * time.Millisecond
+)
+
+// Session keeps one lease of the machine alive.
+type Session struct {
+	store infra.TxnStore
+	clock clock.Clock
+	log   logr.Logger
+	ttl   time.Duration
+
+	mu    sync.Mutex // guards lease, until and changed
+	lease infra.LeaseID
+	// until is when the lease ends at the earliest.
+	until   time.Time
+	changed chan struct{}
+}
+
+// NewSession returns a session that asks for a time to live.
+func NewSession(store infra.TxnStore, c clock.Clock, log logr.Logger, ttl time.Duration) *Session {
+	return &Session{store: store, clock: c, log: log, ttl: ttl, changed: make(chan struct{})}
+}
+
+// Lease returns the lease in force, and false if it may have ended.
+func (s *Session) Lease() (infra.LeaseID, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease, s.lease != 0 && s.clock.Now().Before(s.until)
+}
+
+// Holds reports whether a lease is the one in force and has certainly not ended.
+func (s *Session) Holds(lease infra.LeaseID) bool {
+	current, valid := s.Lease()
+	return valid && current == lease
+}
+
+// Changed returns a channel that is closed when another lease comes into force.
+func (s *Session) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Run keeps a lease until ctx ends, and then gives it up.
+func (s *Session) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		lease, _ := s.Lease()
+		if err := s.step(ctx, lease); err != nil {
+			_ = s.clock.Sleep(ctx, retryPause)
+			continue
+		}
+		_ = s.clock.Sleep(ctx, s.ttl/renewals)
+	}
+	s.end()
+}
+
+func (s *Session) step(ctx context.Context, lease infra.LeaseID) error {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := s.clock.Now()
+	if lease == 0 {
+		granted, ttl, err := s.store.GrantLease(call, s.ttl)
+		if err != nil {
+			return err
+		}
+		s.set(granted, sent.Add(ttl-rightMargin), ttl)
+		s.log.Info("lease granted", "lease", granted, "ttl_ms", ttl.Milliseconds())
+		return nil
+	}
+	err := s.store.RenewLease(call, lease)
+	switch {
+	case err == nil:
+		s.extend(lease, sent.Add(s.ttl-rightMargin))
+	case errors.Is(err, infra.ErrLeaseExpired):
+		s.log.Info("lease expired", "lease", lease)
+		s.set(0, time.Time{}, s.ttl)
+	default:
+		s.log.V(1).Info("lease not renewed", "lease", lease, "reason", err.Error())
+	}
+	return err
+}
+
+func (s *Session) set(lease infra.LeaseID, until time.Time, ttl time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease, s.until, s.ttl = lease, until, ttl
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Session) extend(lease infra.LeaseID, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lease == lease && until.After(s.until) {
+		s.until = until
+	}
+}
+
+// end gives the lease up, so that what hangs on it is free at once.
+func (s *Session) end() {
+	lease, _ := s.Lease()
+	if lease == 0 {
+		return
+	}
+	s.set(0, time.Time{}, s.ttl)
+	call, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := s.store.RevokeLease(call, lease); err != nil {
+		s.log.Info("lease not given up", "lease", lease, "reason", err.Error())
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,270 @@
+// Package gateway accepts jobs on any machine. A job is accepted once the store holds it; the controller takes it from
+// there. States are asked from the controller, and read from the store when it cannot be reached.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/controller"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/policy"
+	"siskinstack.example/siskinstack/refusal"
+)
+
+const (
+	// storeTimeout bounds one call to the store; in its slow periods it answers within a quarter second.
+	storeTimeout = 600 * time.Millisecond
+	// storePause is the pause between two tries.
+	storePause = 30 * time.Millisecond
+	// refusedTries is how often a call that the store certainly did not carry out is tried.
+	refusedTries = 2
+	// controllerTimeout bounds a question to the controller.
+	controllerTimeout = 500 * time.Millisecond
+	// answerMargin is kept of a caller's time for the answer's way back.
+	answerMargin = 150 * time.Millisecond
+	// retryAfter is when a refused caller should come back. The store and the controller change over within seconds.
+	retryAfter = 500 * time.Millisecond
+)
+
+// Controller answers for the jobs, on this machine or another one.
+type Controller interface {
+	Lookup(id string) (phase siskinv1.WorkflowPhase, known, authoritative bool)
+	Pending(queue string) (pending int, authoritative bool)
+}
+
+// Peers asks the controller on another machine.
+type Peers interface {
+	Lookup(ctx context.Context, address, id string) (*siskinv1.LookupWorkflowResponse, error)
+	Pending(ctx context.Context, address, queue string) (*siskinv1.CountPendingResponse, error)
+}
+
+// Options configures a gateway.
+type Options struct {
+	Store  infra.TxnStore
+	Clock  clock.Clock
+	Log    logr.Logger
+	Policy *policy.View
+	// Local is the controller of this machine, Leader the machine that is the controller as far as known.
+	Local  Controller
+	Peers  Peers
+	Leader func() *siskinv1.Leadership
+	// FreshFor is how old the configuration may be for calls that carry a key. A key that was taken away must stop
+	// working even on a machine that hears nothing.
+	FreshFor time.Duration
+	Metrics  *Metrics
+}
+
+// Gateway serves callers.
+type Gateway struct{ options Options }
+
+// New returns a gateway.
+func New(options Options) *Gateway { return &Gateway{options: options} }
+
+// Target is what a call is about.
+type Target struct {
+	Queue *siskinv1.QueuePolicy
+	Team  string
+	// Job is empty if the call is about the queue.
+	Job string
+}
+
+// Authorize finds the queue and the team of a call.
+func (g *Gateway) Authorize(host, path, key string) (Target, error) {
+	p := g.options.Policy.Current()
+	age := g.options.Policy.Age()
+	if p == nil {
+		return Target{}, g.refuse("", refusal.StoreUnavailable, "no configuration yet")
+	}
+	queue, rest, ok := p.Match(host, path)
+	if !ok {
+		if age > g.options.FreshFor {
+			return Target{}, g.refuse("", refusal.KeyUnverifiable, "configuration is %d ms old", age.Milliseconds())
+		}
+		return Target{}, g.refuse("", refusal.NotFound, "no queue at host %.80q", host)
+	}
+	target := Target{Queue: queue, Job: rest}
+	team, known := p.TeamOf(key)
+	switch {
+	case queue.GetOpen():
+		target.Team = team
+		return target, nil
+	case age > g.options.FreshFor:
+		return Target{}, g.refuse(rest, refusal.KeyUnverifiable, "configuration is %d ms old", age.Milliseconds())
+	case !known:
+		return Target{}, g.refuse(rest, refusal.KeyUnknown, "key is not in configuration %d", p.Version)
+	}
+	target.Team = team
+	return target, nil
+}
+
+// refuse logs and counts a refusal.
+func (g *Gateway) refuse(job string, reason refusal.Reason, format string, args ...any) *refusal.Error {
+	refused := refusal.New(reason, format, args...)
+	refused.RetryAfter = retryAfter
+	g.options.Metrics.refused(reason)
+	g.options.Log.Info("refused", "job", job, "reason", string(reason), "detail", refused.Message,
+		"policy_age_ms", g.options.Policy.Age().Milliseconds())
+	return refused
+}
+
+// Submit accepts a job. A nil error means that the store holds it. Refusals that say "not run" are only given if no
+// write can take effect any more.
+func (g *Gateway) Submit(ctx context.Context, record *siskinv1.Workflow) error {
+	value, err := proto.Marshal(record)
+	if err != nil {
+		return g.refuse(record.GetId(), refusal.BadRequest, "%v", err)
+	}
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: controller.JobKey(record.GetId())}},
+		Writes:     []infra.Write{{Key: controller.JobKey(record.GetId()), Value: value}},
+	}
+	began := g.options.Clock.Now()
+	created, err := g.write(ctx, record.GetId(), txn)
+	took := g.options.Clock.Now().Sub(began)
+	g.options.Metrics.submitted(took, err)
+	if err != nil {
+		return err
+	}
+	g.options.Log.Info("accepted", "job", record.GetId(), "queue", record.GetQueue().GetName(), "team", record.GetTeam(),
+		"new", created, "ms", took.Milliseconds())
+	return nil
+}
+
+// write commits a change that may be sent more than once. It reports whether the conditions held.
+func (g *Gateway) write(ctx context.Context, job string, txn infra.Txn) (bool, error) {
+	sent, refused := false, 0
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := g.options.Store.Commit(call, txn)
+		cancel()
+		switch {
+		case err == nil:
+			return true, nil
+		case errors.Is(err, infra.ErrConflict):
+			return false, nil
+		case errors.Is(err, infra.ErrRefused), errors.Is(err, infra.ErrNotSent):
+			refused++
+			if !sent && refused >= refusedTries {
+				return false, g.refuse(job, refusal.StoreUnavailable, "%v", err)
+			}
+		default:
+			sent = true
+		}
+		_ = g.options.Clock.Sleep(ctx, storePause)
+	}
+	if sent {
+		return false, g.refuse(job, refusal.AcceptanceUnknown, "the store has not answered in time")
+	}
+	return false, g.refuse(job, refusal.StoreUnavailable, "the store has not answered in time")
+}
+
+// Phase returns the state of a job.
+func (g *Gateway) Phase(ctx context.Context, job string) (siskinv1.WorkflowPhase, error) {
+	if phase, known, authoritative := g.options.Local.Lookup(job); authoritative && known {
+		return phase, nil
+	}
+	if leader := g.options.Leader(); leader.GetAddress() != "" {
+		call, cancel := context.WithTimeout(ctx, controllerTimeout)
+		answer, err := g.options.Peers.Lookup(call, leader.GetAddress(), job)
+		cancel()
+		if err == nil && answer.GetAuthoritative() && answer.GetKnown() {
+			return answer.GetPhase(), nil
+		}
+	}
+	return g.storedPhase(ctx, job)
+}
+
+// storedPhase reads the state of a job from the store.
+func (g *Gateway) storedPhase(ctx context.Context, job string) (siskinv1.WorkflowPhase, error) {
+	if _, err := g.get(ctx, job, controller.JobKey(job)); err != nil {
+		return 0, err
+	}
+	entry, err := g.get(ctx, job, controller.ProgressKey(job))
+	var refused *refusal.Error
+	if errors.As(err, &refused) && refused.Reason == refusal.NotFound {
+		return siskinv1.WorkflowPhase_WORKFLOW_PHASE_QUEUED, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	progress := &siskinv1.WorkflowProgress{}
+	if err := proto.Unmarshal(entry.Value, progress); err != nil {
+		return 0, g.refuse(job, refusal.InternalError, "progress cannot be read: %v", err)
+	}
+	if progress.GetPhase() == siskinv1.WorkflowPhase_WORKFLOW_PHASE_QUEUED {
+		return siskinv1.WorkflowPhase_WORKFLOW_PHASE_RUNNING, nil
+	}
+	return progress.GetPhase(), nil
+}
+
+// get reads a key, as often as the caller's time allows.
+func (g *Gateway) get(ctx context.Context, job, key string) (infra.KeyValue, error) {
+	tries := 0
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		entry, err := g.options.Store.Get(call, key)
+		cancel()
+		if err == nil {
+			return entry, nil
+		}
+		if errors.Is(err, infra.ErrNotFound) {
+			return entry, refusal.New(refusal.NotFound, "no job %.40q", job)
+		}
+		if tries++; tries >= refusedTries {
+			break
+		}
+		_ = g.options.Clock.Sleep(ctx, storePause)
+	}
+	return infra.KeyValue{}, g.refuse(job, refusal.StoreUnavailable, "the state of the job cannot be read")
+}
+
+// Cancel asks to cancel a job. A nil error means that the store holds the request.
+func (g *Gateway) Cancel(ctx context.Context, target Target) error {
+	entry, err := g.get(ctx, target.Job, controller.JobKey(target.Job))
+	if err != nil {
+		return err
+	}
+	record := &siskinv1.Workflow{}
+	if err := proto.Unmarshal(entry.Value, record); err != nil {
+		return g.refuse(target.Job, refusal.InternalError, "job cannot be read: %v", err)
+	}
+	if record.GetTeam() != target.Team {
+		return g.refuse(target.Job, refusal.NotFound, "job belongs to another team")
+	}
+	key := controller.CancelKey(target.Job)
+	_, err = g.write(ctx, target.Job, infra.Txn{
+		Conditions: []infra.Condition{{Key: key}}, Writes: []infra.Write{{Key: key, Value: []byte{}}},
+	})
+	if err == nil {
+		g.options.Log.Info("cancellation accepted", "job", target.Job)
+	}
+	return err
+}
+
+// Pending returns how many jobs of a queue have not started.
+func (g *Gateway) Pending(ctx context.Context, queue string) (int64, error) {
+	if pending, authoritative := g.options.Local.Pending(queue); authoritative {
+		return int64(pending), nil
+	}
+	if leader := g.options.Leader(); leader.GetAddress() != "" {
+		call, cancel := context.WithTimeout(ctx, controllerTimeout)
+		defer cancel()
+		answer, err := g.options.Peers.Pending(call, leader.GetAddress(), queue)
+		if err == nil && answer.GetAuthoritative() {
+			return answer.GetPending(), nil
+		}
+	}
+	return 0, g.refuse("", refusal.ShardUnavailable, "the controller cannot be reached")
+}
+
+// Within returns a context that ends in time for an answer within what a caller waits.
+func (g *Gateway) Within(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, max(wait-answerMargin, answerMargin))
+}
--- /dev/null
+++ b/infra/fleet.go
@@ -0,0 +1,158 @@
+package infra
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinstack.example/siskinstack/resource"
+)
+
+// Errors of orders to fleet workers. ErrNotSent and all of these except ErrStaleEpoch's cause prove that the order has
+// not been and will not be carried out; any other error leaves that unknown.
+var (
+	// ErrFenced means that the worker has seen a higher epoch.
+	ErrFenced = eris.New("worker follows a newer controller")
+	// ErrOldRun means that the worker has ended or stopped this run or a later one.
+	ErrOldRun = eris.New("run is not newer than one that ended on the worker")
+	// ErrLeaseOver means that the lease of the order had passed on the worker's clock.
+	ErrLeaseOver = eris.New("lease of the order has passed")
+	// ErrWorkerFull means that the task does not fit.
+	ErrWorkerFull = eris.New("worker has no room for the task")
+	// ErrTicketInvalid means that the worker does not accept the ticket of the start.
+	ErrTicketInvalid = eris.New("ticket is not valid on the worker")
+	// ErrWorkerUnhealthy means that the worker declines all orders for now.
+	ErrWorkerUnhealthy = eris.New("worker declines orders")
+	// ErrOtherWorker means that another incarnation answers at the address.
+	ErrOtherWorker = eris.New("another worker answers at the address")
+	// ErrOrderInvalid means that the worker cannot make sense of the order.
+	ErrOrderInvalid = eris.New("worker rejects the order as invalid")
+	// ErrAdvisorBusy means that too many calls wait at the advisor.
+	ErrAdvisorBusy = eris.New("advisor has too many waiting calls")
+)
+
+// FleetWorker is what a worker last reported about itself.
+type FleetWorker struct {
+	ID          string
+	Incarnation int64
+	Service     string
+	Address     string
+	Zone        string
+	// Labels are the kind of the worker and its rack.
+	Labels   []string
+	Capacity resource.Vector
+	Draining bool
+	// DrainRemaining is the least time until a draining worker leaves.
+	DrainRemaining time.Duration
+}
+
+// StartOrder tells a worker to run a task.
+type StartOrder struct {
+	Task    string
+	Run     int32
+	Payload string
+	// LeaseUntilMs is the end of the worker's lease on the worker's own clock.
+	LeaseUntilMs int64
+	Epoch        int64
+	Checkpoint   string
+	Ticket       string
+}
+
+// StopOrder tells a worker to end a run, or never to begin it.
+type StopOrder struct {
+	Task  string
+	Run   int32
+	Epoch int64
+}
+
+// PaceOrder sets the share of its processors that a running task uses.
+type PaceOrder struct {
+	Task    string
+	Run     int32
+	Percent int32
+	Epoch   int64
+}
+
+// RenewOrder extends the lease of everything on a worker and asks what runs there.
+type RenewOrder struct {
+	// LeaseUntilMs is on the worker's own clock; 0 extends nothing.
+	LeaseUntilMs int64
+	Epoch        int64
+	// Acknowledged is the number up to which the worker may forget ends.
+	Acknowledged int64
+	// Wait is how long the worker holds the answer back until a task ends.
+	Wait time.Duration
+}
+
+// ActiveRun is a run that a worker holds.
+type ActiveRun struct {
+	Task       string
+	Run        int32
+	Checkpoint string
+	// Percent is the work that is done, or 100 for a long-running task that is at work.
+	Percent int32
+	// Load is the response time's tail in milliseconds for a task with a latency objective, and the milli-CPU in use
+	// otherwise.
+	Load int64
+}
+
+// Outcome is how a run ended.
+type Outcome int
+
+// Outcomes of runs.
+const (
+	OutcomeUnknown Outcome = iota
+	OutcomeSucceeded
+	OutcomeFailed
+	OutcomeStopped
+	// OutcomeExpired means that the lease passed.
+	OutcomeExpired
+	// OutcomeGangBroken means that another member of the gang ended.
+	OutcomeGangBroken
+	// OutcomeGangIncomplete means that the other members of the gang did not come in time.
+	OutcomeGangIncomplete
+)
+
+// EndedRun is a run that ended on a worker.
+type EndedRun struct {
+	Number     int64
+	Task       string
+	Run        int32
+	Outcome    Outcome
+	Checkpoint string
+}
+
+// RunReport is the answer to a renewal.
+type RunReport struct {
+	Incarnation int64
+	ClockMs     int64
+	Active      []ActiveRun
+	Ended       []EndedRun
+}
+
+// Fleet sends orders to workers. The first result of Start, Stop and Pace is the worker's clock in milliseconds, 0 if
+// the answer carries none.
+type Fleet interface {
+	Start(ctx context.Context, worker FleetWorker, order StartOrder) (int64, error)
+	Stop(ctx context.Context, worker FleetWorker, order StopOrder) (int64, error)
+	Pace(ctx context.Context, worker FleetWorker, order PaceOrder) (int64, error)
+	Renew(ctx context.Context, worker FleetWorker, order RenewOrder) (RunReport, error)
+}
+
+// Ticket allows the tasks of one step on one worker.
+type Ticket struct {
+	Worker string
+	Ticket string
+}
+
+// Advice says which of the named workers may run a step.
+type Advice struct {
+	Tickets []Ticket
+	Valid   time.Duration
+}
+
+// Advisor answers which workers a queue's policy allows for a step.
+type Advisor interface {
+	Advise(ctx context.Context, step string, workers []string) (Advice, error)
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,79 @@
+// Package node assembles the process of one machine: it follows the configuration, accepts jobs, and acts as the
+// controller when it is elected.
+package node
+
+import (
+	"net"
+	"time"
+
+	"siskinstack.example/siskinstack/jsoncheck"
+)
+
+// Settings are those of one machine. They are read by the adapter to the platform.
+type Settings struct {
+	Machine string
+	Zone    string
+	// Frontend, Readiness and Peers are listening addresses.
+	Frontend  string
+	Readiness string
+	Peers     string
+	// Metrics is the listening address of the metrics; empty serves none.
+	Metrics string
+	// MemoryBytes is the memory of the machine, 0 if it is not known.
+	MemoryBytes int64
+	Store       StoreSettings
+	Bounds      Bounds
+}
+
+// StoreSettings are those of the platform's store.
+type StoreSettings struct {
+	Address string
+	// MinTTL is the shortest time to live of a lease.
+	MinTTL time.Duration
+}
+
+// Bounds are the deployment's promises and the platform's limits.
+type Bounds struct {
+	// Grace is the time between the signal to stop and the end of the process.
+	Grace time.Duration
+	// Revocation is the longest time that a key works after it was taken away.
+	Revocation time.Duration
+	// LeaseMax is the longest lease of a worker.
+	LeaseMax time.Duration
+	// Early is how long before its due time an occurrence may start.
+	Early time.Duration
+	// StatusKept is how long the state of an ended job can be asked for.
+	StatusKept time.Duration
+	// RemoteFactor is how much longer a task takes away from its preferred rack.
+	RemoteFactor float64
+}
+
+// Check returns all findings about the settings.
+func (s Settings) Check() error {
+	findings := &jsoncheck.Findings{}
+	for _, address := range []struct{ path, value string }{
+		{"listen.frontend", s.Frontend}, {"listen.readiness", s.Readiness}, {"peers", s.Peers}, {"store.address", s.Store.Address},
+	} {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			findings.Add("$."+address.path, "%.70q is not an address with a port", address.value)
+		}
+	}
+	for _, duration := range []struct {
+		path  string
+		value time.Duration
+	}{
+		{"grace", s.Bounds.Grace}, {"revocation", s.Bounds.Revocation}, {"lease_max", s.Bounds.LeaseMax},
+		{"status_kept", s.Bounds.StatusKept},
+	} {
+		if duration.value <= 0 {
+			findings.Add("$.bounds."+duration.path, "is missing or not positive")
+		}
+	}
+	if s.Machine == "" {
+		findings.Add("$.machine", "is missing")
+	}
+	if s.Zone == "" {
+		findings.Add("$.zone", "is missing")
+	}
+	return findings.Err()
+}
--- /dev/null
+++ b/policy/view.go
@@ -0,0 +1,170 @@
+package policy
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
+)
+
+const (
+	// viewWait is how long the store holds a watch open. The view's age is at most this plus the time of a call.
+	viewWait = time.Second
+	// viewSlack is how much longer an answer may take.
+	viewSlack = 600 * time.Millisecond
+	// viewPause is the pause after a failed call.
+	viewPause = 100 * time.Millisecond
+)
+
+// Codec reads what operators write.
+type Codec struct {
+	Prefix string
+	// IsPolicy reports whether a key holds the configuration, and Decode reads it.
+	IsPolicy func(key string) bool
+	Decode   func(value []byte) (*Policy, error)
+	// Evacuated returns the availability zone that a key asks to evacuate.
+	Evacuated func(key string) (string, bool)
+}
+
+// View follows the configuration in the store.
+type View struct {
+	store infra.TxnStore
+	clock clock.Clock
+	log   logr.Logger
+	codec Codec
+
+	mu        sync.Mutex // guards all fields below
+	policy    *Policy
+	evacuated map[string]bool
+	// confirmed is when the view was last known to be complete.
+	confirmed time.Time
+	broken    bool
+}
+
+// NewView returns a view that knows nothing yet.
+func NewView(store infra.TxnStore, c clock.Clock, log logr.Logger, codec Codec) *View {
+	return &View{store: store, clock: c, log: log, codec: codec, evacuated: map[string]bool{}}
+}
+
+// Current returns the configuration in force, or nil.
+func (v *View) Current() *Policy {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.policy
+}
+
+// Evacuated returns the evacuated availability zones.
+func (v *View) Evacuated() map[string]bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.evacuated
+}
+
+// Age returns how long ago the view was last known to be complete.
+func (v *View) Age() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.clock.Now().Sub(v.confirmed)
+}
+
+// Run follows the configuration until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sent := v.clock.Now()
+		call, cancel := context.WithTimeout(ctx, viewWait+viewSlack)
+		listing, err := v.store.List(call, v.codec.Prefix)
+		cancel()
+		if err != nil {
+			v.interrupted(err)
+			_ = v.clock.Sleep(ctx, viewPause)
+			continue
+		}
+		v.replace(listing.Entries, sent)
+		v.watch(ctx, listing.Revision)
+	}
+}
+
+// watch follows the changes until one may have been missed.
+func (v *View) watch(ctx context.Context, after infra.Revision) {
+	for ctx.Err() == nil {
+		sent := v.clock.Now()
+		call, cancel := context.WithTimeout(ctx, viewWait+viewSlack)
+		result, err := v.store.Watch(call, infra.WatchRequest{Prefix: v.codec.Prefix, After: after, Wait: viewWait})
+		cancel()
+		if err != nil {
+			v.interrupted(err)
+			_ = v.clock.Sleep(ctx, viewPause)
+			return
+		}
+		after = result.Revision
+		v.apply(result.Events, sent)
+	}
+}
+
+func (v *View) interrupted(err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.broken {
+		v.log.Info("configuration not followed", "reason", err.Error())
+	}
+	v.broken = true
+}
+
+func (v *View) replace(entries []infra.KeyValue, sent time.Time) {
+	events := make([]infra.Event, 0, len(entries))
+	for _, entry := range entries {
+		events = append(events, infra.Event{KeyValue: entry})
+	}
+	v.mu.Lock()
+	v.evacuated = map[string]bool{}
+	v.mu.Unlock()
+	v.apply(events, sent)
+}
+
+func (v *View) apply(events []infra.Event, sent time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, event := range events {
+		v.applyOne(event)
+	}
+	v.confirmed = sent
+	if v.broken {
+		v.broken = false
+		v.log.Info("configuration followed again")
+	}
+}
+
+// applyOne takes in one key. The caller holds mu.
+func (v *View) applyOne(event infra.Event) {
+	if zone, ok := v.codec.Evacuated(event.Key); ok {
+		v.evacuated = maps.Clone(v.evacuated)
+		if event.Deleted {
+			delete(v.evacuated, zone)
+		} else {
+			v.evacuated[zone] = true
+		}
+		v.log.Info("evacuation", "zone", zone, "in_force", !event.Deleted)
+		return
+	}
+	if !v.codec.IsPolicy(event.Key) || event.Deleted {
+		return
+	}
+	next, err := v.codec.Decode(event.Value)
+	if err != nil {
+		v.log.Error(err, "configuration cannot be read; the one in force stays")
+		return
+	}
+	// A version is never replaced by an older one, whatever order the answers came in.
+	if v.policy != nil && next.Version < v.policy.Version {
+		return
+	}
+	if v.policy == nil || next.Version != v.policy.Version {
+		v.log.Info("configuration in force", "version", next.Version, "queues", len(next.Queues), "teams", len(next.Teams))
+	}
+	v.policy = next
+}
