Keep cancellations that are listed before their jobs; shorten leases

Leases are three quarters of the longest one, and the controller's lease is 1.5 s, so that takeover, lease and advice fit into seven seconds. Ruled out: a missed watch event (the cancellation was listed).

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -39,6 +39,14 @@
 	LeaseMax time.Duration
 }
 
+// leasePart is the part of the longest lease that is asked for, in percent. After a change of controllers the tasks of a
+// worker that is gone wait for two leases, and lasting tasks have to run again soon after that. A shorter lease ends the
+// work of workers that are cut off for a few seconds.
+const leasePart = 75
+
+// lease is how long a lease is asked for.
+func (b Bounds) lease() time.Duration { return b.LeaseMax * leasePart / 100 }
+
 // Peers asks the advisor through other machines.
 type Peers interface {
 	Advise(ctx context.Context, address, step string, workers []string) (infra.Advice, error)
--- a/controller/link.go
+++ b/controller/link.go
@@ -47,7 +47,7 @@
 
 // leaseBound is how long a lease that is granted now may last on the controller's clock.
 func (t *term) leaseBound() time.Duration {
-	return t.Bounds.LeaseMax + t.Bounds.LeaseMax/clockDrift + leaseSlack
+	return t.Bounds.lease() + t.Bounds.lease()/clockDrift + leaseSlack
 }
 
 // connect starts to renew the leases of a worker. The caller holds mu.
@@ -112,7 +112,7 @@
 		return 0
 	}
 	t.state.RenewSent(l.worker, sent.Add(t.leaseBound()))
-	return l.clockMs + sent.Sub(l.readAt).Milliseconds() + t.Bounds.LeaseMax.Milliseconds()
+	return l.clockMs + sent.Sub(l.readAt).Milliseconds() + t.Bounds.lease().Milliseconds()
 }
 
 // heard notes the worker's clock. The caller holds mu.
--- a/controller/recover.go
+++ b/controller/recover.go
@@ -152,6 +152,7 @@
 			t.applyIntake(event)
 		}
 	}, func(entries []infra.KeyValue) {
+		clear(t.lanes)
 		for _, entry := range entries {
 			t.applyIntake(infra.Event{KeyValue: entry})
 		}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -51,6 +51,8 @@
 	open  map[string]*Job
 	teams map[string]*teamUse
 	dirty map[string]*Job
+	// cancelled are the jobs whose cancellation was seen before the job itself.
+	cancelled map[string]bool
 	// learned is how many of the named workers a queue's advice allowed, by queue.
 	learned map[string]float64
 	// changed is true if something happened since the last plan that could lead to another one.
@@ -69,7 +71,7 @@
 func New(limits Limits, log Log) *State {
 	return &State{
 		limits: limits, log: log, evacuated: map[string]bool{}, workers: map[string]*Worker{}, jobs: map[string]*Job{},
-		open: map[string]*Job{}, teams: map[string]*teamUse{}, dirty: map[string]*Job{}, learned: map[string]float64{},
+		open: map[string]*Job{}, teams: map[string]*teamUse{}, dirty: map[string]*Job{}, learned: map[string]float64{}, cancelled: map[string]bool{},
 	}
 }
 
@@ -107,6 +109,10 @@
 		s.open[record.GetId()] = j
 		s.changed = true
 	}
+	if s.cancelled[record.GetId()] {
+		delete(s.cancelled, record.GetId())
+		s.Cancel(record.GetId(), record.GetAcceptedUnixMs())
+	}
 	return j
 }
 
@@ -185,10 +191,14 @@
 	return n
 }
 
-// Cancel ends a job that has not ended.
+// Cancel ends a job that has not ended. A listing of the store may name the cancellation before the job.
 func (s *State) Cancel(id string, unixMs int64) {
 	j := s.jobs[id]
-	if j == nil || j.Ended() {
+	if j == nil {
+		s.cancelled[id] = true
+		return
+	}
+	if j.Ended() {
 		return
 	}
 	s.endJob(j, siskinv1.WorkflowPhase_WORKFLOW_PHASE_CANCELLED, unixMs)
--- /dev/null
+++ b/dispatch/world_test.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/policy"
+	"siskinstack.example/siskinstack/resource"
+)
+
+const (
+	testQueue   = "queue"
+	testService = "service"
+	testTeam    = "lab"
+	// testCores and testMemory are the room of a worker, in milli-CPU and MB.
+	testCores  = 8000
+	testMemory = 8192
+)
+
+// discardLog drops the decisions.
+type discardLog struct{}
+
+func (discardLog) Decision(string, string, ...any) {}
+
+// world is a core with workers that do as they are told at once.
+type world struct {
+	t       *testing.T
+	state   *State
+	now     time.Time
+	queue   *siskinv1.QueuePolicy
+	workers []*Worker
+	// running is what each worker runs; numbers counts its ends.
+	running map[*Worker]map[string]infra.ActiveRun
+	ended   map[*Worker][]infra.EndedRun
+	numbers map[*Worker]int64
+	started []infra.StartOrder
+}
+
+func newWorld(t *testing.T, workers int) *world {
+	w := &world{
+		t: t, state: New(Limits{StatusKept: time.Minute}, discardLog{}), now: time.Unix(1000, 0),
+		queue:   &siskinv1.QueuePolicy{Name: testQueue, Service: testService, MaxAttempts: 2, SlackFactor: 1.5, AllowanceMs: 250},
+		running: map[*Worker]map[string]infra.ActiveRun{}, ended: map[*Worker][]infra.EndedRun{}, numbers: map[*Worker]int64{},
+	}
+	w.setCeiling(resource.Vector{})
+	for i := range workers {
+		w.addWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("zone-%d", i%3))
+	}
+	return w
+}
+
+func (w *world) setCeiling(ceiling resource.Vector) {
+	teams := []policy.Team{{Name: testTeam, Share: 100, Ceiling: ceiling}}
+	queues := []policy.Queue{{Host: "h", Prefix: "/q/", Policy: w.queue}}
+	w.state.SetPolicy(policy.New(1, queues, teams, []policy.Service{{Name: testService}}, policy.Limits{}))
+}
+
+func (w *world) addWorker(id, zone string) *Worker {
+	worker, _ := w.state.SetWorker(infra.FleetWorker{
+		ID: id, Incarnation: 1, Service: testService, Address: id, Zone: zone, Labels: []string{"kind", "rack-" + zone},
+		Capacity: resource.Vector{MilliCPU: testCores, MemoryBytes: testMemory << 20},
+	})
+	w.workers = append(w.workers, worker)
+	w.running[worker] = map[string]infra.ActiveRun{}
+	w.report(worker)
+	return worker
+}
+
+func (w *world) unixMs() int64 { return w.now.UnixMilli() }
+
+// report lets a worker answer a renewal.
+func (w *world) report(worker *Worker) {
+	report := infra.RunReport{Incarnation: worker.Info.Incarnation, ClockMs: w.unixMs()}
+	for _, run := range w.running[worker] {
+		report.Active = append(report.Active, run)
+	}
+	report.Ended = w.ended[worker]
+	w.state.Report(worker, report, w.now, w.now, w.unixMs())
+}
+
+// step plans, makes the changes durable, and lets the workers carry the orders out.
+func (w *world) step() Plan {
+	w.now = w.now.Add(20 * time.Millisecond)
+	plan := w.state.Plan(w.now, w.unixMs(), AdviceSlots{Free: 4})
+	batch := w.state.Take()
+	for _, task := range w.state.Committed(batch.Changes) {
+		order := task.Start()
+		w.started = append(w.started, order)
+		w.running[task.worker][order.Task] = infra.ActiveRun{Task: order.Task, Run: order.Run, Checkpoint: order.Checkpoint}
+		w.state.Started(task, task.Run(), nil, w.now)
+	}
+	for _, worker := range w.state.Acknowledge(batch) {
+		w.ended[worker] = nil
+	}
+	for _, task := range plan.Stops {
+		worker := task.worker
+		order, _ := task.Stop()
+		if _, runs := w.running[worker][order.Task]; runs {
+			w.end(worker, order.Task, infra.OutcomeStopped)
+		}
+		w.state.Stopped(task, order.Run, nil, w.now)
+	}
+	w.now = w.now.Add(20 * time.Millisecond)
+	for _, worker := range w.workers {
+		w.report(worker)
+	}
+	return plan
+}
+
+// end ends a run on a worker.
+func (w *world) end(worker *Worker, task string, outcome infra.Outcome) {
+	run := w.running[worker][task]
+	delete(w.running[worker], task)
+	w.numbers[worker]++
+	w.ended[worker] = append(w.ended[worker], infra.EndedRun{
+		Number: w.numbers[worker], Task: task, Run: run.Run, Outcome: outcome, Checkpoint: run.Checkpoint,
+	})
+}
+
+// endAll ends everything that runs.
+func (w *world) endAll(outcome infra.Outcome) {
+	for worker, runs := range w.running {
+		for task := range runs {
+			w.end(worker, task, outcome)
+		}
+	}
+}
+
+// runs returns how many runs there are.
+func (w *world) runs() int {
+	n := 0
+	for _, runs := range w.running {
+		n += len(runs)
+	}
+	return n
+}
+
+func job(id string, steps ...*siskinv1.WorkflowStep) *siskinv1.Workflow {
+	return &siskinv1.Workflow{
+		Id: id, Team: testTeam, Steps: steps, AcceptedUnixMs: time.Unix(1000, 0).UnixMilli(),
+		Queue: &siskinv1.QueuePolicy{Name: testQueue, Service: testService, MaxAttempts: 2},
+	}
+}
+
+func step(count int32, milliCPU int64) *siskinv1.WorkflowStep {
+	return &siskinv1.WorkflowStep{Count: count, MilliCpu: milliCPU, MemoryMb: 64, EstimateMs: 1000}
+}
--- a/election/session.go
+++ b/election/session.go
@@ -18,7 +18,7 @@
 	// renewals is how many renewals fit into the time to live of a lease.
 	renewals = 5
 	// callTimeout bounds a call to the store about a lease. Slow periods of the store answer within a quarter second.
-	callTimeout = 700 * time.Millisecond
+	callTimeout = 500 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 100 * time.Millisecond
 	// rightMargin is taken off a lease for the drift between the clocks of the store and the machine.
--- a/node/node.go
+++ b/node/node.go
@@ -31,7 +31,7 @@
 const (
 	// leaseTTL is how long a machine that is silent keeps the controller's role. It spans several renewals in the slow
 	// periods of the store.
-	leaseTTL = 2 * time.Second
+	leaseTTL = 1500 * time.Millisecond
 	// freshPart is the part of the revocation bound for which a configuration that cannot be confirmed is relied on.
 	freshPart = 0.6
 	// memoryPart is the part of the machine's memory that the runtime keeps to.
