Elect the strongest machine as the controller

Change: a machine leaves a free leadership to others for a time that falls with its processors and its link; a weak controller resigns once a machine with 1.5 times as many cores has been there for 3 s. The election has tests against a store in memory; two of them failed first on a restarted process that waited a second for its first watch.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -69,6 +69,8 @@
 	// Machine and Zone are those of this machine.
 	Machine string
 	Zone    string
+	// Cores is what this machine may use of its processors.
+	Cores   float64
 	Metrics *Metrics
 }
 
@@ -142,6 +144,8 @@
 
 	tasks sync.WaitGroup
 
+	began time.Time
+
 	mu        sync.Mutex // guards all fields below
 	state     *dispatch.State
 	recovered bool
@@ -182,6 +186,7 @@
 func (t *term) run(ctx context.Context) {
 	defer t.tasks.Wait()
 	started := t.now()
+	t.began = started
 	intake, workers, err := t.recover(ctx)
 	if err != nil {
 		t.log.Info("controller did not recover", "reason", err.Error())
@@ -235,7 +240,13 @@
 	plan := t.state.Plan(now, unixMs(), t.adviceSlots(now))
 	t.sendAdvice(ctx, plan.Advice)
 	batch := t.state.Take()
+	resign := t.shouldResign(now)
 	t.mu.Unlock()
+	if resign {
+		t.log.Info("a stronger machine should be the controller", "cores", t.Cores)
+		t.lead.Resign()
+		return
+	}
 	for _, stop := range plan.Stops {
 		t.tasks.Go(func() { t.stop(ctx, stop) })
 	}
--- a/controller/lanes.go
+++ b/controller/lanes.go
@@ -23,6 +23,8 @@
 // lane is a machine through which advice is asked. The advisor serves one call at a time for each machine.
 type lane struct {
 	address string
+	cores   float64
+	since   time.Time
 	busy    bool
 	after   time.Time
 }
@@ -41,7 +43,29 @@
 	if known := t.lanes[machine]; known != nil && known.address == member.GetAddress() {
 		return
 	}
-	t.lanes[machine] = &lane{address: member.GetAddress()}
+	t.lanes[machine] = &lane{address: member.GetAddress(), cores: member.GetCores(), since: t.now()}
+}
+
+const (
+	// strongerBy is how many times as many processors another machine must have before it gets the controller's role. A
+	// change of controllers interrupts starts for about a tenth of a second.
+	strongerBy = 1.5
+	// settledFor is how long that machine must have been there, and this term have lasted.
+	settledFor = 3 * time.Second
+)
+
+// shouldResign reports whether a machine that is much stronger than this one could be the controller. The caller holds
+// mu.
+func (t *term) shouldResign(now time.Time) bool {
+	if now.Sub(t.began) < settledFor || t.Cores <= 0 {
+		return false
+	}
+	for _, l := range t.lanes {
+		if l.cores >= strongerBy*t.Cores && now.Sub(l.since) >= settledFor && !now.Before(l.after) {
+			return true
+		}
+	}
+	return false
 }
 
 // adviceSlots returns how many calls for advice may be sent. The caller holds mu.
--- a/election/elector.go
+++ b/election/elector.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -32,6 +33,7 @@
 	lease     infra.LeaseID
 	session   *Session
 	end       context.CancelFunc
+	resigned  atomic.Bool
 }
 
 // Valid reports whether no other machine can be the controller now. It is checked immediately before each act.
@@ -40,6 +42,12 @@
 // Lost ends the term, because another controller was seen.
 func (t *Term) Lost() { t.end() }
 
+// Resign ends the term and frees the leadership for a machine that is better suited.
+func (t *Term) Resign() {
+	t.resigned.Store(true)
+	t.end()
+}
+
 // Elector makes this machine the controller when there is none.
 type Elector struct {
 	Store   infra.TxnStore
@@ -47,6 +55,8 @@
 	Clock   clock.Clock
 	Log     logr.Logger
 	Self    *siskinv1.Leadership
+	// Deference is how long this machine leaves a free leadership to others. Stronger machines wait less.
+	Deference time.Duration
 	// Serve acts as the controller until its context ends.
 	Serve func(ctx context.Context, term *Term)
 
@@ -114,6 +124,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if _, valid := e.Session.Lease(); !valid && (!v.exists || mineBefore(v, e.Self)) {
+			_ = e.Clock.Sleep(ctx, retryPause/2)
+			continue
+		}
 		next, err := e.watch(ctx, v)
 		if err != nil {
 			return
@@ -169,6 +183,9 @@
 		e.Log.Error(err, "encode leadership")
 		return
 	}
+	if !mineBefore(v, e.Self) && e.Clock.Sleep(ctx, e.Deference) != nil {
+		return
+	}
 	condition := infra.Condition{Key: leaderKey}
 	if v.exists {
 		condition.Revision = v.entry.Revision
@@ -191,6 +208,12 @@
 	e.serve(ctx, infra.KeyValue{Key: leaderKey, Revision: revision, Lease: lease})
 }
 
+// mineBefore reports whether an earlier process of this machine was the controller.
+func mineBefore(v view, self *siskinv1.Leadership) bool {
+	owner := &siskinv1.Leadership{}
+	return v.exists && proto.Unmarshal(v.entry.Value, owner) == nil && owner.GetMachine() == self.GetMachine()
+}
+
 // serve acts as the controller until ctx ends, the lease is lost or another controller is seen.
 func (e *Elector) serve(ctx context.Context, entry infra.KeyValue) {
 	termContext, end := context.WithCancel(ctx)
@@ -213,7 +236,7 @@
 	}()
 	e.Serve(termContext, term)
 	e.Log.Info("controller term ends", "epoch", term.Epoch, "valid", term.Valid())
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || term.resigned.Load() {
 		e.resign(entry)
 	}
 }
--- /dev/null
+++ b/election/elector_test.go
@@ -0,0 +1,202 @@
+package election
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/standin"
+)
+
+const testTTL = 1500 * time.Millisecond
+
+// machine is an elector with its session.
+type machine struct {
+	name    string
+	elector *Elector
+	session *Session
+	stop    context.CancelFunc
+	ended   sync.WaitGroup
+
+	mu    sync.Mutex // guards term and terms
+	term  *Term
+	terms int
+}
+
+func (m *machine) serve(ctx context.Context, term *Term) {
+	m.mu.Lock()
+	m.term = term
+	m.terms++
+	m.mu.Unlock()
+	<-ctx.Done()
+	m.mu.Lock()
+	m.term = nil
+	m.mu.Unlock()
+}
+
+// leads reports whether the machine has a term, and whether it is valid.
+func (m *machine) leads() (bool, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.term != nil, m.term != nil && m.term.Valid()
+}
+
+func (m *machine) current() *Term {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.term
+}
+
+func start(t *testing.T, store infra.TxnStore, name string, incarnation int64, deference time.Duration) *machine {
+	m := &machine{name: name}
+	m.session = NewSession(store, clock.Real{}, logr.Discard(), testTTL)
+	m.elector = &Elector{
+		Store: store, Session: m.session, Clock: clock.Real{}, Log: logr.Discard(), Serve: m.serve, Deference: deference,
+		Self: &siskinv1.Leadership{Machine: name, Incarnation: incarnation, Address: name},
+	}
+	lead, stop := context.WithCancel(context.Background())
+	session, end := context.WithCancel(context.Background())
+	m.ended.Go(func() { m.session.Run(session) })
+	m.ended.Go(func() { m.elector.Run(lead) })
+	m.stop = func() {
+		stop()
+		end()
+		m.ended.Wait()
+	}
+	t.Cleanup(m.stop)
+	return m
+}
+
+// Guards against a controller on a weak machine: on one with a fifth of a core it fell behind, and a day on the grown
+// site jadeleaf-scan earned a tenth of its worth.
+func TestStrongestMachineBecomesController(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewTxnStore(clock.Real{})
+		weak := start(t, store, "weak", 1, 200*time.Millisecond)
+		strong := start(t, store, "strong", 1, 50*time.Millisecond)
+		time.Sleep(time.Second)
+		leads, _ := strong.leads()
+		assert.Assert(t, leads)
+		leads, _ = weak.leads()
+		assert.Assert(t, !leads)
+	})
+}
+
+// Guards against two machines that may act as controllers at the same time: one that the store does not answer stops
+// before its lease ends, and the other one has a higher epoch.
+func TestSilentControllerStopsBeforeTheNextBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewTxnStore(clock.Real{})
+		cut := &cutStore{TxnStore: store}
+		a := start(t, cut, "a", 1, 0)
+		time.Sleep(100 * time.Millisecond)
+		first := a.current()
+		assert.Assert(t, first.Valid())
+		b := start(t, store, "b", 1, 0)
+		cut.set(true)
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			_, aValid := a.leads()
+			_, bValid := b.leads()
+			assert.Assert(t, !aValid || !bValid, "two controllers")
+		}
+		_, valid := b.leads()
+		assert.Assert(t, valid)
+		assert.Assert(t, b.current().Epoch > first.Epoch)
+		cut.set(false)
+		time.Sleep(3 * time.Second)
+		leads, _ := a.leads()
+		assert.Assert(t, !leads, "a former controller goes on")
+	})
+}
+
+// cutStore gives no answers while it is cut off.
+type cutStore struct {
+	*standin.TxnStore
+	mu  sync.Mutex // guards cut
+	cut bool
+}
+
+func (c *cutStore) set(cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+}
+
+func (c *cutStore) gone(ctx context.Context) error {
+	c.mu.Lock()
+	cut := c.cut
+	c.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+func (c *cutStore) RenewLease(ctx context.Context, lease infra.LeaseID) error {
+	if err := c.gone(ctx); err != nil {
+		return err
+	}
+	return c.TxnStore.RenewLease(ctx, lease)
+}
+
+// Guards against a pause of a whole lease after a restart: the machine's earlier process cannot act any more.
+func TestRestartedMachineTakesItsRoleBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewTxnStore(clock.Real{})
+		lease, _, err := store.GrantLease(t.Context(), time.Minute)
+		assert.NilError(t, err)
+		value := mustMarshal(t, &siskinv1.Leadership{Machine: "a", Incarnation: 1})
+		_, err = store.Commit(t.Context(), infra.Txn{Writes: []infra.Write{{Key: leaderKey, Value: value, Lease: lease}}})
+		assert.NilError(t, err)
+		a := start(t, store, "a", 2, 300*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		_, valid := a.leads()
+		assert.Assert(t, valid)
+	})
+}
+
+// Guards against a term that begins twice because the answer to the write that acquired it was lost.
+func TestLostAnswerToTheAcquisition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewTxnStore(clock.Real{})
+		lost := false
+		store.SetFault(func(call string, _ infra.Txn) standin.TxnFault {
+			if call == "commit" && !lost {
+				lost = true
+				return standin.TxnLoseAnswer
+			}
+			return 0
+		})
+		a := start(t, store, "a", 1, 0)
+		time.Sleep(2 * time.Second)
+		_, valid := a.leads()
+		assert.Assert(t, valid)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		assert.Equal(t, a.terms, 1)
+	})
+}
+
+// Guards against a machine that stops and leaves the others waiting for its lease.
+func TestStoppedControllerFreesItsRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewTxnStore(clock.Real{})
+		a := start(t, store, "a", 1, 0)
+		time.Sleep(100 * time.Millisecond)
+		b := start(t, store, "b", 1, 0)
+		time.Sleep(100 * time.Millisecond)
+		a.stop()
+		time.Sleep(200 * time.Millisecond)
+		_, valid := b.leads()
+		assert.Assert(t, valid)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -97,13 +97,14 @@
 	n.control = controller.New(controller.Options{
 		Store: platform.Store, Fleet: platform.Fleet, Advisor: platform.Advisor, Peers: n.peers, Clock: n.clock, Log: n.log,
 		Policy: n.view, WorkersPrefix: platform.WorkersPrefix, DecodeWorker: platform.DecodeWorker,
-		Machine: settings.Machine, Zone: settings.Zone, Metrics: controller.NewMetrics(n.registry),
+		Machine: settings.Machine, Zone: settings.Zone, Cores: settings.Cores, Metrics: controller.NewMetrics(n.registry),
 		Bounds: controller.Bounds{LeaseMax: settings.Bounds.LeaseMax, Limits: dispatch.Limits{
 			Early: settings.Bounds.Early, StatusKept: settings.Bounds.StatusKept, RemoteFactor: settings.Bounds.RemoteFactor,
 		}},
 	})
 	n.elector = &election.Elector{
 		Store: platform.Store, Session: n.session, Clock: n.clock, Log: n.log, Serve: n.control.Serve,
+		Deference: settings.deference(),
 		Self: &siskinv1.Leadership{
 			Machine: settings.Machine, Incarnation: n.incarnation, Address: settings.Peers, Zone: settings.Zone,
 		},
@@ -191,6 +192,7 @@
 func (n *Node) writeMember(ctx context.Context, lease infra.LeaseID) error {
 	value, err := proto.Marshal(&siskinv1.Member{
 		Machine: n.settings.Machine, Incarnation: n.incarnation, Address: n.settings.Peers, Zone: n.settings.Zone,
+		Cores: n.settings.Cores,
 	})
 	if err != nil {
 		return err
--- a/node/settings.go
+++ b/node/settings.go
@@ -19,6 +19,9 @@
 	Peers     string
 	// Metrics is the listening address of the metrics; empty serves none.
 	Metrics string
+	// Cores is what the machine may use of its processors, and LinkMbps the speed of its link; 0 if not known.
+	Cores    float64
+	LinkMbps float64
 	// MemoryBytes is the memory of the machine, 0 if it is not known.
 	MemoryBytes int64
 	Store       StoreSettings
@@ -48,6 +51,24 @@
 	RemoteFactor float64
 }
 
+const (
+	// coreDeference and linkDeference are how long a machine with one core, or with a link of one Mbit/s, leaves a free
+	// leadership to stronger machines. The spread between unequal machines exceeds the time of a write to the store.
+	coreDeference = 40 * time.Millisecond
+	linkDeference = 400 * time.Millisecond
+	// maxDeference bounds the time without a controller if only weak machines are left.
+	maxDeference = 300 * time.Millisecond
+)
+
+// deference returns how long the machine leaves a free leadership to others.
+func (s Settings) deference() time.Duration {
+	if s.Cores <= 0 || s.LinkMbps <= 0 {
+		return maxDeference
+	}
+	wait := float64(coreDeference)/s.Cores + float64(linkDeference)/s.LinkMbps
+	return min(time.Duration(wait), maxDeference)
+}
+
 // Check returns all findings about the settings.
 func (s Settings) Check() error {
 	findings := &jsoncheck.Findings{}
--- /dev/null
+++ b/standin/txnstore.go
@@ -0,0 +1,300 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
+)
+
+// TxnFault is what becomes of one call to a TxnStore. The zero value carries it out.
+type TxnFault int
+
+// Faults of calls.
+const (
+	// TxnRefuse does nothing and says so.
+	TxnRefuse TxnFault = iota + 1
+	// TxnLoseAnswer carries the call out and loses the answer.
+	TxnLoseAnswer
+	// TxnDrop does nothing, and the caller hears nothing.
+	TxnDrop
+	// TxnDelay carries the call out when Deliver is called, if its conditions still hold; the caller hears nothing.
+	TxnDelay
+)
+
+// TxnStore is a store with transactions in memory.
+type TxnStore struct {
+	clock clock.Clock
+
+	mu        sync.Mutex // guards all fields below
+	items     map[string]infra.KeyValue
+	history   []infra.Event
+	compacted infra.Revision
+	revision  infra.Revision
+	leases    map[infra.LeaseID]txnLease
+	nextLease infra.LeaseID
+	delayed   []infra.Txn
+	changed   chan struct{}
+	fault     func(call string, txn infra.Txn) TxnFault
+}
+
+type txnLease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// NewTxnStore returns an empty store.
+func NewTxnStore(c clock.Clock) *TxnStore {
+	return &TxnStore{
+		clock: c, items: map[string]infra.KeyValue{}, leases: map[infra.LeaseID]txnLease{}, changed: make(chan struct{}),
+		revision: 1,
+	}
+}
+
+// SetFault decides the fate of each call; nil carries all out.
+func (s *TxnStore) SetFault(fault func(call string, txn infra.Txn) TxnFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// errNoAnswer is what a caller sees whose answer was lost.
+var errNoAnswer = context.DeadlineExceeded
+
+func (s *TxnStore) fate(call string, txn infra.Txn) TxnFault {
+	if s.fault == nil {
+		return 0
+	}
+	return s.fault(call, txn)
+}
+
+// Get implements infra.TxnStore.
+func (s *TxnStore) Get(_ context.Context, key string) (infra.KeyValue, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.readFault("get"); err != nil {
+		return infra.KeyValue{}, err
+	}
+	s.expire()
+	item, ok := s.items[key]
+	if !ok {
+		return infra.KeyValue{}, infra.ErrNotFound
+	}
+	return item, nil
+}
+
+func (s *TxnStore) readFault(call string) error {
+	switch s.fate(call, infra.Txn{}) {
+	case 0:
+		return nil
+	case TxnRefuse:
+		return infra.ErrRefused
+	default:
+		return errNoAnswer
+	}
+}
+
+// List implements infra.TxnStore.
+func (s *TxnStore) List(_ context.Context, prefix string) (infra.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.readFault("list"); err != nil {
+		return infra.Listing{}, err
+	}
+	s.expire()
+	listing := infra.Listing{Revision: s.revision}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			listing.Entries = append(listing.Entries, item)
+		}
+	}
+	slices.SortFunc(listing.Entries, func(a, b infra.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	return listing, nil
+}
+
+// Watch implements infra.TxnStore.
+func (s *TxnStore) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
+	end := time.Now().Add(request.Wait)
+	for {
+		s.mu.Lock()
+		if err := s.readFault("watch"); err != nil {
+			s.mu.Unlock()
+			return infra.WatchResult{}, err
+		}
+		s.expire()
+		if request.After < s.compacted {
+			s.mu.Unlock()
+			return infra.WatchResult{}, infra.ErrCompacted
+		}
+		result := infra.WatchResult{Revision: s.revision}
+		for _, event := range s.history {
+			if event.Revision > request.After && strings.HasPrefix(event.Key, request.Prefix) {
+				result.Events = append(result.Events, event)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(result.Events) > 0 || !time.Now().Before(end) {
+			return result, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(min(time.Until(end), watchPoll)):
+		case <-ctx.Done():
+			return infra.WatchResult{}, ctx.Err()
+		}
+	}
+}
+
+// watchPoll is how often a waiting watch looks for leases that ended.
+const watchPoll = 20 * time.Millisecond
+
+// Commit implements infra.TxnStore.
+func (s *TxnStore) Commit(_ context.Context, txn infra.Txn) (infra.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.fate("commit", txn) {
+	case TxnRefuse:
+		return 0, infra.ErrRefused
+	case TxnDrop:
+		return 0, errNoAnswer
+	case TxnDelay:
+		s.delayed = append(s.delayed, txn)
+		return 0, errNoAnswer
+	case TxnLoseAnswer:
+		_, _ = s.apply(txn)
+		return 0, errNoAnswer
+	}
+	return s.apply(txn)
+}
+
+// Deliver carries out the delayed transactions.
+func (s *TxnStore) Deliver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delayed := s.delayed
+	s.delayed = nil
+	for _, txn := range delayed {
+		_, _ = s.apply(txn)
+	}
+}
+
+// Compact forgets the history.
+func (s *TxnStore) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted, s.history = s.revision, nil
+}
+
+// apply carries a transaction out. The caller holds mu.
+func (s *TxnStore) apply(txn infra.Txn) (infra.Revision, error) {
+	s.expire()
+	failed := &infra.ConditionError{}
+	holds := true
+	for _, c := range txn.Conditions {
+		item, exists := s.items[c.Key]
+		holds = holds && item.Revision == c.Revision
+		if exists {
+			failed.Current = append(failed.Current, item)
+		}
+	}
+	if !holds {
+		return 0, failed
+	}
+	for _, w := range txn.Writes {
+		if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+			return 0, infra.ErrLeaseExpired
+		}
+	}
+	s.revision++
+	for _, w := range txn.Writes {
+		s.items[w.Key] = infra.KeyValue{Key: w.Key, Value: w.Value, Revision: s.revision, Lease: w.Lease}
+		s.history = append(s.history, infra.Event{KeyValue: s.items[w.Key]})
+	}
+	for _, key := range txn.Removes {
+		s.remove(key)
+	}
+	s.notify()
+	return s.revision, nil
+}
+
+// remove deletes a key. The caller holds mu.
+func (s *TxnStore) remove(key string) {
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	delete(s.items, key)
+	s.history = append(s.history, infra.Event{KeyValue: infra.KeyValue{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+// notify wakes the watches. The caller holds mu.
+func (s *TxnStore) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends leases whose time is over. The caller holds mu.
+func (s *TxnStore) expire() {
+	now := s.clock.Now()
+	for id, lease := range s.leases {
+		if !now.Before(lease.end) {
+			s.endLease(id)
+		}
+	}
+}
+
+// endLease ends a lease and deletes its keys. The caller holds mu.
+func (s *TxnStore) endLease(id infra.LeaseID) {
+	delete(s.leases, id)
+	s.revision++
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.remove(key)
+		}
+	}
+	s.notify()
+}
+
+// GrantLease implements infra.TxnStore.
+func (s *TxnStore) GrantLease(_ context.Context, ttl time.Duration) (infra.LeaseID, time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.readFault("grant"); err != nil {
+		return 0, 0, err
+	}
+	s.nextLease++
+	s.leases[s.nextLease] = txnLease{ttl: ttl, end: s.clock.Now().Add(ttl)}
+	return s.nextLease, ttl, nil
+}
+
+// RenewLease implements infra.TxnStore.
+func (s *TxnStore) RenewLease(_ context.Context, id infra.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.readFault("renew"); err != nil {
+		return err
+	}
+	s.expire()
+	lease, ok := s.leases[id]
+	if !ok {
+		return infra.ErrLeaseExpired
+	}
+	lease.end = s.clock.Now().Add(lease.ttl)
+	s.leases[id] = lease
+	return nil
+}
+
+// RevokeLease implements infra.TxnStore.
+func (s *TxnStore) RevokeLease(_ context.Context, id infra.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[id]; !ok {
+		return infra.ErrLeaseExpired
+	}
+	s.endLease(id)
+	return nil
+}
