Announce accepted jobs to the controller; elect within a second

Change: a machine tells the controller of a job once the store holds it; the watch stays as the way that cannot lose one. The lease of the controller is 1 s. Tried and taken out: learning the speed of workers and their kinds to give urgent tasks the faster ones.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -135,6 +135,24 @@
 	return t.state.Pending(queue), true
 }
 
+// Announced takes in a job or a cancellation that the store holds already. It reports whether this machine is the
+// controller; if not, or if the announcement is lost, the controller's watch brings it.
+func (c *Controller) Announced(request *siskinv1.AnnounceRequest) bool {
+	t := c.current()
+	if t == nil {
+		return false
+	}
+	t.locked(func() {
+		if job := request.GetJob(); job.GetId() != "" {
+			t.takeIn(job, "announced")
+		}
+		if id := request.GetCancelled(); id != "" {
+			t.state.Cancel(id, unixMs())
+		}
+	})
+	return true
+}
+
 // term is the work of one controller. Its goroutines end with the context of run.
 type term struct {
 	Options
--- a/controller/recover.go
+++ b/controller/recover.go
@@ -135,9 +135,7 @@
 	}
 	if id, ok := cutPrefix(event.Key, jobPrefix); ok && t.state.Job(id) == nil {
 		if record := t.decodeJob(id, event.Value); record != nil {
-			t.state.AddJob(record, nil)
-			t.log.Info("job taken in", "job", id, "queue", record.GetQueue().GetName(), "team", record.GetTeam(),
-				"steps", len(record.GetSteps()), "age_ms", unixMs()-record.GetAcceptedUnixMs())
+			t.takeIn(record, "watched")
 		}
 	}
 	if id, ok := cutPrefix(event.Key, cancelPrefix); ok {
@@ -145,6 +143,16 @@
 	}
 }
 
+// takeIn adds a job that is not known yet. The caller holds mu.
+func (t *term) takeIn(record *siskinv1.Workflow, source string) {
+	if t.state.Job(record.GetId()) != nil {
+		return
+	}
+	t.state.AddJob(record, nil)
+	t.log.Info("job taken in", "job", record.GetId(), "queue", record.GetQueue().GetName(), "team", record.GetTeam(),
+		"steps", len(record.GetSteps()), "age_ms", unixMs()-record.GetAcceptedUnixMs(), "source", source)
+}
+
 // followIntake watches for new jobs until the term ends.
 func (t *term) followIntake(ctx context.Context, after infra.Revision) {
 	t.follow(ctx, intakePrefix, after, func(events []infra.Event) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,8 @@
 	controllerTimeout = 500 * time.Millisecond
 	// answerMargin is kept of a caller's time for the answer's way back.
 	answerMargin = 150 * time.Millisecond
+	// maxAnnouncing bounds the announcements under way from one machine.
+	maxAnnouncing = 64
 	// retryAfter is when a refused caller should come back. The store and the controller change over within seconds.
 	retryAfter = 500 * time.Millisecond
 )
@@ -37,12 +39,14 @@
 type Controller interface {
 	Lookup(id string) (phase siskinv1.WorkflowPhase, known, authoritative bool)
 	Pending(queue string) (pending int, authoritative bool)
+	Announced(request *siskinv1.AnnounceRequest) bool
 }
 
 // Peers asks the controller on another machine.
 type Peers interface {
 	Lookup(ctx context.Context, address, id string) (*siskinv1.LookupWorkflowResponse, error)
 	Pending(ctx context.Context, address, queue string) (*siskinv1.CountPendingResponse, error)
+	Announce(ctx context.Context, address string, request *siskinv1.AnnounceRequest) error
 }
 
 // Options configures a gateway.
@@ -62,10 +66,41 @@
 }
 
 // Gateway serves callers.
-type Gateway struct{ options Options }
+type Gateway struct {
+	options Options
+	// announcing bounds the announcements under way.
+	announcing chan struct{}
+}
 
 // New returns a gateway.
-func New(options Options) *Gateway { return &Gateway{options: options} }
+func New(options Options) *Gateway {
+	return &Gateway{options: options, announcing: make(chan struct{}, maxAnnouncing)}
+}
+
+// announce tells the controller of what the store holds, so that it need not wait for its watch. An announcement that is
+// lost costs only that time.
+func (g *Gateway) announce(request *siskinv1.AnnounceRequest) {
+	if g.options.Local.Announced(request) {
+		return
+	}
+	address := g.options.Leader().GetAddress()
+	if address == "" {
+		return
+	}
+	select {
+	case g.announcing <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-g.announcing }()
+		call, cancel := context.WithTimeout(context.Background(), controllerTimeout)
+		defer cancel()
+		if err := g.options.Peers.Announce(call, address, request); err != nil {
+			g.options.Log.V(1).Info("controller not told", "address", address, "reason", err.Error())
+		}
+	}()
+}
 
 // Target is what a call is about.
 type Target struct {
@@ -132,6 +167,9 @@
 	if err != nil {
 		return err
 	}
+	if created {
+		g.announce(&siskinv1.AnnounceRequest{Job: record})
+	}
 	g.options.Log.Info("accepted", "job", record.GetId(), "queue", record.GetQueue().GetName(), "team", record.GetTeam(),
 		"new", created, "ms", took.Milliseconds())
 	return nil
@@ -243,6 +281,7 @@
 		Conditions: []infra.Condition{{Key: key}}, Writes: []infra.Write{{Key: key, Value: []byte{}}},
 	})
 	if err == nil {
+		g.announce(&siskinv1.AnnounceRequest{Cancelled: target.Job})
 		g.options.Log.Info("cancellation accepted", "job", target.Job)
 	}
 	return err
--- a/node/node.go
+++ b/node/node.go
@@ -31,7 +31,7 @@
 const (
 	// leaseTTL is how long a machine that is silent keeps the controller's role. It spans several renewals in the slow
 	// periods of the store.
-	leaseTTL = 1500 * time.Millisecond
+	leaseTTL = time.Second
 	// freshPart is the part of the revocation bound for which a configuration that cannot be confirmed is relied on.
 	freshPart = 0.6
 	// memoryPart is the part of the machine's memory that the runtime keeps to.
@@ -266,7 +266,7 @@
 func (n *Node) listen(ctx context.Context) ([]*server, error) {
 	peers := grpc.NewServer(grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
 	siskinv1.RegisterClusterServiceServer(peers, &peer.Cluster{
-		Lookup: n.control.Lookup, Pending: n.control.Pending, Advisor: n.platform.Advisor,
+		Lookup: n.control.Lookup, Pending: n.control.Pending, Announced: n.control.Announced, Advisor: n.platform.Advisor,
 	})
 	front := n.platform.Front(n.gateway, n.bodyBytes)
 	wanted := []struct {
--- a/peer/cluster.go
+++ b/peer/cluster.go
@@ -31,7 +31,9 @@
 	// Lookup and Pending answer for the controller; the last result is false on other machines.
 	Lookup  func(id string) (phase siskinv1.WorkflowPhase, known, authoritative bool)
 	Pending func(queue string) (pending int, authoritative bool)
-	Advisor infra.Advisor
+	// Announced takes in what the store holds already. It reports whether this machine is the controller.
+	Announced func(request *siskinv1.AnnounceRequest) bool
+	Advisor   infra.Advisor
 }
 
 // LookupWorkflow implements the service.
@@ -46,6 +48,12 @@
 	return &siskinv1.CountPendingResponse{Authoritative: authoritative, Pending: int64(pending)}, nil
 }
 
+// Announce implements the service.
+func (c *Cluster) Announce(_ context.Context, request *siskinv1.AnnounceRequest) (*siskinv1.AnnounceResponse, error) {
+	c.Announced(request)
+	return &siskinv1.AnnounceResponse{}, nil
+}
+
 // Advise implements the service.
 func (c *Cluster) Advise(ctx context.Context, request *siskinv1.AdviseRequest) (*siskinv1.AdviseResponse, error) {
 	advice, err := c.Advisor.Advise(ctx, request.GetStep(), request.GetWorkers())
@@ -125,6 +133,16 @@
 	return response, c.drop(address, err)
 }
 
+// Announce tells a machine of what the store holds already.
+func (c *ClusterClients) Announce(ctx context.Context, address string, request *siskinv1.AnnounceRequest) error {
+	client, err := c.client(address)
+	if err != nil {
+		return err
+	}
+	_, err = client.Announce(ctx, request)
+	return c.drop(address, err)
+}
+
 // Advise asks the advisor through another machine.
 func (c *ClusterClients) Advise(ctx context.Context, address, step string, workers []string) (infra.Advice, error) {
 	client, err := c.client(address)
