Test the core against random faults

A model plays orders that are lost, unanswered or carried out 12 s later, workers that are cut off or restarted, lost commits and replaced controllers. It checks that no task runs twice at once or again after its acknowledged success, that workers and the team stay within their bounds, and that all jobs end afterwards.

--- /dev/null
+++ b/dispatch/model_test.go
@@ -0,0 +1,434 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/resource"
+	_ "siskinstack.example/siskinstack/testseed"
+)
+
+// modelLease is the lease that the model's controllers ask for.
+const modelLease = 4 * time.Second
+
+// fakeWorker is a worker as the platform runs it: it follows the highest epoch, refuses runs that are not newer than
+// ended ones, and ends everything when its lease passes.
+type fakeWorker struct {
+	info     infra.FleetWorker
+	epoch    int64
+	lease    time.Time
+	active   map[string]infra.ActiveRun
+	newest   map[string]int32
+	ended    []infra.EndedRun
+	number   int64
+	room     resource.Vector
+	cut      bool
+	capacity resource.Vector
+}
+
+// lateOrder is an order that is carried out after newer ones.
+type lateOrder struct {
+	worker *fakeWorker
+	at     time.Time
+	epoch  int64
+	start  *infra.StartOrder
+	stop   *infra.StopOrder
+	until  time.Time
+}
+
+// model is a store, workers and a sequence of controllers.
+type model struct {
+	t       *rapid.T
+	now     time.Time
+	workers []*fakeWorker
+	// jobs and progress are what the store holds.
+	jobs     []*siskinv1.Workflow
+	progress map[string]*siskinv1.WorkflowProgress
+	epoch    int64
+	state    *State
+	late     []lateOrder
+	rooms    map[string]resource.Vector
+	done     map[string]bool // tasks whose success was acknowledged
+	ceiling  resource.Vector
+	attempts map[string]int
+}
+
+func newModel(t *rapid.T, workers int) *model {
+	m := &model{
+		t: t, now: time.Unix(1000, 0), progress: map[string]*siskinv1.WorkflowProgress{}, rooms: map[string]resource.Vector{},
+		done: map[string]bool{}, attempts: map[string]int{},
+		ceiling: resource.Vector{MilliCPU: int64(workers) * testCores * 2 / 3},
+	}
+	for i := range workers {
+		capacity := resource.Vector{MilliCPU: testCores, MemoryBytes: testMemory << 20}
+		m.workers = append(m.workers, &fakeWorker{
+			info: infra.FleetWorker{
+				ID: fmt.Sprintf("w%d", i), Incarnation: 1, Service: testService, Address: "a", Zone: "z", Labels: []string{"k", "r"},
+				Capacity: capacity,
+			},
+			active: map[string]infra.ActiveRun{}, newest: map[string]int32{}, capacity: capacity,
+		})
+	}
+	m.takeOver()
+	return m
+}
+
+// takeOver begins the term of another controller, which knows what the store holds.
+func (m *model) takeOver() {
+	m.epoch++
+	w := newWorld(nil, 0)
+	m.state = w.state
+	w.setCeiling(m.ceiling)
+	for _, job := range m.jobs {
+		m.state.AddJob(job, m.progress[job.GetId()])
+	}
+	for _, worker := range m.workers {
+		m.state.SetWorker(worker.info)
+	}
+	m.state.AssumeLeases(m.now.Add(modelLease))
+}
+
+func (m *model) unixMs() int64 { return m.now.UnixMilli() }
+
+// submit adds a job to the store and tells the controller.
+func (m *model) submit() {
+	id := fmt.Sprintf("%016x", len(m.jobs)+1)
+	steps := []*siskinv1.WorkflowStep{step(int32(rapid.IntRange(1, 4).Draw(m.t, "count")), int64(rapid.IntRange(1, 4).Draw(m.t, "cores"))*1000)}
+	if rapid.Bool().Draw(m.t, "second step") {
+		second := step(2, 2000)
+		second.After = []int32{0}
+		second.Gang = rapid.Bool().Draw(m.t, "gang")
+		steps = append(steps, second)
+	}
+	job := job(id, steps...)
+	m.jobs = append(m.jobs, job)
+	for i, s := range steps {
+		for index := range s.GetCount() {
+			m.rooms[fmt.Sprintf("%s.0.%d.%d", id, i, index)] = stepRoom(s)
+		}
+	}
+	m.state.AddJob(job, nil)
+}
+
+// expire ends what runs on workers whose lease has passed.
+func (m *model) expire() {
+	for _, w := range m.workers {
+		if m.now.Before(w.lease) {
+			continue
+		}
+		for task := range w.active {
+			m.finish(w, task, infra.OutcomeExpired)
+		}
+	}
+}
+
+// finish ends a run, and the other members of its gang on this worker if it belongs to one.
+func (m *model) finish(w *fakeWorker, task string, outcome infra.Outcome) {
+	run := w.active[task]
+	delete(w.active, task)
+	w.newest[task] = max(w.newest[task], run.Run)
+	w.number++
+	w.ended = append(w.ended, infra.EndedRun{Number: w.number, Task: task, Run: run.Run, Outcome: outcome})
+}
+
+// start carries an order out as a worker does.
+func (m *model) start(w *fakeWorker, epoch int64, order infra.StartOrder, until time.Time) error {
+	m.expire()
+	switch {
+	case epoch < w.epoch:
+		return infra.ErrFenced
+	case order.Run <= w.newest[order.Task]:
+		return infra.ErrOldRun
+	case !m.now.Before(until):
+		return infra.ErrLeaseOver
+	}
+	w.epoch, w.lease = epoch, maxTime(w.lease, until)
+	if _, runs := w.active[order.Task]; runs {
+		return nil
+	}
+	if m.done[order.Task] {
+		m.t.Fatalf("%s starts after its success was acknowledged", order.Task)
+	}
+	for _, other := range m.workers {
+		if _, runs := other.active[order.Task]; runs {
+			m.t.Fatalf("%s runs on %s and %s", order.Task, other.info.ID, w.info.ID)
+		}
+	}
+	w.active[order.Task] = infra.ActiveRun{Task: order.Task, Run: order.Run}
+	m.check(w)
+	return nil
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// check fails if a worker or the team has more than it may.
+func (m *model) check(w *fakeWorker) {
+	var used, team resource.Vector
+	for task := range w.active {
+		used = used.Add(m.rooms[task])
+	}
+	for _, other := range m.workers {
+		for task := range other.active {
+			team = team.Add(m.rooms[task])
+		}
+	}
+	if !used.Fits(w.capacity) {
+		m.t.Fatalf("%s runs %v of %v", w.info.ID, used, w.capacity)
+	}
+	if team.MilliCPU > m.ceiling.MilliCPU {
+		m.t.Fatalf("the team runs %v of %v", team, m.ceiling)
+	}
+}
+
+func (m *model) stop(w *fakeWorker, epoch int64, order infra.StopOrder) error {
+	if epoch < w.epoch {
+		return infra.ErrFenced
+	}
+	w.epoch = epoch
+	if run, runs := w.active[order.Task]; runs && run.Run <= order.Run {
+		m.finish(w, order.Task, infra.OutcomeStopped)
+	}
+	w.newest[order.Task] = max(w.newest[order.Task], order.Run)
+	return nil
+}
+
+// renew lets a worker answer a renewal of the newest controller.
+func (m *model) renew(w *fakeWorker) {
+	worker := m.state.Worker(w.info.ID)
+	if worker == nil {
+		return
+	}
+	if w.cut {
+		m.state.RenewFailed(worker)
+		return
+	}
+	m.expire()
+	if m.epoch < w.epoch {
+		return
+	}
+	sent := m.now
+	m.state.RenewSent(worker, m.now.Add(modelLease))
+	w.epoch, w.lease = m.epoch, maxTime(w.lease, m.now.Add(modelLease))
+	kept := w.ended[:0]
+	for _, end := range w.ended {
+		if end.Number > worker.Acknowledged() {
+			kept = append(kept, end)
+		} else if end.Outcome == infra.OutcomeSucceeded {
+			m.done[end.Task] = true
+		}
+	}
+	w.ended = kept
+	report := infra.RunReport{Incarnation: w.info.Incarnation, Ended: append([]infra.EndedRun(nil), w.ended...)}
+	for _, run := range w.active {
+		report.Active = append(report.Active, run)
+	}
+	m.now = m.now.Add(time.Millisecond)
+	m.state.Report(worker, report, sent, m.now, m.unixMs())
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// cycle plans and commits, and sends the orders; fate decides what becomes of each.
+func (m *model) cycle(commits bool) {
+	m.state.Expire(m.now)
+	plan := m.state.Plan(m.now, m.unixMs(), AdviceSlots{})
+	batch := m.state.Take()
+	if !commits {
+		// The controller is replaced before its commit took effect.
+		m.takeOver()
+		return
+	}
+	for _, change := range batch.Changes {
+		m.progress[change.ID] = change.Progress
+	}
+	orders := m.state.Committed(batch.Changes)
+	m.state.Acknowledge(batch)
+	for _, task := range orders {
+		w := m.worker(task.WorkerID())
+		order, until := task.Start(), m.now.Add(modelLease)
+		m.state.RenewSent(task.worker, until)
+		err := m.deliver(w, lateOrder{worker: w, epoch: m.epoch, start: &order, until: until})
+		m.state.Started(task, order.Run, err, m.now)
+	}
+	for _, task := range plan.Stops {
+		w := m.worker(task.WorkerID())
+		if w == nil {
+			continue
+		}
+		order, _ := task.Stop()
+		err := m.deliver(w, lateOrder{worker: w, epoch: m.epoch, stop: &order})
+		m.state.Stopped(task, order.Run, err, m.now)
+	}
+}
+
+func (m *model) worker(id string) *fakeWorker {
+	for _, w := range m.workers {
+		if w.info.ID == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// deliver carries an order out now, later, or not at all.
+func (m *model) deliver(w *fakeWorker, order lateOrder) error {
+	fate := rapid.IntRange(0, 9).Draw(m.t, "fate")
+	switch {
+	case w.cut, fate == 0:
+		return errNoAnswer
+	case fate == 1:
+		order.at = m.now.Add(time.Duration(rapid.IntRange(1, 12).Draw(m.t, "late")) * time.Second)
+		m.late = append(m.late, order)
+		return errNoAnswer
+	}
+	err := m.carryOut(order)
+	if fate == 2 {
+		return errNoAnswer
+	}
+	return err
+}
+
+func (m *model) carryOut(order lateOrder) error {
+	if order.start != nil {
+		return m.start(order.worker, order.epoch, *order.start, order.until)
+	}
+	return m.stop(order.worker, order.epoch, *order.stop)
+}
+
+func (m *model) carryOutLate() {
+	kept := m.late[:0]
+	for _, order := range m.late {
+		if order.at.After(m.now) {
+			kept = append(kept, order)
+			continue
+		}
+		_ = m.carryOut(order)
+	}
+	m.late = kept
+}
+
+// act makes one random step.
+func (m *model) act() {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(5, 400).Draw(m.t, "ms")) * time.Millisecond)
+	m.carryOutLate()
+	w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.t, "worker")]
+	switch rapid.IntRange(0, 13).Draw(m.t, "act") {
+	case 0, 1:
+		m.submit()
+	case 2, 3, 4, 5:
+		m.cycle(true)
+	case 6, 7, 8:
+		for _, worker := range m.workers {
+			m.renew(worker)
+		}
+	case 9, 10:
+		for task := range w.active {
+			m.finish(w, task, rapid.SampledFrom([]infra.Outcome{infra.OutcomeSucceeded, infra.OutcomeSucceeded, infra.OutcomeFailed}).Draw(m.t, "outcome"))
+			break
+		}
+	case 11:
+		w.cut = !w.cut
+	case 12:
+		m.takeOver()
+	case 13:
+		if rapid.Bool().Draw(m.t, "lost commit") {
+			m.cycle(false)
+		} else {
+			m.restart(w)
+		}
+	}
+}
+
+// restart gives a worker a new incarnation that knows nothing.
+func (m *model) restart(w *fakeWorker) {
+	w.info.Incarnation++
+	w.epoch, w.lease, w.number = 0, time.Time{}, 0
+	w.active, w.newest, w.ended = map[string]infra.ActiveRun{}, map[string]int32{}, nil
+	for i := range m.late {
+		if m.late[i].worker == w {
+			// Connections end with the process, so no order for the earlier incarnation arrives any more.
+			m.late[i].at = m.now.Add(-time.Hour)
+			m.late[i].epoch = -1
+		}
+	}
+}
+
+// Guards against a task that runs twice at once or again after its success, and against a worker or a team above its
+// bound: with orders lost, unanswered and carried out 12 s later, workers cut off and restarted, commits lost and
+// controllers replaced at any moment.
+func TestRulesHoldUnderAnyFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newModel(rt, rapid.IntRange(1, 4).Draw(rt, "workers"))
+		for range rapid.IntRange(10, 150).Draw(rt, "acts") {
+			m.act()
+		}
+	})
+}
+
+// Guards against accepted jobs that never end once the faults are over.
+func TestAcceptedJobsEndAfterFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newModel(rt, 3)
+		for range rapid.IntRange(10, 60).Draw(rt, "acts") {
+			m.act()
+		}
+		for _, w := range m.workers {
+			w.cut = false
+		}
+		m.settle()
+		for _, job := range m.jobs {
+			assert.Assert(rt, m.state.Job(job.GetId()).Ended(), "job %s has not ended", job.GetId())
+		}
+	})
+}
+
+// settle plays the fleet without faults until everything should have ended.
+func (m *model) settle() {
+	for range 400 {
+		m.now = m.now.Add(100 * time.Millisecond)
+		m.carryOutLate()
+		for _, w := range m.workers {
+			m.renew(w)
+		}
+		m.quietCycle()
+		for _, w := range m.workers {
+			for task := range w.active {
+				m.finish(w, task, infra.OutcomeSucceeded)
+			}
+		}
+	}
+}
+
+// quietCycle is a cycle whose orders all arrive.
+func (m *model) quietCycle() {
+	m.state.Expire(m.now)
+	plan := m.state.Plan(m.now, m.unixMs(), AdviceSlots{})
+	batch := m.state.Take()
+	for _, change := range batch.Changes {
+		m.progress[change.ID] = change.Progress
+	}
+	for _, task := range m.state.Committed(batch.Changes) {
+		order := task.Start()
+		err := m.start(m.worker(task.WorkerID()), m.epoch, order, m.now.Add(modelLease))
+		m.state.Started(task, order.Run, err, m.now)
+	}
+	m.state.Acknowledge(batch)
+	for _, task := range plan.Stops {
+		if w := m.worker(task.WorkerID()); w != nil {
+			order, _ := task.Stop()
+			m.state.Stopped(task, order.Run, m.stop(w, m.epoch, order), m.now)
+		}
+	}
+}
