--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,395 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/controller"
+	"siskinstack.example/siskinstack/dispatch"
+	"siskinstack.example/siskinstack/election"
+	"siskinstack.example/siskinstack/gateway"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/policy"
+	"siskinstack.example/siskinstack/refusal"
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/standin"
+)
+
+const (
+	testQueue   = "q"
+	testService = "runners"
+	goodKey     = "key-1"
+	policyKey   = "ops/policy"
+	workers     = "workers/"
+	freshFor    = 3 * time.Second
+)
+
+// policyValue is the configuration of the tests.
+type policyValue struct {
+	Version int64
+	Keys    []string
+}
+
+func decode(value []byte) (*policy.Policy, error) {
+	var v policyValue
+	if err := json.Unmarshal(value, &v); err != nil {
+		return nil, err
+	}
+	queue := &siskinv1.QueuePolicy{Name: testQueue, Service: testService, MaxAttempts: 2, SlackFactor: 1.5, TimeoutMs: 3000}
+	return policy.New(v.Version, []policy.Queue{{Host: "h", Prefix: "/q/", Policy: queue}},
+		[]policy.Team{{Name: "lab", Share: 100, Keys: v.Keys}}, []policy.Service{{Name: testService}}, policy.Limits{}), nil
+}
+
+// site is a platform in memory with machines that share it.
+type site struct {
+	t     *testing.T
+	store *standin.TxnStore
+	fleet *standin.Fleet
+	peers *localPeers
+}
+
+// localPeers reaches the machines of a site directly.
+type localPeers struct {
+	mu       sync.Mutex // guards machines
+	machines map[string]*controller.Controller
+}
+
+func (p *localPeers) machine(address string) (*controller.Controller, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.machines[address]; c != nil {
+		return c, nil
+	}
+	return nil, fmt.Errorf("no machine at %q", address)
+}
+
+func (p *localPeers) Lookup(_ context.Context, address, id string) (*siskinv1.LookupWorkflowResponse, error) {
+	c, err := p.machine(address)
+	if err != nil {
+		return nil, err
+	}
+	phase, known, authoritative := c.Lookup(id)
+	return &siskinv1.LookupWorkflowResponse{Phase: phase, Known: known, Authoritative: authoritative}, nil
+}
+
+func (p *localPeers) Pending(_ context.Context, address, queue string) (*siskinv1.CountPendingResponse, error) {
+	c, err := p.machine(address)
+	if err != nil {
+		return nil, err
+	}
+	pending, authoritative := c.Pending(queue)
+	return &siskinv1.CountPendingResponse{Pending: int64(pending), Authoritative: authoritative}, nil
+}
+
+func (p *localPeers) Announce(_ context.Context, address string, request *siskinv1.AnnounceRequest) error {
+	c, err := p.machine(address)
+	if err == nil {
+		c.Announced(request)
+	}
+	return err
+}
+
+func (p *localPeers) Advise(context.Context, string, string, []string) (infra.Advice, error) {
+	return infra.Advice{}, infra.ErrAdvisorBusy
+}
+
+func newSite(t *testing.T, fleetSize int, runFor time.Duration) *site {
+	s := &site{
+		t: t, store: standin.NewTxnStore(clock.Real{}), fleet: standin.NewFleet(runFor),
+		peers: &localPeers{machines: map[string]*controller.Controller{}},
+	}
+	s.setPolicy(1, goodKey)
+	for i := range fleetSize {
+		s.put(fmt.Sprintf("%sw%d", workers, i), []byte(fmt.Sprintf("zone-%d", i%3)))
+	}
+	return s
+}
+
+func (s *site) put(key string, value []byte) {
+	s.t.Helper()
+	_, err := s.store.Commit(s.t.Context(), infra.Txn{Writes: []infra.Write{{Key: key, Value: value}}})
+	assert.NilError(s.t, err)
+}
+
+func (s *site) setPolicy(version int64, keys ...string) {
+	s.t.Helper()
+	value, err := json.Marshal(policyValue{version, keys})
+	assert.NilError(s.t, err)
+	s.put(policyKey, value)
+}
+
+func decodeWorker(kv infra.KeyValue) (infra.FleetWorker, error) {
+	return infra.FleetWorker{
+		ID: strings.TrimPrefix(kv.Key, workers), Incarnation: 1, Service: testService, Address: kv.Key, Zone: string(kv.Value),
+		Labels: []string{"a", "r1"}, Capacity: resource.Vector{MilliCPU: 8000, MemoryBytes: 8 << 30},
+	}, nil
+}
+
+// machine is the part of a process that needs no listener.
+type machine struct {
+	site    *site
+	gateway *gateway.Gateway
+	control *controller.Controller
+	view    *policy.View
+	stop    func()
+}
+
+func (s *site) start(name string) *machine {
+	m := &machine{site: s}
+	log := logr.Discard()
+	m.view = policy.NewView(s.store, clock.Real{}, log, policy.Codec{
+		Prefix: "ops/", IsPolicy: func(key string) bool { return key == policyKey }, Decode: decode,
+		Evacuated: func(key string) (string, bool) { return strings.CutPrefix(key, "ops/evacuate/") },
+	})
+	session := election.NewSession(s.store, clock.Real{}, log, time.Second)
+	m.control = controller.New(controller.Options{
+		Store: s.store, Fleet: s.fleet, Peers: s.peers, Clock: clock.Real{}, Log: log, Policy: m.view,
+		Bounds:        controller.Bounds{LeaseMax: 6 * time.Second, Limits: dispatch.Limits{StatusKept: time.Minute}},
+		WorkersPrefix: workers, DecodeWorker: decodeWorker, Machine: name, Metrics: controller.NewMetrics(nil),
+	})
+	elector := &election.Elector{
+		Store: s.store, Session: session, Clock: clock.Real{}, Log: log, Serve: m.control.Serve,
+		Self: &siskinv1.Leadership{Machine: name, Incarnation: time.Now().UnixNano(), Address: name},
+	}
+	m.gateway = gateway.New(gateway.Options{
+		Store: s.store, Clock: clock.Real{}, Log: log, Policy: m.view, Local: m.control, Peers: s.peers,
+		Leader: elector.Leader, FreshFor: freshFor, Metrics: gateway.NewMetrics(nil),
+	})
+	s.peers.mu.Lock()
+	s.peers.machines[name] = m.control
+	s.peers.mu.Unlock()
+	life, end := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { m.view.Run(life) })
+	tasks.Go(func() { session.Run(life) })
+	tasks.Go(func() { elector.Run(life) })
+	m.stop = sync.OnceFunc(func() {
+		s.peers.mu.Lock()
+		delete(s.peers.machines, name)
+		s.peers.mu.Unlock()
+		end()
+		tasks.Wait()
+	})
+	s.t.Cleanup(m.stop)
+	return m
+}
+
+// submit hands a job in as a caller does.
+func (m *machine) submit(id string, steps ...*siskinv1.WorkflowStep) error {
+	target, err := m.gateway.Authorize("h", "/q/"+id, goodKey)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := m.gateway.Within(context.Background(), 3*time.Second)
+	defer cancel()
+	return m.gateway.Submit(ctx, &siskinv1.Workflow{
+		Id: id, Team: target.Team, Queue: target.Queue, Steps: steps, AcceptedUnixMs: time.Now().UnixMilli(),
+	})
+}
+
+func (m *machine) phase(id string) siskinv1.WorkflowPhase {
+	m.site.t.Helper()
+	phase, err := m.gateway.Phase(m.site.t.Context(), id)
+	assert.NilError(m.site.t, err)
+	return phase
+}
+
+func step(count int32, after ...int32) *siskinv1.WorkflowStep {
+	return &siskinv1.WorkflowStep{Count: count, MilliCpu: 1000, MemoryMb: 64, EstimateMs: 500, After: after}
+}
+
+const succeeded = siskinv1.WorkflowPhase_WORKFLOW_PHASE_SUCCEEDED
+
+// Guards against a job that is accepted on one machine and unknown to the others, or that does not run its steps in
+// order to their end.
+func TestJobIsServedByAllMachines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, 300*time.Millisecond)
+		a, b := s.start("a"), s.start("b")
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, a.submit("0000000000000001", step(4), step(2, 0)))
+		assert.NilError(t, b.submit("0000000000000001", step(4), step(2, 0)), "the same job again")
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, b.phase("0000000000000001"), siskinv1.WorkflowPhase_WORKFLOW_PHASE_RUNNING)
+		time.Sleep(time.Second)
+		assert.Equal(t, a.phase("0000000000000001"), succeeded)
+		assert.Equal(t, b.phase("0000000000000001"), succeeded)
+		assert.Equal(t, len(s.fleet.Starts()), 6)
+		for task, n := range s.fleet.Starts() {
+			assert.Equal(t, n, 1, "starts of %s", task)
+		}
+	})
+}
+
+// Guards against work that is lost or done twice when the controller is replaced while tasks run.
+func TestNextControllerGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, 2*time.Second)
+		a := s.start("a")
+		time.Sleep(time.Second)
+		b := s.start("b")
+		time.Sleep(time.Second)
+		assert.NilError(t, a.submit("0000000000000001", step(4), step(2, 0)))
+		time.Sleep(500 * time.Millisecond)
+		a.stop()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, b.phase("0000000000000001"), succeeded)
+		for task, n := range s.fleet.Starts() {
+			assert.Equal(t, n, 1, "starts of %s", task)
+		}
+	})
+}
+
+// Guards against a task that is started elsewhere while a worker that does not answer may still run it, and against one
+// that is never started again.
+func TestSilentWorkerKeepsItsTasksForTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, time.Hour)
+		a := s.start("a")
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, a.submit("0000000000000001", step(1)))
+		time.Sleep(200 * time.Millisecond)
+		s.fleet.Silence("w0", true)
+		s.fleet.Silence("w1", true)
+		time.Sleep(4 * time.Second)
+		s.fleet.Silence("w1", false)
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, s.fleet.Starts()["0000000000000001.0.0.0"], 1)
+		time.Sleep(6 * time.Second)
+		assert.Assert(t, s.fleet.Starts()["0000000000000001.0.0.0"] <= 2)
+	})
+}
+
+// Guards against a key that works after it was taken away, on a machine that hears nothing from the store.
+func TestKeyEndsWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1, time.Second)
+		a := s.start("a")
+		time.Sleep(2 * time.Second)
+		s.store.SetFault(func(string, infra.Txn) standin.TxnFault { return standin.TxnRefuse })
+		time.Sleep(freshFor + 100*time.Millisecond)
+		_, err := a.gateway.Authorize("h", "/q/0000000000000001", goodKey)
+		assert.Equal(t, refusal.From(err).Reason, refusal.KeyUnverifiable)
+		s.store.SetFault(nil)
+		s.setPolicy(2, "other")
+		time.Sleep(2 * time.Second)
+		_, err = a.gateway.Authorize("h", "/q/0000000000000001", goodKey)
+		assert.Equal(t, refusal.From(err).Reason, refusal.KeyUnknown)
+	})
+}
+
+// Guards against an answer "not run" to a submission that the store may still carry out, and against a wait for a store
+// that refuses at once.
+func TestAnswersToSubmissionsAreTrue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1, time.Second)
+		a := s.start("a")
+		time.Sleep(2 * time.Second)
+		fault := standin.TxnDrop
+		s.store.SetFault(func(call string, txn infra.Txn) standin.TxnFault {
+			if call == "commit" && len(txn.Writes) == 1 && strings.HasPrefix(txn.Writes[0].Key, controller.JobKey("")) {
+				now := fault
+				if fault == standin.TxnLoseAnswer {
+					fault = 0
+				}
+				return now
+			}
+			return 0
+		})
+		err := a.submit("0000000000000001", step(1))
+		assert.Equal(t, refusal.From(err).Reason, refusal.AcceptanceUnknown)
+		assert.Assert(t, !refusal.From(err).NotRun())
+		fault = standin.TxnRefuse
+		began := time.Now()
+		err = a.submit("0000000000000002", step(1))
+		assert.Equal(t, refusal.From(err).Reason, refusal.StoreUnavailable)
+		assert.Assert(t, refusal.From(err).NotRun() && refusal.From(err).RetryAfter > 0)
+		assert.Assert(t, time.Since(began) < 200*time.Millisecond)
+		fault = standin.TxnLoseAnswer
+		err = a.submit("0000000000000003", step(1))
+		assert.NilError(t, err, "the second try finds the job of the first")
+	})
+}
+
+// Guards against a controller that takes a commit of unknown outcome for lost, or lets a delayed one overwrite a later
+// state.
+func TestCommitsWithoutAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3, 200*time.Millisecond)
+		a := s.start("a")
+		time.Sleep(2 * time.Second)
+		n := 0
+		s.store.SetFault(func(call string, txn infra.Txn) standin.TxnFault {
+			if call != "commit" || len(txn.Conditions) < 2 {
+				return 0
+			}
+			n++
+			return []standin.TxnFault{0, standin.TxnLoseAnswer, standin.TxnDelay, standin.TxnDrop}[n%4]
+		})
+		for i := range 5 {
+			assert.NilError(t, a.submit(fmt.Sprintf("%016x", i+1), step(3), step(2, 0)))
+			time.Sleep(300 * time.Millisecond)
+			s.store.Deliver()
+		}
+		time.Sleep(20 * time.Second)
+		s.store.Deliver()
+		s.store.SetFault(nil)
+		time.Sleep(5 * time.Second)
+		for i := range 5 {
+			assert.Equal(t, a.phase(fmt.Sprintf("%016x", i+1)), succeeded)
+		}
+		for task, starts := range s.fleet.Starts() {
+			assert.Equal(t, starts, 1, "starts of %s", task)
+		}
+	})
+}
+
+// Guards against jobs and cancellations that are missed because the store dropped its history.
+func TestDroppedHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 2, 200*time.Millisecond)
+		a, b := s.start("a"), s.start("b")
+		time.Sleep(2 * time.Second)
+		s.peers.mu.Lock()
+		clear(s.peers.machines) // announcements get lost, only the watch is left
+		s.peers.mu.Unlock()
+		for i := range 4 {
+			assert.NilError(t, []*machine{a, b}[i%2].submit(fmt.Sprintf("%016x", i+1), step(2)))
+			s.store.Compact()
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 4 {
+			assert.Equal(t, a.phase(fmt.Sprintf("%016x", i+1)), succeeded)
+		}
+	})
+}
+
+// Guards against starts in an availability zone that operators have evacuated.
+func TestEvacuatedZoneGetsNoTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 1, time.Second)
+		a := s.start("a")
+		time.Sleep(2 * time.Second)
+		s.put("ops/evacuate/zone-0", []byte("{}"))
+		time.Sleep(100 * time.Millisecond)
+		assert.NilError(t, a.submit("0000000000000001", step(1)))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(s.fleet.Starts()), 0)
+		_, err := s.store.Commit(t.Context(), infra.Txn{Removes: []string{"ops/evacuate/zone-0"}})
+		assert.NilError(t, err)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, a.phase("0000000000000001"), succeeded)
+	})
+}
