Acknowledge nothing to a worker that may have restarted; let gangs finish

A renewal with the earlier incarnation's acknowledgement made it forget ends that nobody had seen, and their tasks were run again. Change: after a renewal without an answer, and in looks beside the waiting renewal, nothing is acknowledged. Runs at 100 percent are not stalled; three tests for stalls failed first.

--- a/controller/link.go
+++ b/controller/link.go
@@ -80,7 +80,7 @@
 		if !known {
 			return
 		}
-		if t.renew(ctx, l, wait) != nil {
+		if t.renew(ctx, l, wait, false) != nil {
 			_ = t.Clock.Sleep(ctx, linkPause)
 			continue
 		}
@@ -123,7 +123,7 @@
 }
 
 // renew extends the lease of a worker, acknowledges its ends and takes its report.
-func (t *term) renew(ctx context.Context, l *link, wait time.Duration) error {
+func (t *term) renew(ctx context.Context, l *link, wait time.Duration, look bool) error {
 	call, cancel := context.WithTimeout(ctx, wait+renewSlack)
 	defer cancel()
 	t.mu.Lock()
@@ -131,6 +131,10 @@
 	order := infra.RenewOrder{
 		LeaseUntilMs: t.leaseUntil(l, sent), Epoch: t.lead.Epoch, Acknowledged: l.worker.Acknowledged(), Wait: wait,
 	}
+	if look {
+		// The renewal that waits at the worker is the one that shows a restart, so a second one acknowledges nothing.
+		order.Acknowledged = 0
+	}
 	info := l.worker.Info
 	t.mu.Unlock()
 	if !t.lead.Valid() {
@@ -236,7 +240,7 @@
 	t.mu.Unlock()
 	t.kick()
 	if look {
-		_ = t.renew(ctx, l, 0)
+		_ = t.renew(ctx, l, 0, true)
 		t.mu.Lock()
 		l.looking = false
 		t.mu.Unlock()
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -154,10 +154,8 @@
 func (s *State) checkStall(t *Task, now time.Time) {
 	spec := t.step.spec
 	limit := max(stallMin, time.Duration(spec.GetEstimateMs())*time.Millisecond/stallShare)
-	if t.done || spec.GetBackfill() || t.pace < fullPace || now.Sub(t.progressAt) < limit {
-		return
-	}
-	if spec.GetLongRunning() && t.percent >= fullPercent {
+	// A member of a gang that has done its part waits for the others, and a long-running task at work stays at 100.
+	if t.percent >= fullPercent || t.done || spec.GetBackfill() || t.pace < fullPace || now.Sub(t.progressAt) < limit {
 		return
 	}
 	if !t.stop {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -52,8 +52,14 @@
 	return &Worker{Info: info, Listed: true, tasks: map[*Task]struct{}{}}
 }
 
-// Acknowledged returns the number up to which the worker may forget ends.
-func (w *Worker) Acknowledged() int64 { return w.acknowledged }
+// Acknowledged returns the number up to which the worker may forget ends. After a renewal without an answer it is 0: the
+// worker may have restarted, and the ends of its new incarnation have the same numbers.
+func (w *Worker) Acknowledged() int64 {
+	if !w.reachable {
+		return 0
+	}
+	return w.acknowledged
+}
 
 // Reachable reports whether the worker answered its last renewal.
 func (w *Worker) Reachable() bool { return w.reachable }
