--- /dev/null
+++ b/ctl/trace.go
@@ -0,0 +1,45 @@
+package ctl
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"siskinstack.example/siskinstack/joblog"
+)
+
+const flagLog = "log"
+
+func (a *App) traceCommand() *cli.Command {
+	return a.leaf(leaf{
+		name: "trace", usage: "tell the story of one job from the logs of the machines", args: []string{"JOB"},
+		example: "siskinctl trace --log edge-1.log --log edge-2.log 5c0e7a21d94b36f8", run: a.trace,
+		flags: []cli.Flag{&cli.StringSliceFlag{Name: flagLog, Usage: "`FILE` with log lines; several are put together; default: standard input"}},
+	})
+}
+
+func (a *App) trace(_ context.Context, cmd *cli.Command) error {
+	var logs []io.Reader
+	for _, path := range cmd.StringSlice(flagLog) {
+		file, err := os.Open(path)
+		if err != nil {
+			return eris.Wrap(err, "log")
+		}
+		defer func() { _ = file.Close() }()
+		logs = append(logs, file)
+	}
+	if len(logs) == 0 {
+		logs = append(logs, os.Stdin)
+	}
+	entries, err := joblog.Read(cmd.Args().First(), logs...)
+	if err != nil {
+		return err
+	}
+	if len(entries) == 0 {
+		return eris.Errorf("no line names the job %q", cmd.Args().First())
+	}
+	return joblog.Write(a.Out, entries)
+}
