Let urgent queues take the place of less urgent tasks with checkpoints

Cause: in overload (an evacuated zone, a tenant at five times its rate, a burst) bookings waited for the end of rosters of six seconds and more; the queue's priority 0 may pre-empt. Change: tasks of priority 0 that found no room stop the newest less urgent checkpointing tasks on the workers they are allowed on, as many as they need, at most once in 1.2 s a step. Advice is asked for workers with such room too.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -98,7 +98,10 @@
 		s.changed = true
 		return nil
 	}
-	named := s.toName(step, now)
+	named := s.toName(step, now, s.fits)
+	if len(named) == 0 && s.mayPreempt(r) {
+		named = s.toName(step, now, s.couldFit)
+	}
 	if len(named) == 0 {
 		return nil
 	}
@@ -114,9 +117,9 @@
 	return request
 }
 
-// toName returns the workers to ask about: those with room for tasks that wait and no ticket, the allowed ones first,
-// enough of them that the allowed ones should do.
-func (s *State) toName(step *Step, now time.Time) []*Worker {
+// toName returns the workers to ask about: those that fit and have no ticket, the allowed ones first, enough of them
+// that the allowed ones should do.
+func (s *State) toName(step *Step, now time.Time, fits func(*Step, *Worker, time.Time) bool) []*Worker {
 	need := float64(step.waiting) * sureFactor
 	var known, fresh []*Worker
 	for _, w := range s.workers {
@@ -124,7 +127,7 @@
 			continue
 		}
 		allowed, asked := step.advice.asked[w.Info.ID]
-		if asked && !allowed || !s.fits(step, w, now) {
+		if asked && !allowed || !fits(step, w, now) {
 			continue
 		}
 		if asked {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -56,6 +56,8 @@
 	// checkpoint is the newest one of a gang; all members resume from the same.
 	checkpoint string
 	readyAt    time.Time
+	// preemptAfter is when the step may take the place of other tasks again.
+	preemptAfter time.Time
 }
 
 // Task is one task of a step.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -63,13 +63,14 @@
 func (s *State) Plan(now time.Time, unixMs int64, slots AdviceSlots) Plan {
 	s.changed = false
 	var plan Plan
-	s.planStops(&plan, now)
 	for _, r := range s.readySteps(now, unixMs) {
 		s.placeStep(r.step, now, unixMs)
+		s.preempt(r, now)
 		if request := s.wantAdvice(r, now, &slots); request != nil {
 			plan.Advice = append(plan.Advice, request)
 		}
 	}
+	s.planStops(&plan, now)
 	return plan
 }
 
--- /dev/null
+++ b/dispatch/preempt.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"siskinstack.example/siskinstack/resource"
+)
+
+// preemptAgain is the pause after which a step whose tasks still wait may pre-empt again. A stop takes up to a second.
+const preemptAgain = 1200 * time.Millisecond
+
+// mayPreempt reports whether the tasks of a step may take the place of others: those of the most urgent queues that are
+// neither late nor in excess.
+func (s *State) mayPreempt(r ranked) bool {
+	return r.rank.priority == 0 && !r.rank.late && !r.rank.excess && !r.step.spec.GetGang()
+}
+
+// victim reports whether a task may be stopped for one of an urgent queue: a less urgent one that goes on from its
+// checkpoint.
+func (s *State) victim(t *Task) bool {
+	spec := t.step.spec
+	return t.phase == phaseActive && !t.stop && !t.done && spec.GetCheckpointing() && !spec.GetGang() &&
+		!spec.GetLongRunning() && !spec.GetBackfill() && s.queue(t.step.job).GetPriority() > 0
+}
+
+// reclaimable is the room that tasks of less urgent queues hold on a worker.
+func (s *State) reclaimable(w *Worker) resource.Vector {
+	var room resource.Vector
+	for t := range w.tasks {
+		if s.victim(t) {
+			room = room.Add(t.room())
+		}
+	}
+	return room
+}
+
+// couldFit reports whether a task of a step would fit on a worker if less urgent ones gave way.
+func (s *State) couldFit(step *Step, w *Worker, now time.Time) bool {
+	return w.takes(now) && s.suits(step, w) && s.below(step, w) && undisturbed(step, w) &&
+		taskRoom(step.spec).Fits(w.free().Add(s.reclaimable(w)))
+}
+
+// preempt stops less urgent tasks for the tasks of a step that found no room on the workers they are allowed on.
+func (s *State) preempt(r ranked, now time.Time) {
+	step := r.step
+	if step.waiting == 0 || !s.mayPreempt(r) || now.Before(step.preemptAfter) || !s.mayRunMore(step) {
+		return
+	}
+	need, missing := taskRoom(step.spec), step.waiting
+	for _, w := range s.candidates(step, now) {
+		if missing <= 0 {
+			break
+		}
+		if !s.couldFit(step, w, now) {
+			continue
+		}
+		missing -= s.preemptOn(w, need, missing, step)
+	}
+	if missing < step.waiting {
+		step.preemptAfter = now.Add(preemptAgain)
+		s.log.Decision("pre-empting", step.job.Record.GetId(), "step", step.name, "tasks", step.waiting-missing)
+	}
+}
+
+// preemptOn stops tasks on a worker until there is room for up to most tasks of a size. It returns for how many.
+func (s *State) preemptOn(w *Worker, need resource.Vector, most int, step *Step) int {
+	var victims []*Task
+	for t := range w.tasks {
+		if s.victim(t) {
+			victims = append(victims, t)
+		}
+	}
+	// The newest runs have the least work behind them.
+	slices.SortFunc(victims, func(a, b *Task) int {
+		return cmp.Or(b.orderedAt.Compare(a.orderedAt), cmp.Compare(a.step.name, b.step.name), cmp.Compare(a.index, b.index))
+	})
+	room, placed := w.free(), 0
+	for _, t := range victims {
+		if placed >= most {
+			break
+		}
+		t.wantStop("pre-empted for " + step.name)
+		room = room.Add(t.room())
+		for placed < most && need.Fits(room) {
+			room = room.Sub(need)
+			placed++
+		}
+	}
+	return placed
+}
--- /dev/null
+++ b/dispatch/preempt_test.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/policy"
+	"siskinstack.example/siskinstack/resource"
+)
+
+// withQueues gives the world an urgent queue beside a less urgent one.
+func (w *world) withQueues() {
+	urgent := &siskinv1.QueuePolicy{Name: "urgent", Service: testService, MaxAttempts: 2, SlackFactor: 1.5, AllowanceMs: 250}
+	w.queue.Priority = 2
+	w.state.SetPolicy(policy.New(1, []policy.Queue{{Host: "h", Prefix: "/q/", Policy: w.queue}, {Host: "h", Prefix: "/u/", Policy: urgent}},
+		[]policy.Team{{Name: testTeam, Share: 100, Ceiling: resource.Vector{}}}, []policy.Service{{Name: testService}}, policy.Limits{}))
+}
+
+func (w *world) urgentJob(id string, steps ...*siskinv1.WorkflowStep) *siskinv1.Workflow {
+	j := job(id, steps...)
+	j.Queue = &siskinv1.QueuePolicy{Name: "urgent", Service: testService, MaxAttempts: 2, AllowanceMs: 250, SlackFactor: 1.5}
+	j.AcceptedUnixMs = w.unixMs()
+	return j
+}
+
+// Guards against urgent tasks that wait for the end of long less urgent ones, and against more stops than they need.
+func TestUrgentTaskTakesThePlaceOfLessUrgentOnes(t *testing.T) {
+	w := newWorld(t, 1)
+	w.withQueues()
+	long := step(4, 2000)
+	long.Checkpointing, long.EstimateMs = true, 60_000
+	w.state.AddJob(job("long", long), nil)
+	w.step()
+	assert.Equal(t, w.runs(), 4)
+	w.state.AddJob(w.urgentJob("quick", step(1, 1000)), nil)
+	w.step()
+	w.step()
+	w.step()
+	assert.Equal(t, len(w.running[w.workers[0]]), 4, "three long ones and the quick one")
+	_, runs := w.running[w.workers[0]]["quick.0.0.0"]
+	assert.Assert(t, runs)
+	w.endAll(infra.OutcomeSucceeded)
+	for range 4 {
+		w.step()
+	}
+	assert.Assert(t, w.state.Job("quick").Ended())
+	w.endAll(infra.OutcomeSucceeded)
+	w.step()
+	w.step()
+	assert.Assert(t, w.state.Job("long").Ended(), "a pre-empted task goes on")
+}
+
+// Guards against work that is thrown away for urgent tasks: without checkpoints, of gangs, or lasting.
+func TestTasksWithoutCheckpointsStay(t *testing.T) {
+	for name, change := range map[string]func(*siskinv1.WorkflowStep){
+		"no checkpoints": func(s *siskinv1.WorkflowStep) { s.Checkpointing = false },
+		"gang":           func(s *siskinv1.WorkflowStep) { s.Gang = true },
+		"lasting":        func(s *siskinv1.WorkflowStep) { s.LongRunning = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.withQueues()
+			long := step(4, 2000)
+			long.Checkpointing = true
+			change(long)
+			w.state.AddJob(job("long", long), nil)
+			w.step()
+			w.setPercent(fullPercent)
+			w.state.AddJob(w.urgentJob("quick", step(1, 1000)), nil)
+			for range 5 {
+				w.step()
+			}
+			assert.Equal(t, len(w.started), 4)
+		})
+	}
+}
