--- a/controller/controller.go
+++ b/controller/controller.go
@@ -228,7 +228,6 @@
 			return
 		case <-t.wake:
 		case <-timer.C:
-			t.markTick()
 		}
 		began := time.Now()
 		t.cycle(ctx)
@@ -238,13 +237,6 @@
 	}
 }
 
-// markTick makes the next plan look at due times, leases and suspensions even if nothing was reported.
-func (t *term) markTick() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.state.Touch()
-}
-
 // cycle makes one plan and carries it out.
 func (t *term) cycle(ctx context.Context) {
 	if !t.lead.Valid() {
--- a/controller/link.go
+++ b/controller/link.go
@@ -198,7 +198,8 @@
 	t.mu.Lock()
 	order.LeaseUntilMs = t.leaseUntil(l, t.now())
 	t.mu.Unlock()
-	clockMs, err := int64(0), error(infra.ErrNotSent)
+	var clockMs int64
+	err := infra.ErrNotSent
 	if order.LeaseUntilMs > 0 && t.lead.Valid() {
 		clockMs, err = t.Fleet.Start(call, info, order)
 	}
@@ -221,7 +222,7 @@
 	l := t.links[t.state.Worker(info.ID)]
 	t.mu.Unlock()
 	order.Epoch = t.lead.Epoch
-	err := error(infra.ErrNotSent)
+	err := infra.ErrNotSent
 	if l != nil && t.lead.Valid() {
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		_, err = t.Fleet.Stop(call, info, order)
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -95,7 +95,6 @@
 	}
 	if !slots.open(policy) {
 		// The step asks when a call of another one has been answered.
-		s.changed = true
 		return nil
 	}
 	named := s.toName(step, now, s.roomy, s.fits)
@@ -201,7 +200,6 @@
 	step := r.step
 	step.advice.underway = false
 	step.patience, step.tryAfter = 0, time.Time{}
-	s.changed = true
 	if err != nil {
 		step.advice.after = now.Add(adviceRetry)
 		s.log.Decision("no advice", r.Job, "step", r.Step, "workers", len(r.Workers), "reason", err.Error())
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -55,7 +55,6 @@
 	advice     advice
 	// checkpoint is the newest one of a gang; all members resume from the same.
 	checkpoint string
-	readyAt    time.Time
 	// tryAfter is when the step is looked at again after it found no worker, patience the pause before that.
 	tryAfter time.Time
 	patience time.Duration
@@ -140,7 +139,7 @@
 	}
 }
 
-// waitingFor reports whether the task waits for a worker.
+// isWaiting reports whether the task waits for a worker.
 func (t *Task) isWaiting() bool { return !t.done && t.worker == nil }
 
 // newJob builds a job from its record and, if there is one, its progress. Workers of placed tasks are looked up by place.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -57,14 +57,10 @@
 	step *Step
 }
 
-// Changed reports whether anything happened since the last plan.
-func (s *State) Changed() bool { return s.changed }
-
 // Plan places waiting tasks and returns what else is to be done. The placed tasks are ordered after the next commit.
 func (s *State) Plan(now time.Time, unixMs int64, slots AdviceSlots) Plan {
-	s.changed = false
 	var plan Plan
-	steps := s.readySteps(now, unixMs)
+	steps := s.readySteps(unixMs)
 	s.openWorkers(steps, now)
 	for _, r := range steps {
 		if now.Before(r.step.tryAfter) {
@@ -137,7 +133,7 @@
 }
 
 // readySteps returns the steps with tasks that may start, in order.
-func (s *State) readySteps(now time.Time, unixMs int64) []ranked {
+func (s *State) readySteps(unixMs int64) []ranked {
 	var steps []ranked
 	for step := range s.frontier {
 		if step.waiting == 0 || step.job.Ended() || !step.unblocked() {
@@ -147,9 +143,6 @@
 		if !step.due(unixMs) {
 			continue
 		}
-		if step.readyAt.IsZero() {
-			step.readyAt = now
-		}
 		steps = append(steps, ranked{s.rankOf(step, unixMs), step})
 	}
 	slices.SortFunc(steps, func(a, b ranked) int { return a.rank.compare(b.rank) })
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -19,7 +19,6 @@
 
 // SetWorker notes what a worker reports about itself. It returns the worker, and whether it is new.
 func (s *State) SetWorker(info infra.FleetWorker) (*Worker, bool) {
-	s.changed = true
 	w, known := s.workers[info.ID]
 	if !known {
 		w = newWorker(info)
@@ -41,7 +40,6 @@
 func (s *State) RemoveWorker(id string) {
 	if w := s.workers[id]; w != nil {
 		w.Listed = false
-		s.changed = true
 	}
 }
 
@@ -55,7 +53,6 @@
 // RenewFailed notes that a worker did not answer.
 func (s *State) RenewFailed(w *Worker) {
 	w.reachable = false
-	s.changed = true
 }
 
 // Expire takes the tasks off workers whose lease has ended without an answer, and forgets workers that are gone.
@@ -87,9 +84,6 @@
 		w.Info.Incarnation = report.Incarnation
 	}
 	first := !w.reported
-	if first || !w.reachable {
-		s.changed = true
-	}
 	w.reported, w.reachable = true, true
 	for _, end := range report.Ended {
 		if end.Number > w.seen {
@@ -163,7 +157,6 @@
 		t.avoid = t.WorkerID()
 		t.worker.suspend(now)
 		t.wantStop("stalled")
-		s.changed = true
 	}
 }
 
@@ -183,7 +176,6 @@
 	case answered(t.orderedAt):
 		// An order without an answer may be carried out later, so the worker is told never to begin the run.
 		t.wantStop("not listed")
-		s.changed = true
 	}
 }
 
@@ -302,7 +294,6 @@
 		t.doubtful = true
 		t.wantStop("no answer to the start")
 	}
-	s.changed = true
 }
 
 // Stopped takes in the answer to the order to stop a run.
@@ -311,7 +302,6 @@
 		return
 	}
 	t.stopping = false
-	s.changed = true
 	if err == nil || errors.Is(err, infra.ErrOldRun) {
 		t.stopAnswer, t.stopAfter = now, now.Add(stopAgain)
 		return
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -26,12 +26,8 @@
 
 // Limits are the bounds of a deployment.
 type Limits struct {
-	// Early is how long before its due time an occurrence may start.
-	Early time.Duration
 	// StatusKept is how long the state of an ended job can be asked for.
 	StatusKept time.Duration
-	// RemoteFactor is how much longer a task takes away from its preferred rack.
-	RemoteFactor float64
 }
 
 // Log receives the decisions.
@@ -60,8 +56,6 @@
 	// frontier are the steps with waiting tasks whose earlier steps have succeeded, and others that are taken out when
 	// they are looked at.
 	frontier map[*Step]struct{}
-	// changed is true if something happened since the last plan that could lead to another one.
-	changed bool
 }
 
 // teamUse is what a team has running and how many jobs it may count on.
@@ -83,13 +77,11 @@
 // SetPolicy brings a version of the configuration into force.
 func (s *State) SetPolicy(p *policy.Policy) {
 	s.policy = p
-	s.changed = true
 }
 
 // SetEvacuated replaces the set of evacuated availability zones.
 func (s *State) SetEvacuated(zones map[string]bool) {
 	s.evacuated = zones
-	s.changed = true
 }
 
 // queue returns the newest policy of a job's queue; a queue that was removed keeps the one under which the job came.
@@ -112,7 +104,6 @@
 	j.excess = s.overRate(j)
 	if !j.Ended() || j.placed > 0 {
 		s.open[record.GetId()] = j
-		s.changed = true
 		for _, o := range j.occurrences {
 			s.lookAt(o)
 		}
@@ -183,7 +174,7 @@
 // Job returns a job, or nil.
 func (s *State) Job(id string) *Job { return s.jobs[id] }
 
-// Phase returns what callers are shown of a job.
+// ShownPhase returns what callers are shown of a job.
 func (j *Job) ShownPhase() siskinv1.WorkflowPhase {
 	switch {
 	case ended(j.DurablePhase):
@@ -247,7 +238,6 @@
 
 func (s *State) markDirty(j *Job) {
 	s.dirty[j.Record.GetId()] = j
-	s.changed = true
 }
 
 // place puts a task on a worker.
@@ -283,9 +273,6 @@
 	use.running = use.running.Sub(stepRoom(t.step.spec))
 	s.markDirty(j)
 	s.closeIfOver(j)
-	if !w.Listed && len(w.tasks) == 0 {
-		s.changed = true
-	}
 }
 
 func (t *Task) wantStop(reason string) {
@@ -319,9 +306,6 @@
 // Workers returns all workers by identifier. The map is not changed by the caller.
 func (s *State) Workers() map[string]*Worker { return s.workers }
 
-// Touch makes the next plan look at everything again.
-func (s *State) Touch() { s.changed = true }
-
 // AssumeLeases notes that an earlier controller may have extended the lease of every worker until a time.
 func (s *State) AssumeLeases(until time.Time) {
 	for _, w := range s.workers {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -44,7 +44,7 @@
 	suspensions    int
 	suspendedUntil time.Time
 	onTrial        bool
-	// newStarts counts the tasks placed since the suspension ended.
+	// trialStarts counts the tasks placed since the suspension began.
 	trialStarts int
 }
 
--- a/infra/store.go
+++ b/infra/store.go
@@ -1,5 +1,5 @@
-// Package platform declares what the system needs from the platform, one small interface for each part. An adapter
-// package implements all of them for one kind of platform; no other package knows the platform's protocols.
+// Package infra declares what the system needs from a platform, one small interface for each part. An adapter package
+// implements them for one kind of platform; no other package knows the platform's protocols.
 package infra
 
 import (
--- a/node/node.go
+++ b/node/node.go
@@ -99,7 +99,7 @@
 		Policy: n.view, WorkersPrefix: platform.WorkersPrefix, DecodeWorker: platform.DecodeWorker,
 		Machine: settings.Machine, Zone: settings.Zone, Cores: settings.Cores, Metrics: controller.NewMetrics(n.registry),
 		Bounds: controller.Bounds{LeaseMax: settings.Bounds.LeaseMax, Limits: dispatch.Limits{
-			Early: settings.Bounds.Early, StatusKept: settings.Bounds.StatusKept, RemoteFactor: settings.Bounds.RemoteFactor,
+			StatusKept: settings.Bounds.StatusKept,
 		}},
 	})
 	n.elector = &election.Elector{
--- a/node/settings.go
+++ b/node/settings.go
@@ -43,12 +43,8 @@
 	Revocation time.Duration
 	// LeaseMax is the longest lease of a worker.
 	LeaseMax time.Duration
-	// Early is how long before its due time an occurrence may start.
-	Early time.Duration
 	// StatusKept is how long the state of an ended job can be asked for.
 	StatusKept time.Duration
-	// RemoteFactor is how much longer a task takes away from its preferred rack.
-	RemoteFactor float64
 }
 
 const (
