Test the view of the configuration and the placement rules

Failures guarded: a view that goes back, misses the end of an evacuation or counts as confirmed without the store; backfill beside a latency objective; excluded workers; a ceiling; a gang in part; attempts. The comment on the view's age said one watch where it is two.

--- /dev/null
+++ b/dispatch/place_test.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/resource"
+)
+
+// Guards against backfill tasks that disturb tasks with a latency objective on the same worker.
+func TestBackfillKeepsAwayFromLatencyObjectives(t *testing.T) {
+	w := newWorld(t, 3)
+	serving := step(2, 1000)
+	serving.LongRunning, serving.LatencyObjectiveMs = true, 50
+	filling := step(2, 1000)
+	filling.Backfill = true
+	w.state.AddJob(job("serve", serving), nil)
+	w.state.AddJob(job("fill", filling), nil)
+	for range 3 {
+		w.step()
+	}
+	assert.Equal(t, w.runs(), 4)
+	for _, worker := range w.workers {
+		assert.Assert(t, worker.serving == 0 || worker.fillers == 0)
+	}
+}
+
+// Guards against starts on a worker that is about to leave, or that a label or a limit excludes.
+func TestExcludedWorkersGetNoTasks(t *testing.T) {
+	w := newWorld(t, 3)
+	leaving := w.workers[0].Info
+	leaving.Draining = true
+	w.state.SetWorker(leaving)
+	labelled := w.workers[1].Info
+	labelled.Labels = []string{"special", "r"}
+	w.state.SetWorker(labelled)
+	special := step(3, 1000)
+	special.RequiredLabel, special.MaxPerWorker = "special", 2
+	w.state.AddJob(job("a", special), nil)
+	for range 3 {
+		w.step()
+	}
+	assert.Equal(t, len(w.running[w.workers[1]]), 2)
+	assert.Equal(t, w.runs(), 2)
+}
+
+// Guards against a team above its ceiling, and against one that stays below it although tasks wait.
+func TestCeilingBoundsATeam(t *testing.T) {
+	w := newWorld(t, 3)
+	w.setCeiling(resource.Vector{MilliCPU: 5000})
+	w.state.AddJob(job("a", step(4, 2000)), nil)
+	w.step()
+	assert.Equal(t, w.runs(), 2)
+	w.endAll(infra.OutcomeSucceeded)
+	w.step()
+	w.step()
+	assert.Equal(t, w.runs(), 2)
+}
+
+// Guards against a gang that starts in part, and against members with different run numbers.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	w := newWorld(t, 1)
+	gang := step(5, 2000)
+	gang.Gang = true
+	w.state.AddJob(job("a", gang), nil)
+	w.step()
+	assert.Equal(t, w.runs(), 0)
+	w.addWorker("more", "zone-1")
+	w.step()
+	assert.Equal(t, w.runs(), 5)
+	w.endAll(infra.OutcomeGangBroken)
+	for range 3 {
+		w.step()
+	}
+	assert.Equal(t, w.runs(), 5)
+	for _, order := range w.started[5:] {
+		assert.Equal(t, order.Run, int32(2))
+	}
+}
+
+// Guards against a task that fails for good before its attempts are used up, or that is tried more often.
+func TestAttemptsAreCounted(t *testing.T) {
+	w := newWorld(t, 3)
+	w.state.AddJob(job("a", step(1, 1000)), nil)
+	w.step()
+	first := w.runningOn()
+	w.endAll(infra.OutcomeFailed)
+	for range 3 {
+		w.step()
+	}
+	assert.Equal(t, w.runs(), 1)
+	assert.Assert(t, w.runningOn() != first, "the second attempt is made elsewhere")
+	w.endAll(infra.OutcomeFailed)
+	for range 3 {
+		w.step()
+	}
+	assert.Equal(t, w.state.Job("a").ShownPhase(), siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED)
+	assert.Equal(t, len(w.started), 2)
+}
--- a/policy/view.go
+++ b/policy/view.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// viewWait is how long the store holds a watch open. The view's age is at most this plus the time of a call.
+	// viewWait is how long the store holds a watch open. An answer proves what was true when its watch was sent, so the
+	// view's age reaches twice this plus the time of two calls, which is below the three seconds that keys rely on.
 	viewWait = time.Second
 	// viewSlack is how much longer an answer may take.
 	viewSlack = 600 * time.Millisecond
--- /dev/null
+++ b/policy/view_test.go
@@ -0,0 +1,111 @@
+package policy
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/standin"
+)
+
+const viewKey = "ops/policy"
+
+// relied is how old a configuration may be for calls with a key at the first deployments: 0.6 of five seconds.
+const relied = 3 * time.Second
+
+func viewCodec() Codec {
+	return Codec{
+		Prefix: "ops/", IsPolicy: func(key string) bool { return key == viewKey },
+		Decode: func(value []byte) (*Policy, error) {
+			var version int64
+			err := json.Unmarshal(value, &version)
+			return New(version, nil, nil, nil, Limits{}), err
+		},
+		Evacuated: func(key string) (string, bool) { return strings.CutPrefix(key, "ops/evacuate/") },
+	}
+}
+
+// follow runs a view of a store until the test ends.
+func follow(t *testing.T, store infra.TxnStore) *View {
+	view := NewView(store, clock.Real{}, logr.Discard(), viewCodec())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		view.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return view
+}
+
+func put(t *testing.T, store *standin.TxnStore, key, value string) {
+	t.Helper()
+	_, err := store.Commit(t.Context(), infra.Txn{Writes: []infra.Write{{Key: key, Value: []byte(value)}}})
+	assert.NilError(t, err)
+}
+
+// Guards against a machine that goes back to an older configuration, or that gives up the one in force for one that
+// cannot be read.
+func TestViewNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewTxnStore(clock.Real{})
+		put(t, store, viewKey, "7")
+		view := follow(t, store)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, view.Current().Version, int64(7))
+		for _, value := range []string{"5", "broken", "6"} {
+			put(t, store, viewKey, value)
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, view.Current().Version, int64(7), "after %s", value)
+		}
+		put(t, store, viewKey, "9")
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, view.Current().Version, int64(9))
+	})
+}
+
+// Guards against an evacuation that is missed, or that stays in force after it was taken back, because the store dropped
+// its history.
+func TestViewOfEvacuationsAfterDroppedHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewTxnStore(clock.Real{})
+		put(t, store, "ops/evacuate/a", "{}")
+		view := follow(t, store)
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, view.Evacuated(), map[string]bool{"a": true})
+		_, err := store.Commit(t.Context(), infra.Txn{Removes: []string{"ops/evacuate/a"}})
+		assert.NilError(t, err)
+		put(t, store, "ops/evacuate/b", "{}")
+		store.Compact()
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, view.Evacuated(), map[string]bool{"b": true})
+	})
+}
+
+// Guards against a configuration that counts as confirmed while the store does not answer.
+func TestViewAgesWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewTxnStore(clock.Real{})
+		put(t, store, viewKey, "1")
+		view := follow(t, store)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, view.Age() < relied)
+		store.SetFault(func(string, infra.Txn) standin.TxnFault { return standin.TxnDrop })
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, view.Age() >= 9*time.Second)
+		store.SetFault(nil)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, view.Age() < relied)
+	})
+}
