--- /dev/null
+++ b/telemetry/log_test.go
@@ -0,0 +1,47 @@
+package telemetry
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a process that stands still because nobody reads its standard output.
+func TestStalledOutputBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, writer := io.Pipe()
+		sink := NewLogSink(writer)
+		log := NewLogger(sink)
+		began := time.Now()
+		for range 10 * logQueue {
+			log.Info("accepted", "job", "j1")
+		}
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Assert(t, sink.Dropped() >= 8*logQueue)
+		assert.NilError(t, reader.Close())
+		sink.Close(time.Second)
+	})
+}
+
+// Guards against a log that grows without bound under load, and against one that stays silent afterwards.
+func TestVolumeIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		sink := NewLogSink(&out)
+		log := NewLogger(sink)
+		for range 2 * logLinesPerSecond {
+			log.Info("line")
+			synctest.Wait()
+		}
+		assert.Equal(t, sink.Dropped(), int64(logLinesPerSecond))
+		time.Sleep(time.Second)
+		log.Info("later")
+		sink.Close(time.Second)
+		assert.Equal(t, strings.Count(out.String(), "\n"), logLinesPerSecond+1)
+	})
+}
