Fill the map of watched versions before its watchers start

Cause: watchVersions of the daemon tests added a VM to the map without the lock while a watcher that it had started already read it; the race detector reported it once, with all tests of the package that ran at that moment.

Change: the map has all its keys before the first watcher starts.

--- a/daemon/bundle_test.go
+++ b/daemon/bundle_test.go
@@ -150,6 +150,8 @@
 	var watchers sync.WaitGroup
 	for _, m := range c.vms {
 		seen[m.settings.GetVm()] = map[int64]bool{}
+	}
+	for _, m := range c.vms {
 		watchers.Go(func() {
 			for ctx.Err() == nil {
 				// 0 means that the VM does not answer or has no bundle yet.
