Replace the evacuated zones by a listing in one step

Cause: View.replace cleared the evacuations and waves, released its lock, and then applied the listing. A plan between the two saw no evacuated zone and could start tasks there.

Change: clearing and applying hold the lock once.

--- a/policy/view.go
+++ b/policy/view.go
@@ -144,14 +144,19 @@
 		events = append(events, infra.Event{KeyValue: entry})
 	}
 	v.mu.Lock()
+	defer v.mu.Unlock()
 	v.evacuated, v.waves = map[string]bool{}, map[string]maintenance.Wave{}
-	v.mu.Unlock()
-	v.apply(events, sent)
+	v.applyEvents(events, sent)
 }
 
 func (v *View) apply(events []infra.Event, sent time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.applyEvents(events, sent)
+}
+
+// applyEvents applies changes that were current when a call was sent. The caller holds mu.
+func (v *View) applyEvents(events []infra.Event, sent time.Time) {
 	for _, event := range events {
 		v.applyEvent(event)
 	}
--- a/policy/view_test.go
+++ b/policy/view_test.go
@@ -132,3 +132,20 @@
 		assert.Equal(t, view.Current().Version, int64(2))
 	})
 }
+
+// Guards against a reader that sees no evacuation while a listing replaces the entries, and starts work in that moment.
+func TestListingReplacesEvacuationsAtOnce(t *testing.T) {
+	view := NewView(standin.NewTxnStore(clock.Real{}), clock.Real{}, logr.Discard(), viewCodec())
+	entries := []infra.KeyValue{{Key: "ops/evacuate/z"}}
+	view.replace(entries, time.Now())
+	var ended atomic.Bool
+	go func() {
+		defer ended.Store(true)
+		for range 20_000 {
+			view.replace(entries, time.Now())
+		}
+	}()
+	for !ended.Load() {
+		assert.Assert(t, view.Evacuated()["z"])
+	}
+}
