Check the permission to give orders before the bytes are written

Cause: the controller checked its leadership, then handed the order to the HTTP client, which may first open a connection, or replace a broken one. Timers run on the monotonic clock, which stands still while the machine is suspended, so after a pause of seconds the order timeout had not passed and the order went out for a controller that had been replaced. Where workers do not check fences, nobody else stops it.

Change: orders carry their permission in the context, and the connection asks for it at each write. An order that is not permitted fails as not sent.

--- a/controller/maintain.go
+++ b/controller/maintain.go
@@ -116,7 +116,7 @@
 	if !t.leadership.Valid() {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, machineTimeout)
+	call, cancel := t.orderContext(ctx, machineTimeout)
 	defer cancel()
 	err := t.Machines.Maintain(call, infra.MaintenanceOrder{
 		Machine: machine, Wave: tracker.Wave.Number, Holder: t.Machine, Epoch: t.leadership.Epoch,
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -150,9 +150,14 @@
 	return s.worker.Acknowledged()
 }
 
+// orderContext returns the context of an order, which is sent only while the leadership is valid.
+func (t *term) orderContext(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(infra.WithPermission(ctx, t.leadership.Valid), timeout)
+}
+
 // renew extends the lease of a worker, acknowledges its ends and applies its report. With poll, it acknowledges nothing.
 func (t *term) renew(ctx context.Context, s *workerSession, wait time.Duration, poll bool) error {
-	call, cancel := context.WithTimeout(ctx, wait+renewSlack)
+	call, cancel := t.orderContext(ctx, wait+renewSlack)
 	defer cancel()
 	t.mu.Lock()
 	sent := t.now()
@@ -221,7 +226,7 @@
 func (t *term) start(
 	ctx context.Context, s *workerSession, task *dispatch.Task, run int32, info infra.FleetWorker, order infra.StartOrder,
 ) {
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	call, cancel := t.orderContext(ctx, orderTimeout)
 	defer cancel()
 	t.mu.Lock()
 	order.LeaseUntilMs = t.leaseUntil(s, t.now())
@@ -256,7 +261,7 @@
 	order.Epoch = t.leadership.Epoch
 	err := infra.ErrNotSent
 	if s != nil && t.leadership.Valid() {
-		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		call, cancel := t.orderContext(ctx, orderTimeout)
 		_, err = t.Fleet.Stop(call, info, order)
 		cancel()
 	}
