Bound accepted jobs so that none exhausts the memory of the controllers

Cause: a job is read by every later controller. A body of a few hundred bytes could name 2^31 occurrences, or thousands of steps of 10,000 tasks; memory and cpu near the largest int64 wrapped in the sums of a team.

Change: Validate bounds the tasks of a job over all occurrences, the amounts of a task, durations and times, each with a named constant.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -30,6 +30,8 @@
 	// orders are the starts, and ends the reported ends of runs, that the next commit contains.
 	orders []*Task
 	ends   []pendingEnd
+	// setAside is true after a decision about the job failed; it gets no further starts.
+	setAside bool
 	// saving is true while a commit of the job is in flight. dirtySince orders the changes that wait for a commit.
 	saving     bool
 	dirtySince int64
@@ -319,22 +321,50 @@
 	if len(record.GetSteps()) == 0 {
 		return errNoSteps
 	}
+	if record.GetOccurrences() < 0 || !isTimeInRange(record.GetFirstUnixMs()) || !isTimeInRange(record.GetIntervalMs()) {
+		return errOccurrences
+	}
+	tasks := int64(0)
 	for i, spec := range record.GetSteps() {
 		if spec.GetCount() <= 0 || spec.GetCount() > maxTasksPerStep {
 			return fmt.Errorf("step %d has %d tasks", i, spec.GetCount())
 		}
-		if declaredResources(spec).IsNegative() {
-			return fmt.Errorf("step %d requests a negative amount of resources", i)
+		if err := validateAmounts(spec); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
 		}
+		tasks += int64(spec.GetCount())
 		for _, dependency := range spec.GetAfter() {
 			if dependency < 0 || int(dependency) >= i {
 				return fmt.Errorf("step %d depends on step %d, which is not an earlier step", i, dependency)
 			}
 		}
 	}
+	if all := tasks * max(1, int64(record.GetOccurrences())); all > maxTasksPerJob {
+		return fmt.Errorf("job has %d tasks in all occurrences, more than %d", all, maxTasksPerJob)
+	}
+	return nil
+}
+
+// validateAmounts returns an error if a step requests more than any worker has, or has a duration out of range. Sums
+// over the tasks of a job and over the jobs of a team stay within an int64.
+func validateAmounts(spec *siskinv1.WorkflowStep) error {
+	for _, amount := range []struct {
+		name         string
+		value, limit int64
+	}{
+		{"cpu", spec.GetMilliCpu(), maxTaskMilliCPU}, {"memory", spec.GetMemoryMb(), maxTaskMemoryMB},
+		{"accelerators", spec.GetAccelerators(), maxTaskAccelerators}, {"estimate", spec.GetEstimateMs(), maxDurationMs},
+		{"latency objective", spec.GetLatencyObjectiveMs(), maxDurationMs},
+	} {
+		if amount.value < 0 || amount.value > amount.limit {
+			return fmt.Errorf("%s of %d is out of range", amount.name, amount.value)
+		}
+	}
 	return nil
 }
 
+func isTimeInRange(unixMs int64) bool { return unixMs >= 0 && unixMs <= maxUnixMs }
+
 // parseTask splits the name of a task into its job and its position: occurrence, step and index.
 func parseTask(name string) (job string, position [3]int, ok bool) {
 	parts := strings.Split(name, ".")
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -15,10 +15,26 @@
 	"siskinstack.example/siskinstack/resource"
 )
 
-// maxTasksPerStep bounds the memory of one step.
-const maxTasksPerStep = 10_000
+// Bounds of a job. A job is read by every later controller, so one that takes too much memory or whose sums overflow
+// would end them all.
+const (
+	// maxTasksPerStep and maxTasksPerJob bound the memory of a step and of all occurrences of a job. A task takes about
+	// 300 bytes, and the smallest machines have 184 MB.
+	maxTasksPerStep = 10_000
+	maxTasksPerJob  = 50_000
+	// The amounts exceed those of any worker: a million cores, 256 TB, and a million accelerators.
+	maxTaskMilliCPU     = 1_000_000_000
+	maxTaskMemoryMB     = 256 << 20
+	maxTaskAccelerators = 1 << 20
+	// maxDurationMs is 30 days. maxUnixMs is the year 2286 and bounds intervals as well as times.
+	maxDurationMs = 30 * 24 * 3_600_000
+	maxUnixMs     = 10_000_000_000_000
+)
 
-var errNoSteps = eris.New("workflow has no steps")
+var (
+	errNoSteps     = eris.New("workflow has no steps")
+	errOccurrences = eris.New("number or times of occurrences are out of range")
+)
 
 // Limits holds the limits configured for a deployment.
 type Limits struct {
