Contain malformed messages and panics at their boundary

Cause: one row that could not be decoded failed the whole renewal of a worker: the worker, whose lease had just been extended, counted as unreachable and its running work was lost when the lease ended. An entry that could not be decoded left the worker it named in use, and was logged with each write. A panic in decoding a response, in a handler of a peer's call, or in a decision about one job ended the process; the next controller reads the same record.

Change: rows that can be read are applied, and a report with others proves no run missing. A refused entry takes its worker off the list of usable ones until it is written again, is logged once and counted, in bounded memory. Panics are contained per call (peer.ContainPanics), per response (controller contain) and per job (dispatch contain, which sets the job aside with the stack).

Ruled out: recovering in every goroutine of the controller; one that panics with the state's lock held would leave a controller that holds the leadership and does nothing, which is worse than a restart.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -182,13 +182,18 @@
 	sessions  map[*dispatch.Worker]*workerSession
 	members   map[string]*member
 	heads     []*commitHead
+	// refusedEntries holds why the entries of other writers were refused, by worker identifier.
+	refusedEntries map[string]string
 }
 
 func newTerm(options Options, leadership *election.Term) *term {
 	log := options.Log.WithValues("epoch", leadership.Epoch)
+	options.Fleet = containedFleet{options.Fleet}
+	options.Advisor = containedAdvisor{options.Advisor}
 	t := &term{
 		Options: options, leadership: leadership, log: log, wake: make(chan struct{}, 1),
 		sessions: map[*dispatch.Worker]*workerSession{}, members: map[string]*member{}, heads: newCommitHeads(),
+		refusedEntries: map[string]string{},
 	}
 	t.state = dispatch.New(options.Bounds.Limits, decisionLog{log: log, metrics: options.Metrics})
 	return t
--- a/controller/recover.go
+++ b/controller/recover.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/dispatch"
 	"siskinstack.example/siskinstack/infra"
 )
 
@@ -112,7 +113,7 @@
 		return cmp.Or(cmp.Compare(a.GetAcceptedUnixMs(), b.GetAcceptedUnixMs()), cmp.Compare(a.GetId(), b.GetId()))
 	})
 	for _, record := range records {
-		if j := t.state.AddJob(record, known[record.GetId()]); !j.Ended() {
+		if j := t.loadJob(record, known[record.GetId()]); j != nil && !j.Ended() {
 			t.log.Info("job found again", "job", record.GetId(), "phase", j.ShownPhase().String(), "tasks_placed", j.Placed())
 		}
 	}
@@ -149,12 +150,29 @@
 	}
 }
 
+// loadJob adds a job to the state. It returns nil if that fails, so that one record does not end every controller that
+// reads it. The caller holds mu.
+func (t *term) loadJob(record *siskinv1.Workflow, progress *siskinv1.WorkflowProgress) *dispatch.Job {
+	var job *dispatch.Job
+	err := contain("load job", func() error {
+		job = t.state.AddJob(record, progress)
+		return nil
+	})
+	if err != nil {
+		t.Metrics.decision("job not loaded")
+		t.log.Error(err, "cannot load job; skipping it", "job", record.GetId())
+	}
+	return job
+}
+
 // addJob adds a job unless it is known already. The caller holds mu.
 func (t *term) addJob(record *siskinv1.Workflow, source string) {
 	if t.state.Job(record.GetId()) != nil {
 		return
 	}
-	t.state.AddJob(record, nil)
+	if t.loadJob(record, nil) == nil {
+		return
+	}
 	t.Metrics.stage(stageReceived, record)
 	t.log.Info("job taken in", "job", record.GetId(), "queue", record.GetQueue().GetName(), "team", record.GetTeam(),
 		"steps", len(record.GetSteps()), "age_ms", unixMs()-record.GetAcceptedUnixMs(), "source", source)
@@ -228,9 +246,14 @@
 // applyWorkers applies a complete listing of the workers' entries and removes all other workers. The caller holds mu.
 func (t *term) applyWorkers(ctx context.Context, entries []infra.KeyValue, first bool) {
 	listed := map[string]bool{}
+	refused := t.refusedEntries
+	t.refusedEntries = map[string]string{}
 	for _, entry := range entries {
-		listed[entry.Key[len(t.WorkersPrefix):]] = true
-		t.applyWorker(ctx, infra.Event{KeyValue: entry})
+		id := entry.Key[len(t.WorkersPrefix):]
+		if reason, known := refused[id]; known {
+			t.refusedEntries[id] = reason
+		}
+		listed[id] = t.applyWorker(ctx, infra.Event{KeyValue: entry})
 	}
 	for id := range t.state.Workers() {
 		if !listed[id] {
@@ -243,22 +266,43 @@
 	}
 }
 
-// applyWorker applies one entry of a worker. The caller holds mu.
-func (t *term) applyWorker(ctx context.Context, event infra.Event) {
+// applyWorker applies one entry of a worker, and reports whether it lists a usable worker. The caller holds mu.
+func (t *term) applyWorker(ctx context.Context, event infra.Event) bool {
 	id := event.Key[len(t.WorkersPrefix):]
 	if event.Deleted {
+		delete(t.refusedEntries, id)
 		t.state.RemoveWorker(id)
 		t.log.Info("entry of a worker was deleted", "worker", id)
-		return
+		return false
 	}
-	info, err := t.DecodeWorker(event.KeyValue)
+	info, err := t.decodeWorker(event.KeyValue)
 	if err != nil {
-		t.log.Info("cannot decode the entry of a worker", "key", event.Key, "reason", err.Error())
-		return
+		t.refuseEntry(id, err)
+		return false
 	}
+	delete(t.refusedEntries, id)
 	w, isNew := t.state.SetWorker(info)
 	if isNew || t.sessions[w] == nil {
 		t.log.Info("worker known", "worker", id, "zone", info.Zone, "service", info.Service, "draining", info.Draining)
 		t.connect(ctx, w)
 	}
+	return true
+}
+
+// maxRefusedEntries bounds the memory for refused entries; any writer may add entries.
+const maxRefusedEntries = 1000
+
+// refuseEntry handles an entry that names no usable worker. A worker that was known under it gets no new tasks until it
+// writes its entry again; its runs go on while it answers renewals. The caller holds mu.
+func (t *term) refuseEntry(id string, err error) {
+	t.state.RemoveWorker(id)
+	reason := err.Error()
+	if t.refusedEntries[id] == reason {
+		return
+	}
+	if len(t.refusedEntries) < maxRefusedEntries {
+		t.refusedEntries[id] = reason
+	}
+	t.Metrics.decision("worker entry refused")
+	t.log.Info("entry names no usable worker", "worker", id, "reason", reason)
 }
--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -185,7 +185,8 @@
 	})
 	stats := otelgrpc.NewServerHandler(otelgrpc.WithTracerProvider(d.traces), otelgrpc.WithPropagators(telemetry.Propagator()))
 	d.peerServer = grpc.NewServer(grpc.Creds(d.transport.server), grpc.StatsHandler(stats), grpc.MaxRecvMsgSize(peer.MaxMessageBytes),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerKeepalive, PermitWithoutStream: true}))
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: peerKeepalive, PermitWithoutStream: true}),
+		grpc.UnaryInterceptor(peer.ContainPanics(d.logger)))
 	siskinv1.RegisterPeerServiceServer(d.peerServer, &peer.Server{
 		LocalWork: d.owners, LocalParts: d.owners, LocalClaims: d.owners, LocalRequests: d.router,
 		LocalControl: control{d},
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -145,7 +145,7 @@
 func (s *State) readySteps(unixMs int64) []ranked {
 	var steps []ranked
 	for step := range s.frontier {
-		if step.waiting == 0 || step.job.Ended() || !step.unblocked() {
+		if step.waiting == 0 || step.job.Ended() || step.job.setAside || !step.unblocked() {
 			delete(s.frontier, step)
 			continue
 		}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -85,7 +85,7 @@
 // before that and the worker does not list the run, the run has ended or will never begin.
 func (s *State) ApplyReport(w *Worker, report infra.RunReport, sent, now time.Time, unixMs int64) {
 	if w.Info.Incarnation != report.Incarnation && report.Incarnation != 0 {
-		if w.reported {
+		if w.reported || w.lastEnd > 0 {
 			w.lastEnd = 0
 			clear(w.unsaved)
 			s.log.Decision("worker restarted", "", "worker", w.Info.ID, "incarnation", report.Incarnation)
@@ -93,7 +93,7 @@
 		w.Info.Incarnation = report.Incarnation
 	}
 	first := !w.reported
-	w.reported, w.reachable = true, true
+	w.reported, w.reachable = w.reported || !report.Incomplete, true
 	for _, end := range report.Ended {
 		if end.Number > w.lastEnd {
 			w.lastEnd = end.Number
@@ -106,6 +106,10 @@
 			listed[t] = true
 		}
 	}
+	if report.Incomplete {
+		s.log.Decision("report incomplete", "", "worker", w.Info.ID, "active", len(report.Active))
+		return
+	}
 	for t := range w.tasks {
 		if !listed[t] {
 			s.applyMissing(w, t, first, sent)
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -53,9 +53,9 @@
 			overShare = append(overShare, r)
 			continue
 		}
-		s.planStep(r, now, slots, plan)
+		s.contain(r.step.job, func() { s.planStep(r, now, slots, plan) })
 	}
 	for _, r := range overShare {
-		s.planStep(r, now, slots, plan)
+		s.contain(r.step.job, func() { s.planStep(r, now, slots, plan) })
 	}
 }
--- a/infra/fleet.go
+++ b/infra/fleet.go
@@ -119,6 +119,8 @@
 	ClockMs     int64
 	Active      []ActiveRun
 	Ended       []EndedRun
+	// Incomplete is true if some rows could not be read. A run that is not listed may then still be active.
+	Incomplete bool
 }
 
 // Fleet sends orders to workers. The first result of Start and Stop is the worker's clock in milliseconds, 0 if the
--- a/node/node.go
+++ b/node/node.go
@@ -297,7 +297,8 @@
 
 // listen opens the listeners of all configured addresses.
 func (n *Node) listen(ctx context.Context) ([]*server, error) {
-	peers := grpc.NewServer(grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
+	peers := grpc.NewServer(grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer),
+		grpc.UnaryInterceptor(peer.ContainPanics(n.log)))
 	siskinv1.RegisterClusterServiceServer(peers, &peer.ClusterServer{
 		Lookup: n.control.Lookup, Pending: n.control.Pending, OnAnnounce: n.control.Announced, Advisor: n.platform.Advisor,
 		Store: n.platform.Store, StoreReachable: func() bool {
