Send the start orders of a worker through few connections

Change: a worker's start orders queue in its session and are sent by at most two goroutines. Each order is confirmed against the current state before it is sent. When one is not answered, those behind it were not sent and start elsewhere.

--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -120,7 +120,10 @@
 	m.adviceCalls.WithLabelValues(errorLabel(err)).Observe(took.Seconds())
 }
 
-// errorLabels are the label values of known errors; all others are "unknown".
+// labelUnknown is the label value of an order whose outcome is not known.
+const labelUnknown = "unknown"
+
+// errorLabels are the label values of known errors; all others have labelUnknown.
 var errorLabels = []struct {
 	err  error
 	name string
@@ -141,5 +144,5 @@
 			return known.name
 		}
 	}
-	return "unknown"
+	return labelUnknown
 }
--- /dev/null
+++ b/controller/starts_test.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/clock"
+	"siskinstack.example/siskinstack/dispatch"
+	"siskinstack.example/siskinstack/election"
+	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/policy"
+	"siskinstack.example/siskinstack/resource"
+	"siskinstack.example/siskinstack/standin"
+)
+
+// leadershipOf returns the leadership of a machine that has just been elected.
+func leadershipOf(t *testing.T) *election.Term {
+	t.Helper()
+	store := standin.NewTxnStore(clock.Real{})
+	session := election.NewSession(store, clock.Real{}, logr.Discard(), time.Minute)
+	elected := make(chan *election.Term, 1)
+	elector := &election.Elector{
+		Store: store, Session: session, Clock: clock.Real{}, Log: logr.Discard(), Self: &siskinv1.Leadership{Machine: "m", Address: "m"},
+		AcquireDelay: func() time.Duration { return 0 }, MayTakeOverEarly: func() bool { return true },
+		Serve: func(ctx context.Context, term *election.Term) {
+			elected <- term
+			<-ctx.Done()
+		},
+		AwaitExit: func(ctx context.Context, _ *siskinv1.Leadership) error {
+			<-ctx.Done()
+			return ctx.Err()
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { session.Run(ctx) })
+	running.Go(func() { elector.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return <-elected
+}
+
+// startsFleet answers starts with a fixed error after a delay, and records how many were under way at once.
+type startsFleet struct {
+	infra.Fleet
+	err   error
+	delay time.Duration
+
+	mu             sync.Mutex // guards the fields below
+	underWay, most int
+	started        map[string]int
+}
+
+func (f *startsFleet) Start(_ context.Context, _ infra.FleetWorker, order infra.StartOrder) (int64, error) {
+	f.mu.Lock()
+	f.underWay++
+	f.most = max(f.most, f.underWay)
+	f.started[order.Task]++
+	f.mu.Unlock()
+	time.Sleep(f.delay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.underWay--
+	return 1, f.err
+}
+
+// startTasks plans a job of the given number of tasks on one worker and sends its start orders.
+func startTasks(t *testing.T, fleet *startsFleet, tasks int32) (*term, []*dispatch.Task) {
+	fleet.started = map[string]int{}
+	c := newTerm(Options{Clock: clock.Real{}, Log: logr.Discard(), Metrics: NewMetrics(nil), Fleet: fleet,
+		Bounds: Bounds{LeaseMax: 6 * time.Second}}, leadershipOf(t))
+	queue := &siskinv1.QueuePolicy{Name: "q", Service: "s"}
+	now := c.now()
+	c.mu.Lock()
+	c.state.SetPolicy(policy.New(1, []policy.Queue{{Host: "h", Prefix: "/", Policy: queue}}, nil, nil, policy.Limits{}))
+	w, _ := c.state.SetWorker(infra.FleetWorker{ID: "w", Incarnation: 1, Service: "s", Capacity: resource.Vector{MilliCPU: 64_000}})
+	c.state.ApplyReport(w, infra.RunReport{Incarnation: 1}, now, now, 0)
+	c.sessions[w] = &workerSession{worker: w, clockMs: 1, readAt: now}
+	c.state.AddJob(&siskinv1.Workflow{
+		Id: "0000000000000001", Queue: queue, Steps: []*siskinv1.WorkflowStep{{Count: tasks, MilliCpu: 1000}},
+	}, nil)
+	c.state.Plan(now, 0, dispatch.AdviceSlots{})
+	orders, _ := c.state.Committed(c.state.TakeChanges(1), now)
+	assert.Equal(t, len(orders), int(tasks))
+	for _, order := range orders {
+		c.order(t.Context(), order)
+	}
+	c.mu.Unlock()
+	c.goroutines.Wait()
+	return c, orders
+}
+
+// Guards against a connection for each start of a group on one worker; with 1,100 workers the controller's machine ran
+// out of processor time on new connections.
+func TestStartsOnAWorkerShareConnections(t *testing.T) {
+	fleet := &startsFleet{delay: 2 * time.Millisecond}
+	_, orders := startTasks(t, fleet, 20)
+	assert.Equal(t, len(fleet.started), 20)
+	assert.Equal(t, fleet.most, maxSenders)
+	for _, order := range orders {
+		assert.Assert(t, order.IsJobStarted())
+	}
+}
+
+// Guards against a worker that does not answer, and at which each start of a group waits in turn for its timeout: tasks
+// that were not sent start elsewhere at once, and only those whose outcome is unknown wait.
+func TestUnansweredStartGivesUpTheNextOnes(t *testing.T) {
+	fleet := &startsFleet{delay: 5 * time.Millisecond, err: eris.New("no answer")}
+	_, orders := startTasks(t, fleet, 20)
+	assert.Equal(t, len(fleet.started), maxSenders)
+	unsent := 0
+	for _, order := range orders {
+		if order.WorkerID() == "" {
+			unsent++
+		}
+	}
+	assert.Equal(t, unsent, 20-maxSenders)
+}
+
+// Guards against a start that is sent although the job was cancelled while its order waited behind others.
+func TestQueuedStartIsConfirmedBeforeItIsSent(t *testing.T) {
+	fleet := &startsFleet{}
+	c, orders := startTasks(t, fleet, 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	task := orders[0]
+	assert.Assert(t, !c.state.ConfirmOrder(task, task.Run(), c.now()), "a run that was started is not started again")
+	assert.Assert(t, !c.state.ConfirmOrder(task, task.Run()+1, c.now()), "another run of the task")
+}
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -14,6 +14,9 @@
 	renewWait = time.Second
 	// renewSlack is added to the time that a renewal is held open to get its timeout. It covers delays of a busy machine.
 	renewSlack = 800 * time.Millisecond
+	// maxSenders is the number of start orders that may be under way to one worker. Starts on a worker come in groups, and
+	// each that is under way takes a connection; an order takes a few milliseconds.
+	maxSenders = 2
 	// orderTimeout bounds an order. Workers respond within milliseconds; a lost response delays the task by this much.
 	orderTimeout = 600 * time.Millisecond
 	// maxAckDelay is the longest time that a renewal waits for the commit of the reported ends, so that it can
@@ -44,6 +47,15 @@
 	readAt  time.Time
 	// polling is true while stop polls the worker for the end of a run.
 	polling bool
+	// starts are the start orders that wait to be sent, senders the goroutines that send them.
+	starts  []startOrder
+	senders int
+}
+
+// startOrder identifies a run to start.
+type startOrder struct {
+	task *dispatch.Task
+	run  int32
 }
 
 func (s *workerSession) signal() {
@@ -211,24 +223,66 @@
 	}
 }
 
-// order sends the order to start a run. The caller holds mu.
+// order queues the order to start a run. The caller holds mu.
 func (t *term) order(ctx context.Context, task *dispatch.Task) {
 	s := t.sessions[t.state.Worker(task.WorkerID())]
 	if s == nil {
 		t.state.Started(task, task.Run(), infra.ErrNotSent, t.now())
 		return
 	}
-	order, run, info := task.Start(), task.Run(), task.Worker()
-	order.Epoch = t.leadership.Epoch
-	t.goroutines.Go(func() { t.start(ctx, s, task, run, info, order) })
+	s.starts = append(s.starts, startOrder{task, task.Run()})
+	if s.senders < maxSenders {
+		s.senders++
+		t.goroutines.Go(func() { t.sendStarts(ctx, s) })
+	}
+}
+
+// sendStarts sends the queued start orders of a worker one after the other. When one is not answered, those behind it
+// are given up unsent, so that their tasks can start elsewhere at once.
+func (t *term) sendStarts(ctx context.Context, s *workerSession) {
+	for {
+		t.mu.Lock()
+		if len(s.starts) == 0 {
+			s.senders--
+			t.mu.Unlock()
+			return
+		}
+		next := s.starts[0]
+		s.starts = s.starts[1:]
+		usable := t.state.ConfirmOrder(next.task, next.run, t.now())
+		t.mu.Unlock()
+		if !usable {
+			t.triggerPlan()
+			continue
+		}
+		if err := t.start(ctx, s, next); isUnanswered(err) {
+			t.abandonStarts(s)
+		}
+	}
 }
 
-func (t *term) start(
-	ctx context.Context, s *workerSession, task *dispatch.Task, run int32, info infra.FleetWorker, order infra.StartOrder,
-) {
+// isUnanswered reports whether the outcome of an order is not known.
+func isUnanswered(err error) bool { return err != nil && errorLabel(err) == labelUnknown }
+
+// abandonStarts gives up the start orders of a worker that were not sent yet.
+func (t *term) abandonStarts(s *workerSession) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, order := range s.starts {
+		t.state.Started(order.task, order.run, infra.ErrNotSent, t.now())
+	}
+	s.starts = nil
+	t.triggerPlan()
+}
+
+// start sends the order to start a run and applies the answer.
+func (t *term) start(ctx context.Context, s *workerSession, next startOrder) error {
+	task, run := next.task, next.run
 	call, cancel := t.orderContext(ctx, orderTimeout)
 	defer cancel()
 	t.mu.Lock()
+	order, info := task.Start(), task.Worker()
+	order.Epoch = t.leadership.Epoch
 	order.LeaseUntilMs = t.leaseUntil(s, t.now())
 	t.mu.Unlock()
 	var clockMs int64
@@ -249,6 +303,7 @@
 		t.Metrics.stage(stageStarted, task.Record())
 	}
 	t.triggerPlan()
+	return err
 }
 
 // stop sends the order to end a run, then polls the worker for its end.
--- a/dispatch/cancel_test.go
+++ b/dispatch/cancel_test.go
@@ -48,3 +48,28 @@
 	assert.Equal(t, next.runs(), 0)
 	assert.Equal(t, next.state.Job(record.GetId()).Placed(), 0)
 }
+
+// Guards against a start order that waited behind others and is sent after its job was cancelled, its worker began to
+// drain, or its ticket expired.
+func TestOrderIsConfirmedAgainstTheCurrentState(t *testing.T) {
+	for name, change := range map[string]func(*fixture, *Task){
+		"cancelled": func(f *fixture, task *Task) { f.state.Cancel(task.JobID(), f.unixMs()) },
+		"draining": func(f *fixture, task *Task) {
+			info := task.worker.Info
+			info.Draining = true
+			f.state.SetWorker(info)
+		},
+		"unreachable": func(f *fixture, task *Task) { f.state.RenewFailed(task.worker) },
+		"evacuated":   func(f *fixture, task *Task) { f.state.SetEvacuated(map[string]bool{task.worker.Info.Zone: true}) },
+		"nothing":     func(*fixture, *Task) {},
+	} {
+		f := newFixture(t, 1)
+		f.state.AddJob(job("0000000000000001", step(1, 1000)), nil)
+		f.state.Plan(f.now, f.unixMs(), AdviceSlots{})
+		orders, _ := f.state.Committed(f.state.TakeChanges(1), f.now)
+		assert.Equal(t, len(orders), 1)
+		change(f, orders[0])
+		assert.Equal(t, f.state.ConfirmOrder(orders[0], orders[0].Run(), f.now), name == "nothing", name)
+		assert.Equal(t, orders[0].worker != nil, name == "nothing", name)
+	}
+}
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -91,6 +91,19 @@
 	return len(w.unsaved) == 0
 }
 
+// ConfirmOrder checks a run again before its start order is sent, because the order may have waited behind others. It
+// reports whether the order may be sent; if not, the task waits for a worker again.
+func (s *State) ConfirmOrder(t *Task, run int32, now time.Time) bool {
+	if t.run != run || t.worker == nil || t.phase != phaseOrdered {
+		return false
+	}
+	if t.stop || t.step.job.Ended() || !s.mayOrder(t, now) {
+		s.release(t)
+		return false
+	}
+	return true
+}
+
 // mayOrder checks a planned run against the current state. Tickets may expire while a commit waits for an unavailable
 // store.
 func (s *State) mayOrder(t *Task, now time.Time) bool {
