Write queued log lines together, and drop lines before they are encoded

Cause: each of up to 1,500 lines a second was a system call of its own, and lines beyond that limit were encoded before they were dropped.

Change: the sink writes all queued lines, up to 32 KiB, in one call. Lines over the limit are counted when the logger checks their level. Close no longer closes the queue.

--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -17,6 +17,8 @@
 	logLinesPerSecond = 1500
 	// logQueueCapacity is how many lines are queued for a slow reader of standard output, about the lines of one second.
 	logQueueCapacity = 1024
+	// maxLogWrite is the size in bytes from which a write takes no further lines.
+	maxLogWrite = 32 << 10
 )
 
 // LogSink writes lines in the background. A line is dropped and counted if the queue is full or the line limit of the current
@@ -24,8 +26,10 @@
 type LogSink struct {
 	out   io.Writer
 	lines chan []byte
-	done  chan struct{}
-	once  sync.Once
+	// stop is closed by Close, done when all queued lines are written after that.
+	stop chan struct{}
+	done chan struct{}
+	once sync.Once
 
 	mu     sync.Mutex // guards the fields below
 	second int64
@@ -36,29 +40,51 @@
 
 // NewLogSink returns a sink that writes to out until Close.
 func NewLogSink(out io.Writer) *LogSink {
-	s := &LogSink{out: out, lines: make(chan []byte, logQueueCapacity), done: make(chan struct{}), dropped: map[string]int64{}}
+	s := &LogSink{
+		out: out, lines: make(chan []byte, logQueueCapacity), stop: make(chan struct{}), done: make(chan struct{}),
+		dropped: map[string]int64{},
+	}
 	go s.run()
 	return s
 }
 
 func (s *LogSink) run() {
 	defer close(s.done)
-	for line := range s.lines {
-		// A write error is ignored: there is no other output to report it on.
-		_, _ = s.out.Write(line)
+	for {
+		select {
+		case line := <-s.lines:
+			s.writeWithQueued(line)
+		case <-s.stop:
+			for len(s.lines) > 0 {
+				s.writeWithQueued(<-s.lines)
+			}
+			return
+		}
 	}
 }
 
-// Write implements io.Writer. It never blocks.
-func (s *LogSink) Write(line []byte) (int, error) {
-	if !s.admit() {
-		s.drop(line)
-		return len(line), nil
+// writeWithQueued writes a line together with those that are queued, up to maxLogWrite: a controller writes a thousand
+// lines a second.
+func (s *LogSink) writeWithQueued(batch []byte) {
+	for len(batch) < maxLogWrite {
+		select {
+		case line := <-s.lines:
+			batch = append(batch, line...)
+			continue
+		default:
+		}
+		break
 	}
+	// A write error is ignored: there is no other output to report it on.
+	_, _ = s.out.Write(batch)
+}
+
+// Write implements io.Writer. It never blocks. Lines after Close are dropped or left in the queue.
+func (s *LogSink) Write(line []byte) (int, error) {
 	select {
 	case s.lines <- append([]byte(nil), line...):
 	default:
-		s.drop(line)
+		s.drop(messageOf(line))
 	}
 	return len(line), nil
 }
@@ -66,14 +92,18 @@
 // messagePrefix precedes the message in a line.
 var messagePrefix = []byte(`"msg":"`)
 
-// drop counts a dropped line by its message. Messages are constants, so their number is bounded.
-func (s *LogSink) drop(line []byte) {
-	message := "unknown"
+// messageOf returns the message of an encoded line.
+func messageOf(line []byte) string {
 	if _, rest, found := bytes.Cut(line, messagePrefix); found {
 		if text, _, ends := bytes.Cut(rest, []byte(`"`)); ends {
-			message = string(text)
+			return string(text)
 		}
 	}
+	return "unknown"
+}
+
+// drop counts a dropped line by its message. Messages are constants, so their number is bounded.
+func (s *LogSink) drop(message string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropped[message]++
@@ -102,9 +132,9 @@
 // Sync implements zapcore.WriteSyncer.
 func (s *LogSink) Sync() error { return nil }
 
-// Close stops the sink after writing the queued lines. It returns after at most wait. No line may be written after the call.
+// Close stops the sink after writing the queued lines. It returns after at most wait.
 func (s *LogSink) Close(wait time.Duration) {
-	s.once.Do(func() { close(s.lines) })
+	s.once.Do(func() { close(s.stop) })
 	select {
 	case <-s.done:
 	case <-time.After(wait):
@@ -116,5 +146,28 @@
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), sink, zapcore.InfoLevel)
-	return zapr.NewLogger(zap.New(core))
+	return zapr.NewLogger(zap.New(boundedCore{core, sink}))
+}
+
+// boundedCore drops lines beyond the limit of the sink before they are encoded.
+type boundedCore struct {
+	zapcore.Core
+	sink *LogSink
+}
+
+// With implements zapcore.Core.
+func (c boundedCore) With(fields []zapcore.Field) zapcore.Core {
+	return boundedCore{c.Core.With(fields), c.sink}
+}
+
+// Check implements zapcore.Core.
+func (c boundedCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if !c.Enabled(entry.Level) {
+		return checked
+	}
+	if !c.sink.admit() {
+		c.sink.drop(entry.Message)
+		return checked
+	}
+	return checked.AddCore(entry, c)
 }
--- a/telemetry/log_test.go
+++ b/telemetry/log_test.go
@@ -46,3 +46,43 @@
 		assert.Equal(t, strings.Count(out.String(), "\n"), logLinesPerSecond+1)
 	})
 }
+
+// countingWriter counts the calls of Write.
+type countingWriter struct {
+	bytes.Buffer
+	writes int
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.writes++
+	return w.Buffer.Write(p)
+}
+
+// Guards against one system call for each of a thousand lines a second.
+func TestQueuedLinesAreWrittenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out countingWriter
+		sink := NewLogSink(&out)
+		log := NewLogger(sink)
+		for range 200 {
+			log.Info("line")
+		}
+		sink.Close(time.Second)
+		assert.Equal(t, strings.Count(out.String(), "\n"), 200)
+		assert.Assert(t, out.writes < 20, "%d writes", out.writes)
+	})
+}
+
+// Guards against a process that ends with a panic because a goroutine logs while it stops.
+func TestLineAfterCloseIsHarmless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		sink := NewLogSink(&out)
+		log := NewLogger(sink)
+		sink.Close(time.Second)
+		for range 2 * logQueueCapacity {
+			log.Info("late")
+		}
+		assert.Equal(t, out.Len(), 0)
+	})
+}
