Play the cancellation of a job whose start orders are queued

Cause: the test asked ConfirmOrder alone; a sender that does not ask it passed (found by a mutation).

Change: the job is cancelled while its first orders are under way, and no other start may be sent.

--- a/controller/starts_test.go
+++ b/controller/starts_test.go
@@ -54,6 +54,9 @@
 	infra.Fleet
 	err   error
 	delay time.Duration
+	// onStart is called before a start is answered, with the controller's term.
+	onStart func(c *term)
+	term    *term
 
 	mu             sync.Mutex // guards the fields below
 	underWay, most int
@@ -67,6 +70,9 @@
 	f.started[order.Task]++
 	f.mu.Unlock()
 	time.Sleep(f.delay)
+	if f.onStart != nil {
+		f.onStart(f.term)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.underWay--
@@ -78,6 +84,7 @@
 	fleet.started = map[string]int{}
 	c := newTerm(Options{Clock: clock.Real{}, Log: logr.Discard(), Metrics: NewMetrics(nil), Fleet: fleet,
 		Bounds: Bounds{LeaseMax: 6 * time.Second}}, leadershipOf(t))
+	fleet.term = c
 	queue := &siskinv1.QueuePolicy{Name: "q", Service: "s"}
 	now := c.now()
 	c.mu.Lock()
@@ -128,11 +135,21 @@
 
 // Guards against a start that is sent although the job was cancelled while its order waited behind others.
 func TestQueuedStartIsConfirmedBeforeItIsSent(t *testing.T) {
-	fleet := &startsFleet{}
-	c, orders := startTasks(t, fleet, 1)
+	fleet := &startsFleet{delay: 5 * time.Millisecond}
+	fleet.onStart = func(c *term) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.state.Cancel("0000000000000001", 0)
+	}
+	c, orders := startTasks(t, fleet, 20)
+	assert.Equal(t, len(fleet.started), maxSenders, "starts after the cancellation")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	task := orders[0]
-	assert.Assert(t, !c.state.ConfirmOrder(task, task.Run(), c.now()), "a run that was started is not started again")
-	assert.Assert(t, !c.state.ConfirmOrder(task, task.Run()+1, c.now()), "another run of the task")
+	waiting := 0
+	for _, task := range orders {
+		if task.WorkerID() == "" {
+			waiting++
+		}
+	}
+	assert.Equal(t, waiting, 20-maxSenders)
 }
