--- a/controller/contain_test.go
+++ b/controller/contain_test.go
@@ -67,6 +67,7 @@
 	assert.Equal(t, len(c.refusedEntries), 2)
 	// Another writer replaces the entry of a known worker, in an event and in a listing.
 	c.applyWorker(ctx, infra.Event{KeyValue: entry("a", "panic")})
+	assert.Assert(t, !c.state.Worker("a").Listed)
 	c.applyWorkers(ctx, []infra.KeyValue{entry("a", "odd"), entry("d", "odd")}, false)
 	assert.Assert(t, !c.state.Worker("a").Listed && !c.state.Worker("d").Listed)
 	c.applyWorkers(ctx, []infra.KeyValue{entry("a", "s"), entry("d", "s")}, false)
