Let a start order without an answer hold up others for 50 ms only

Cause: with two senders for each worker, orders that a worker leaves unanswered (applied_late, up to half of them) held up those behind them for 600 ms each, and giving up the rest marked the worker as unreachable until its next renewal.

Change: after 50 ms another sender takes the place. The orders that are given up after a timeout were not sent, so their tasks wait again without a change of the worker's state.

--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -17,6 +17,9 @@
 	// maxSenders is the number of start orders that may be under way to one worker. Starts on a worker come in groups, and
 	// each that is under way takes a connection; an order takes a few milliseconds.
 	maxSenders = 2
+	// senderPatience is how long a start order without an answer holds up the next one. Some workers leave orders
+	// unanswered and carry out others.
+	senderPatience = 50 * time.Millisecond
 	// orderTimeout bounds an order. Workers respond within milliseconds; a lost response delays the task by this much.
 	orderTimeout = 600 * time.Millisecond
 	// maxAckDelay is the longest time that a renewal waits for the commit of the reported ends, so that it can
@@ -47,7 +50,8 @@
 	readAt  time.Time
 	// polling is true while stop polls the worker for the end of a run.
 	polling bool
-	// starts are the start orders that wait to be sent, senders the goroutines that send them.
+	// starts are the start orders that wait to be sent, senders the goroutines that send them, without those whose order
+	// has been under way for senderPatience.
 	starts  []startOrder
 	senders int
 }
@@ -231,33 +235,58 @@
 		return
 	}
 	s.starts = append(s.starts, startOrder{task, task.Run()})
-	if s.senders < maxSenders {
-		s.senders++
-		t.goroutines.Go(func() { t.sendStarts(ctx, s) })
-	}
+	t.ensureSender(ctx, s)
 }
 
-// sendStarts sends the queued start orders of a worker one after the other. When one is not answered, those behind it
-// are given up unsent, so that their tasks can start elsewhere at once.
+// sendStarts sends the queued start orders of a worker one after the other. An order that is not answered for
+// senderPatience no longer holds up those behind it; when it is not answered at all, those that were not sent by then are
+// given up, so that their tasks can start elsewhere.
 func (t *term) sendStarts(ctx context.Context, s *workerSession) {
 	for {
-		t.mu.Lock()
-		if len(s.starts) == 0 {
-			s.senders--
-			t.mu.Unlock()
+		next, ok := t.nextStart(s)
+		if !ok {
+			return
+		}
+		replaced := time.AfterFunc(senderPatience, func() { t.replaceSender(ctx, s) })
+		err := t.start(ctx, s, next)
+		if !replaced.Stop() {
+			if isUnanswered(err) {
+				t.abandonStarts(s)
+			}
 			return
 		}
+	}
+}
+
+// nextStart removes and returns the first start order that may still be sent. If there is none, the sender ends.
+func (t *term) nextStart(s *workerSession) (startOrder, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for len(s.starts) > 0 {
 		next := s.starts[0]
 		s.starts = s.starts[1:]
-		usable := t.state.ConfirmOrder(next.task, next.run, t.now())
-		t.mu.Unlock()
-		if !usable {
-			t.triggerPlan()
-			continue
-		}
-		if err := t.start(ctx, s, next); isUnanswered(err) {
-			t.abandonStarts(s)
+		if t.state.ConfirmOrder(next.task, next.run, t.now()) {
+			return next, true
 		}
+		t.triggerPlan()
+	}
+	s.senders--
+	return startOrder{}, false
+}
+
+// replaceSender lets another sender take the place of one whose order is not answered yet.
+func (t *term) replaceSender(ctx context.Context, s *workerSession) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.senders--
+	t.ensureSender(ctx, s)
+}
+
+// ensureSender starts a sender if start orders wait and one more may be under way. The caller holds mu.
+func (t *term) ensureSender(ctx context.Context, s *workerSession) {
+	if len(s.starts) > 0 && s.senders < maxSenders && ctx.Err() == nil {
+		s.senders++
+		t.goroutines.Go(func() { t.sendStarts(ctx, s) })
 	}
 }
 
@@ -269,7 +298,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, order := range s.starts {
-		t.state.Started(order.task, order.run, infra.ErrNotSent, t.now())
+		t.state.Withdraw(order.task, order.run)
 	}
 	s.starts = nil
 	t.triggerPlan()
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -104,6 +104,13 @@
 	return true
 }
 
+// Withdraw gives up a run whose start order was not sent. The task waits for a worker again.
+func (s *State) Withdraw(t *Task, run int32) {
+	if t.run == run && t.worker != nil && t.phase == phaseOrdered {
+		s.release(t)
+	}
+}
+
 // mayOrder checks a planned run against the current state. Tickets may expire while a commit waits for an unavailable
 // store.
 func (s *State) mayOrder(t *Task, now time.Time) bool {
