Build a start order while the run that it names is confirmed

Cause: a sender confirmed a queued order, released the lock, and built the order from the task later. In between the task could be released and planned again; the order would then have named a run that was not durable, and another worker.

Change: nextStart confirms and builds the order while it holds the lock.

--- a/controller/starts_test.go
+++ b/controller/starts_test.go
@@ -164,3 +164,30 @@
 	}
 	assert.Equal(t, waiting, 20-maxSenders)
 }
+
+// Guards against an order for a run that is not durable: while a sender waits for the lock, its task may be released and
+// planned again, on another worker and with another run.
+func TestOrderNamesTheConfirmedRun(t *testing.T) {
+	c, orders := startTasks(t, &startsFleet{}, 1)
+	c.mu.Lock()
+	s := c.sessions[c.state.Worker("w")]
+	task := orders[0]
+	now := c.now()
+	c.state.ApplyReport(s.worker, infra.RunReport{Incarnation: 1, Ended: []infra.EndedRun{
+		{Number: 1, Task: task.ID(), Run: 1, Outcome: infra.OutcomeStopped},
+	}}, now, now, 0)
+	c.state.Plan(now, 0, dispatch.AdviceSlots{})
+	planned, _ := c.state.Committed(c.state.TakeChanges(1), now)
+	assert.Equal(t, len(planned), 1)
+	s.starts, s.senders = []startOrder{{task, 1}, {task, 2}}, 1
+	c.mu.Unlock()
+	next, ok := c.nextStart(s)
+	assert.Assert(t, ok)
+	assert.Equal(t, next.run, int32(2), "the order of the earlier run is skipped")
+	c.mu.Lock()
+	c.state.Withdraw(task, 2)
+	c.state.Plan(now, 0, dispatch.AdviceSlots{})
+	c.mu.Unlock()
+	assert.Equal(t, task.Run(), int32(3))
+	assert.Equal(t, next.order.Run, int32(2), "the order of a run that is not durable")
+}
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -258,20 +258,31 @@
 	}
 }
 
-// nextStart removes and returns the first start order that may still be sent. If there is none, the sender ends.
-func (t *term) nextStart(s *workerSession) (startOrder, bool) {
+// confirmedStart is a start order that may be sent now.
+type confirmedStart struct {
+	startOrder
+	worker infra.FleetWorker
+	order  infra.StartOrder
+}
+
+// nextStart removes and returns the first start order that may still be sent. If there is none, the sender ends. The
+// order is built while mu is held: later, the task may have another run on another worker.
+func (t *term) nextStart(s *workerSession) (confirmedStart, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for len(s.starts) > 0 {
 		next := s.starts[0]
 		s.starts = s.starts[1:]
-		if t.state.ConfirmOrder(next.task, next.run, t.now()) {
-			return next, true
+		now := t.now()
+		if t.state.ConfirmOrder(next.task, next.run, now) {
+			order := next.task.Start()
+			order.Epoch, order.LeaseUntilMs = t.leadership.Epoch, t.leaseUntil(s, now)
+			return confirmedStart{next, next.task.Worker(), order}, true
 		}
 		t.triggerPlan()
 	}
 	s.senders--
-	return startOrder{}, false
+	return confirmedStart{}, false
 }
 
 // replaceSender lets another sender take the place of one whose order is not answered yet.
@@ -305,15 +316,10 @@
 }
 
 // start sends the order to start a run and applies the answer.
-func (t *term) start(ctx context.Context, s *workerSession, next startOrder) error {
-	task, run := next.task, next.run
+func (t *term) start(ctx context.Context, s *workerSession, next confirmedStart) error {
+	task, run, info, order := next.task, next.run, next.worker, next.order
 	call, cancel := t.orderContext(ctx, orderTimeout)
 	defer cancel()
-	t.mu.Lock()
-	order, info := task.Start(), task.Worker()
-	order.Epoch = t.leadership.Epoch
-	order.LeaseUntilMs = t.leaseUntil(s, t.now())
-	t.mu.Unlock()
 	var clockMs int64
 	err := infra.ErrNotSent
 	if order.LeaseUntilMs > 0 && t.leadership.Valid() {
