Log how long a lost run had been running

On-call engineers could not tell from the logs whether a task ends its worker or stood beside one that does: `run lost` named the reason only, and `worker does not respond` neither the tasks nor how long the worker had been silent.

`run lost` now has age_ms, the time between the confirmation of the run and the loss of its worker, and `worker does not respond` silent_ms and tasks. The loss is dated to the moment the connection was closed, or to the last answer of a worker that went silent.

--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -151,7 +151,7 @@
 	}
 	if clockMs < s.clockMs-minClockRegression.Milliseconds() {
 		t.state.RenewSent(s.worker, now.Add(withClockDrift(t.Bounds.LeaseMax)))
-		t.state.RenewFailed(s.worker) // unreachable until it has reported its runs
+		t.state.RenewFailed(s.worker, now) // unreachable until it has reported its runs
 	}
 	s.clockMs, s.readAt = clockMs, now
 }
@@ -197,7 +197,12 @@
 	now := t.now()
 	if err != nil {
 		if ctx.Err() == nil {
-			t.recordRenewFailure(s, err)
+			lostAt := s.readAt
+			if call.Err() == nil {
+				// The connection was closed or refused before the timeout.
+				lostAt = now
+			}
+			t.recordRenewFailure(s, err, lostAt)
 		}
 		return err
 	}
@@ -211,11 +216,12 @@
 }
 
 // recordRenewFailure marks the worker as unreachable after a failed renewal. The caller holds mu.
-func (t *term) recordRenewFailure(s *workerSession, err error) {
+func (t *term) recordRenewFailure(s *workerSession, err error, lostAt time.Time) {
 	if s.worker.Reachable() {
-		t.log.Info("worker does not respond", "worker", s.worker.Info.ID, "reason", err.Error())
+		t.log.Info("worker does not respond", "worker", s.worker.Info.ID, "reason", err.Error(),
+			"silent_ms", t.now().Sub(lostAt).Milliseconds(), "tasks", s.worker.Tasks())
 	}
-	t.state.RenewFailed(s.worker)
+	t.state.RenewFailed(s.worker, lostAt)
 	t.triggerPlan()
 }
 
--- a/dispatch/cancel_test.go
+++ b/dispatch/cancel_test.go
@@ -59,7 +59,7 @@
 			info.Draining = true
 			f.state.SetWorker(info)
 		},
-		"unreachable": func(f *fixture, task *Task) { f.state.RenewFailed(task.worker) },
+		"unreachable": func(f *fixture, task *Task) { f.state.RenewFailed(task.worker, f.now) },
 		"evacuated":   func(f *fixture, task *Task) { f.state.SetEvacuated(map[string]bool{task.worker.Info.Zone: true}) },
 		"nothing":     func(*fixture, *Task) {},
 	} {
--- a/dispatch/index_test.go
+++ b/dispatch/index_test.go
@@ -119,7 +119,7 @@
 			case 1:
 				s.RemoveWorker(worker.Info.ID)
 			case 2:
-				s.RenewFailed(worker)
+				s.RenewFailed(worker, f.now)
 			case 3:
 				s.Cordon(worker.Info.ID, rapid.Bool().Draw(t, "cordoned"))
 			case 4:
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -222,7 +222,7 @@
 		return
 	}
 	if w.partitioned {
-		m.state.RenewFailed(worker)
+		m.state.RenewFailed(worker, m.now)
 		return
 	}
 	m.expire()
@@ -376,7 +376,7 @@
 func (m *model) restart(w *fakeWorker) {
 	// A renewal that is waiting at the worker fails with its process.
 	if known := m.state.Worker(w.info.ID); known != nil {
-		m.state.RenewFailed(known)
+		m.state.RenewFailed(known, m.now)
 	}
 	w.info.Incarnation++
 	w.epoch, w.lease, w.number, w.lastExpired = 0, time.Time{}, 0, 0
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -59,8 +59,12 @@
 // LeaseEnd returns when all runs on the worker have ended unless the lease is renewed.
 func (w *Worker) LeaseEnd() time.Time { return w.leaseEnd }
 
-// RenewFailed marks a worker as unreachable because it did not answer a renewal.
-func (s *State) RenewFailed(w *Worker) {
+// RenewFailed marks a worker as unreachable because it did not answer a renewal. lostAt is the earliest time at which it
+// may have ended: that of its last answer, or the time at which it closed the connection.
+func (s *State) RenewFailed(w *Worker, lostAt time.Time) {
+	if w.reachable {
+		w.lostAt = lostAt
+	}
 	w.setReachable(false)
 }
 
@@ -71,20 +75,36 @@
 		if now.Before(w.leaseEnd) {
 			continue
 		}
-		id := w.Info.ID
 		for t := range w.tasks {
 			if t.phase != phasePlanned {
-				s.log.Decision("run lost", t.JobID(), "task", t.ID(), "run", t.run, "worker", id, "reason", "lease ended")
-				s.release(t)
+				s.loseRun(t, "lease ended")
 			}
 		}
 		if !w.Listed && len(w.tasks) == 0 {
-			delete(s.workers, id)
+			delete(s.workers, w.Info.ID)
 			s.index.remove(w)
 		}
 	}
 }
 
+// unknownAge is the age of a run that no answer or report has confirmed.
+const unknownAge = -1 * time.Millisecond
+
+// ageWhenLost returns how long a run had been confirmed when its worker was lost, or unknownAge.
+func (t *Task) ageWhenLost() time.Duration {
+	if t.phase != phaseActive || t.worker.lostAt.IsZero() {
+		return unknownAge
+	}
+	return max(0, t.worker.lostAt.Sub(t.orderedAt))
+}
+
+// loseRun releases a task whose run ended with its worker.
+func (s *State) loseRun(t *Task, reason string) {
+	s.log.Decision("run lost", t.JobID(), "task", t.ID(), "run", t.run, "worker", t.WorkerID(), "reason", reason,
+		"age_ms", t.ageWhenLost().Milliseconds())
+	s.release(t)
+}
+
 // ApplyReport applies a worker's answer to a renewal; sent is when the renewal was sent. If a stop of a run was answered
 // before that and the worker does not list the run, the run has ended or will never begin.
 func (s *State) ApplyReport(w *Worker, report infra.RunReport, sent, now time.Time, unixMs int64) {
@@ -195,8 +215,7 @@
 	case answered(t.stopAnsweredAt):
 		s.release(t)
 	case t.phase == phaseActive && t.incarnation != w.Info.Incarnation:
-		s.log.Decision("run lost", t.JobID(), "task", t.ID(), "run", t.run, "worker", w.Info.ID, "reason", "worker restarted")
-		s.release(t)
+		s.loseRun(t, "worker restarted")
 	case answered(t.orderedAt):
 		// An unanswered start may still be carried out later; the stop order prevents the run from ever beginning.
 		s.requestStop(t, "not listed")
@@ -313,7 +332,7 @@
 		w.suspend(now)
 		s.release(t)
 	case errors.Is(err, infra.ErrNotSent):
-		w.setReachable(false)
+		s.RenewFailed(w, now)
 		s.release(t)
 	case errors.Is(err, infra.ErrStaleRun), errors.Is(err, infra.ErrOrderLeaseExpired), errors.Is(err, infra.ErrFenced):
 		s.release(t)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -28,6 +28,8 @@
 	reported bool
 	// reachable is false after a renewal failed, until the next answer.
 	reachable bool
+	// lostAt is the earliest time at which a worker that is not reachable may have ended.
+	lostAt time.Time
 	// leaseEnd is when all runs on the worker have ended unless the lease is renewed.
 	leaseEnd time.Time
 	// lastEnd is the number of the last reported end that was applied; unsaved are the ends up to it that are not
@@ -88,6 +90,9 @@
 // Reachable reports whether the worker answered its last renewal.
 func (w *Worker) Reachable() bool { return w.reachable }
 
+// Tasks returns the number of tasks that are assigned to the worker.
+func (w *Worker) Tasks() int { return len(w.tasks) }
+
 // free returns the free capacity.
 func (w *Worker) free() resource.Vector { return w.Info.Capacity.Sub(w.allocated) }
 
