Give up tasks that crash their workers

Cause: only ends that a worker reports as failed counted as attempts. A run that is lost with its worker was started again without any memory of the loss. The class of fault is a query of death with an unbounded retry.

Change: the progress record counts the crashes under each task, certain ones and possible ones (no word on whether the run had begun or the worker crashed). A task whose run had been confirmed for 250 ms or less is a suspect. It is tried once more on a quiet worker that starts nothing else until it has reported after that time; a crash on trial gives the task up with its job. While workers also crash for other reasons, or a loss is not certain, a third one is needed. A third crash makes any task a suspect. The members of a gang share one count.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -267,7 +267,7 @@
 	now := t.now()
 	t.state.SetPolicy(t.Policy.Current())
 	t.state.SetEvacuated(t.Policy.Evacuated())
-	t.state.ExpireLeases(now)
+	t.state.ExpireLeases(now, unixMs())
 	plan := t.state.Plan(now, unixMs(), t.adviceSlots(now))
 	t.sendAdvice(ctx, plan.Advice)
 	t.commitChanges(ctx)
--- a/controller/recover.go
+++ b/controller/recover.go
@@ -48,7 +48,8 @@
 	t.state.SetPolicy(t.Policy.Current())
 	t.state.SetEvacuated(t.Policy.Evacuated())
 	t.loadJobs(jobs.Entries, progress.Entries)
-	t.state.AssumeLeases(t.now().Add(t.leaseBound()))
+	now := t.now()
+	t.state.AssumeLeases(now, now.Add(t.leaseBound()))
 	t.applyWorkers(ctx, fleet.Entries, true)
 	t.recovered = true
 	return jobs.Revision, fleet.Revision, nil
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -12,6 +12,8 @@
 const (
 	// renewWait is the longest time that a worker holds a renewal open until a task ends (long poll).
 	renewWait = time.Second
+	// trialRenewWait is the same while the worker runs a suspect, whose trial ends with a report after its startup window.
+	trialRenewWait = 300 * time.Millisecond
 	// renewSlack is added to the time that a renewal is held open to get its timeout. It covers delays of a busy machine.
 	renewSlack = 800 * time.Millisecond
 	// maxSenders is the number of start orders that may be under way to one worker. Starts on a worker come in groups, and
@@ -97,6 +99,9 @@
 		t.mu.Lock()
 		known := t.state.Worker(s.worker.Info.ID) == s.worker
 		wait := renewWait
+		if s.worker.OnTrial() {
+			wait = trialRenewWait
+		}
 		if s.clockMs == 0 || !s.worker.Reachable() {
 			wait = 0
 		}
@@ -107,7 +112,11 @@
 		if !known {
 			return
 		}
-		if t.renew(ctx, s, wait, false) != nil {
+		err := t.renew(ctx, s, wait, false)
+		t.mu.Lock()
+		reachable := s.worker.Reachable()
+		t.mu.Unlock()
+		if err != nil || !reachable {
 			_ = t.Clock.Sleep(ctx, renewRetryDelay)
 			continue
 		}
--- /dev/null
+++ b/dispatch/crash.go
@@ -0,0 +1,296 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+)
+
+// Some tasks end each worker that starts them, and all other runs on it. A task whose run had just begun when its worker
+// crashed is a suspect: it is tried once more on a worker that starts nothing else meanwhile, so that a second crash
+// tells it from the tasks beside it, and is then given up with its job.
+
+const (
+	// startupWindow is the age up to which a run may have crashed its worker by starting. Tasks that do so end it within
+	// tens of milliseconds; restoring a checkpoint takes up to 250 ms.
+	startupWindow = 250 * time.Millisecond
+	// takeoverWindow is the same for a run that an earlier controller planned. It covers the commit of the plan, the end
+	// of that controller's lease and the recovery.
+	takeoverWindow = 3 * time.Second
+	// crashesToSuspect is the number of crashes after which a task is a suspect although each time its run was older.
+	crashesToSuspect = 3
+	// crashesToGiveUp is the number of crashes after which a task whose worker crashed on trial is given up.
+	// lossesToGiveUp is that while workers crash for other reasons too, and includes losses of workers of which it is not
+	// known that they were crashes under a run of the task.
+	crashesToGiveUp, lossesToGiveUp = 2, 3
+	// otherCrashMemory is how long a crash that no task can have caused shows that workers crash for other reasons.
+	otherCrashMemory = 30 * time.Second
+	// commonCauseWorkers is the number of workers of one availability zone whose end at the same time has another cause
+	// than a task, such as a loss of power.
+	commonCauseWorkers = 3
+	// crashMemory is the age of a run after which earlier crashes of the task no longer count. Long-running tasks would
+	// otherwise be suspects after three ordinary crashes in months.
+	crashMemory = 10 * time.Second
+)
+
+// crashCount counts the crashes of workers under a task.
+type crashCount struct {
+	// certain counts crashes while a run was confirmed, possible other losses of a worker that may have been crashes.
+	certain, possible int32
+	// suspect is true if the task may have caused the last crash.
+	suspect bool
+}
+
+func (c crashCount) losses() int32 { return c.certain + c.possible }
+
+// crashCounter returns the task in which crashes are counted: the members of a gang are lost together.
+func (t *Task) crashCounter() *Task {
+	if t.step.spec.GetGang() {
+		return &t.step.tasks[0]
+	}
+	return t
+}
+
+func (t *Task) isSuspect() bool { return t.crashCounter().crashes.suspect }
+
+// waitingSuspects returns the number of tasks of a step that wait for a worker of their own.
+func (step *Step) waitingSuspects() int {
+	n := 0
+	for i := range step.tasks {
+		if step.tasks[i].isWaiting() && step.tasks[i].isSuspect() {
+			n++
+		}
+	}
+	return n
+}
+
+// forgetCrashes resets the count of a task whose run has lasted for crashMemory.
+func (t *Task) forgetCrashes(now time.Time) {
+	if c := t.crashCounter(); c.crashes != (crashCount{}) && now.Sub(t.orderedAt) > crashMemory {
+		c.crashes = crashCount{}
+	}
+}
+
+// loss says how runs were lost with their worker.
+type loss struct {
+	reason string
+	// crashed is true if the worker is known to have ended, otherCause if that is known to have another cause than a task.
+	crashed, otherCause bool
+	// now and unixMs are the time at which the loss was found out.
+	now    time.Time
+	unixMs int64
+}
+
+// lostRun is what a lost run shows about its task.
+type lostRun struct {
+	loss
+	task   *Task
+	worker string
+	run    int32
+	// begun is true if the run was confirmed, and age is how long it had been; fresh is true if it may have just begun.
+	begun, fresh bool
+	age          time.Duration
+	// onTrial is true if the task was a suspect and nothing else was started on the worker meanwhile.
+	onTrial bool
+}
+
+// unknownAge is the age of a run that no answer or report has confirmed.
+const unknownAge = -1 * time.Millisecond
+
+// of describes the loss of a task's run on a worker.
+func (l loss) of(t *Task, w *Worker) lostRun {
+	r := lostRun{loss: l, task: t, worker: w.Info.ID, run: t.run, begun: t.phase == phaseActive, age: unknownAge}
+	switch {
+	case r.begun:
+		r.age = max(0, w.lostAt.Sub(t.orderedAt))
+		r.fresh = r.age <= startupWindow
+	case t.restored:
+		planned := time.Duration(l.unixMs-t.plannedUnixMs) * time.Millisecond
+		r.fresh = planned-l.now.Sub(w.lostAt) <= takeoverWindow
+	default:
+		r.fresh = true
+	}
+	return r
+}
+
+// runsOf returns the tasks whose run on a worker has been ordered.
+func runsOf(w *Worker) []*Task {
+	var tasks []*Task
+	for t := range w.tasks {
+		if t.phase != phasePlanned {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+// loseRuns releases tasks whose runs ended with their worker, and counts the crash.
+func (s *State) loseRuns(w *Worker, tasks []*Task, l loss) {
+	probe := w.probe
+	var lost []lostRun
+	for _, t := range tasks {
+		r := l.of(t, w)
+		if probe != nil {
+			// Nothing else was started beside a task on trial.
+			r.onTrial = t.crashCounter() == probe.crashCounter()
+			r.fresh = r.onTrial
+		}
+		lost = append(lost, r)
+	}
+	for _, r := range lost {
+		s.log.Decision("run lost", r.task.JobID(), "task", r.task.ID(), "run", r.run, "worker", r.worker, "reason", r.reason,
+			"age_ms", r.age.Milliseconds())
+		s.release(r.task)
+	}
+	if w.hasReasonToLeave() || !l.crashed && w.cutOff {
+		return
+	}
+	if l.crashed && (l.otherCause || !slices.ContainsFunc(lost, func(r lostRun) bool { return r.fresh })) {
+		s.otherCrashAt = l.now
+	}
+	if l.otherCause {
+		return
+	}
+	counted := map[*Task]bool{}
+	for _, r := range lost {
+		if counter := r.task.crashCounter(); !counted[counter] {
+			counted[counter] = true
+			s.countCrash(r)
+		}
+	}
+}
+
+// hasReasonToLeave reports whether the end of a worker was announced.
+func (w *Worker) hasReasonToLeave() bool { return w.Info.Draining || w.cordoned }
+
+// countCrash counts the crash of a worker under a task, and gives the task up with its job if it was on trial.
+func (s *State) countCrash(r lostRun) {
+	t := r.task
+	j := t.step.job
+	if j.Ended() || t.done || !r.crashed && !r.fresh {
+		return
+	}
+	c := &t.crashCounter().crashes
+	if r.begun && r.crashed {
+		c.certain++
+	} else {
+		c.possible++
+	}
+	c.suspect = r.fresh || c.losses() >= crashesToSuspect
+	s.markDirty(j)
+	s.log.Decision("crash counted", j.Record.GetId(), "task", t.ID(), "run", r.run, "worker", r.worker, "reason", r.reason,
+		"age_ms", r.age.Milliseconds(), "crashes", c.certain, "possible", c.possible, "suspect", c.suspect, "on_trial", r.onTrial)
+	coincidence := !s.otherCrashAt.IsZero() && r.now.Sub(s.otherCrashAt) < otherCrashMemory
+	if r.onTrial && (c.certain >= crashesToGiveUp && !coincidence || c.losses() >= lossesToGiveUp) {
+		s.log.Decision("failed", j.Record.GetId(), "task", t.ID(), "cause", "crashes its workers", "crashes", c.certain,
+			"possible", c.possible)
+		s.endJob(j, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED, r.unixMs)
+	}
+}
+
+// WorkersEnded records that the platform no longer runs these workers. Their runs have ended, and their tasks are
+// released without waiting for the leases.
+func (s *State) WorkersEnded(workers []*Worker, now time.Time, unixMs int64) {
+	workers = slices.DeleteFunc(workers, func(w *Worker) bool { return w.ended })
+	zones := map[string]int{}
+	for _, w := range workers {
+		zones[w.Info.Zone]++
+	}
+	for _, w := range workers {
+		if w.reachable || w.lostAt.IsZero() {
+			w.lostAt = now
+		}
+		others := zones[w.Info.Zone] - 1
+		s.log.Decision("worker ended", "", "worker", w.Info.ID, "tasks", len(w.tasks), "others_of_zone", others)
+		s.loseRuns(w, runsOf(w), loss{
+			reason: "worker ended", crashed: true, otherCause: others+1 >= commonCauseWorkers, now: now, unixMs: unixMs,
+		})
+		w.ended, w.leaseEnd = true, now
+		w.setReachable(false)
+		s.index.update(w)
+	}
+}
+
+// HasUnreachableTasks reports whether workers that do not answer have tasks whose leases have not ended.
+func (s *State) HasUnreachableTasks() bool {
+	for w := range s.index.unreachable {
+		if len(w.tasks) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// SeenUp records that the platform lists a worker as running.
+func (s *State) SeenUp(w *Worker, now time.Time) {
+	if !w.reachable {
+		w.cutOff, w.lostAt = true, now
+	}
+}
+
+// beginProbe reserves the worker of a planned run for the task if it is a suspect.
+func (s *State) beginProbe(t *Task) {
+	if t.isSuspect() && t.worker.probe == nil {
+		t.worker.probe = t
+		s.probes[t] = struct{}{}
+		s.index.updateFree(t.worker)
+	}
+}
+
+// endProbe opens the worker of a task again, if it was reserved.
+func (s *State) endProbe(t *Task) {
+	if w := t.worker; w.probe == t {
+		w.probe = nil
+		delete(s.probes, t)
+		s.index.updateFree(w)
+	}
+}
+
+// clearSuspects clears the suspects whose worker has reported after their startup window. Those that were older in earlier
+// crashes stay on trial until their run ends.
+func (s *State) clearSuspects() {
+	for t := range s.probes {
+		c := &t.crashCounter().crashes
+		if t.phase != phaseActive || t.worker.reportedAt.Sub(t.orderedAt) <= startupWindow || c.losses() >= crashesToSuspect {
+			continue
+		}
+		if c.suspect {
+			c.suspect = false
+			s.log.Decision("suspect cleared", t.JobID(), "task", t.ID(), "run", t.run, "worker", t.WorkerID())
+		}
+		s.endProbe(t)
+	}
+}
+
+// isQuietFor reports whether no run of another step may have just begun on the worker, so that a crash could only be
+// that of the given step.
+func (w *Worker) isQuietFor(step *Step, now time.Time) bool {
+	for t := range w.tasks {
+		if t.step != step && (t.phase != phaseActive || now.Sub(t.orderedAt) <= startupWindow) {
+			return false
+		}
+	}
+	return true
+}
+
+// chooseForProbe returns the worker for a suspect, or nil: a quiet one with as few tasks as possible, since they are lost
+// with it, and of these the smallest.
+func (s *State) chooseForProbe(p *placement, t *Task) *Worker {
+	var best *Worker
+	for _, w := range s.candidates(p) {
+		if !s.fits(p, w) || w.Info.ID == t.avoid && p.now.Before(t.avoidUntil) || !w.isQuietFor(nil, p.now) {
+			continue
+		}
+		if best == nil || compareForProbe(w, best) < 0 {
+			best = w
+		}
+	}
+	return best
+}
+
+func compareForProbe(a, b *Worker) int {
+	return cmp.Or(cmp.Compare(len(a.tasks), len(b.tasks)), cmp.Compare(a.Info.Capacity.MilliCPU, b.Info.Capacity.MilliCPU),
+		cmp.Compare(a.Info.ID, b.Info.ID))
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -103,6 +103,12 @@
 	// percent is the reported progress of the run, progressAt when it last increased or the run was confirmed.
 	percent    int32
 	progressAt time.Time
+	// crashes are the crashes of workers under the task. Those of a gang are counted in its first task.
+	crashes crashCount
+	// plannedUnixMs is when the newest run was planned; restored is true if an earlier controller planned it and no worker
+	// has reported it yet.
+	plannedUnixMs int64
+	restored      bool
 	// avoid is the worker on which the task last failed or stalled. It may get the task again after avoidUntil.
 	avoid      string
 	avoidUntil time.Time
@@ -224,6 +230,8 @@
 
 func (s *Step) restoreTask(t *Task, saved *siskinv1.TaskProgress, place func(*Task, *siskinv1.TaskProgress)) {
 	t.run, t.failures, t.checkpoint = saved.GetRun(), saved.GetFailures(), saved.GetCheckpoint()
+	t.crashes = crashCount{certain: saved.GetCrashes(), possible: saved.GetPossibleCrashes(), suspect: saved.GetSuspect()}
+	t.plannedUnixMs = saved.GetPlannedUnixMs()
 	if s.spec.GetGang() && t.checkpoint != "" {
 		s.checkpoint = t.checkpoint
 	}
@@ -234,7 +242,7 @@
 		t.finish()
 	}
 	if saved.GetWorker() != "" {
-		t.incarnation = saved.GetIncarnation()
+		t.incarnation, t.restored = saved.GetIncarnation(), true
 		place(t, saved)
 	}
 }
@@ -426,7 +434,8 @@
 		t := &s.tasks[i]
 		saved.Tasks = append(saved.Tasks, &siskinv1.TaskProgress{
 			Done: t.done, Run: t.run, Failures: t.failures, Worker: t.WorkerID(), Incarnation: t.incarnation,
-			Checkpoint: t.checkpoint,
+			Checkpoint: t.checkpoint, Crashes: t.crashes.certain, PossibleCrashes: t.crashes.possible, Suspect: t.crashes.suspect,
+			PlannedUnixMs: t.plannedUnixMs,
 		})
 	}
 	return saved
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -19,10 +19,13 @@
 	home  *zoneIndex
 	// ticketed are the workers with a valid ticket, if the queue uses advice.
 	ticketed []*Worker
+	// probe is true for a gang that may have crashed workers; all members start on quiet workers.
+	probe bool
 }
 
 func (s *State) newPlacement(step *Step, now time.Time) *placement {
 	p := &placement{step: step, now: now, queue: s.queue(step.job), need: allocation(step.spec), home: s.home(step)}
+	p.probe = step.spec.GetGang() && step.tasks[0].isSuspect()
 	if p.home == nil {
 		p.zones = [][]*zoneIndex{s.openZones}
 	} else {
@@ -54,6 +57,9 @@
 	if !s.mayStartOne(p.step) {
 		return nil
 	}
+	if t.isSuspect() && !p.step.spec.GetGang() {
+		return s.chooseForProbe(p, t)
+	}
 	search := &bestWorker{state: s, placement: p, task: t, rack: rack}
 	preferred := p.step.spec.GetPreferredRack()
 	switch {
@@ -69,18 +75,8 @@
 	if search.worker != nil || p.isAdvised() || rack != "" {
 		return search.worker
 	}
-	spread := isSpread(p.step.spec)
 	for _, zones := range p.zones {
-		for bucket := bucketOf(p.need.MilliCPU); bucket <= lastBucket; bucket++ {
-			for _, z := range zones {
-				for _, w := range z.buckets[bucket] {
-					search.consider(w)
-				}
-			}
-			if search.worker != nil && !spread {
-				return search.worker
-			}
-		}
+		search.considerZones(zones)
 		if search.worker != nil {
 			return search.worker
 		}
@@ -109,6 +105,22 @@
 	}
 }
 
+// considerZones considers the workers of some zones from the first bucket with enough CPU upwards. For tasks that are not
+// spread it ends at the first bucket with a worker.
+func (b *bestWorker) considerZones(zones []*zoneIndex) {
+	spread := isSpread(b.placement.step.spec)
+	for bucket := bucketOf(b.placement.need.MilliCPU); bucket <= lastBucket; bucket++ {
+		for _, z := range zones {
+			for _, w := range z.buckets[bucket] {
+				b.consider(w)
+			}
+		}
+		if b.worker != nil && !spread {
+			return
+		}
+	}
+}
+
 func (b *bestWorker) considerLabelled(label string) {
 	for w := range b.state.index.byLabel[label] {
 		b.consider(w)
@@ -156,7 +168,7 @@
 // fits reports whether one task of a step may start on a worker.
 func (s *State) fits(p *placement, w *Worker) bool {
 	return p.need.Fits(w.free()) && w.isSchedulable(p.now) && s.isSuitable(p, w) && underWorkerLimit(p.step, w) &&
-		isCompatible(p.step, w)
+		isCompatible(p.step, w) && (!p.probe || w.isQuietFor(p.step, p.now))
 }
 
 // isSuitable reports whether a worker matches a step's service and required label, and is in no evacuated zone.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -64,6 +64,8 @@
 // the commit that records their workers.
 func (s *State) Plan(now time.Time, unixMs int64, slots AdviceSlots) Plan {
 	var plan Plan
+	s.planUnixMs = unixMs
+	s.clearSuspects()
 	if s.policy == nil {
 		// Without a policy, the ceilings and the evacuated zones are unknown, so nothing may start.
 		s.planStops(&plan, now)
@@ -165,7 +167,7 @@
 		}
 		w := s.choose(p, t, "")
 		if w == nil {
-			if t.avoid == "" {
+			if t.avoid == "" && !t.isSuspect() {
 				return
 			}
 			continue
@@ -252,7 +254,8 @@
 // planRun numbers the run of a placed task and adds its start to the job's next commit.
 func (s *State) planRun(t *Task) {
 	t.run++
-	t.phase = phasePlanned
+	t.phase, t.plannedUnixMs = phasePlanned, s.planUnixMs
+	s.beginProbe(t)
 	t.incarnation = t.worker.Info.Incarnation
 	if t.worker.onTrial {
 		t.worker.trialStarts++
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -64,11 +64,12 @@
 // preempt stops less urgent tasks to free capacity for the waiting tasks of an urgent step on its candidate workers.
 func (s *State) preempt(p *placement) {
 	step, now := p.step, p.now
-	if step.waiting == 0 || !step.urgent || now.Before(step.preemptAfter) {
+	waiting := step.waiting - step.waitingSuspects()
+	if waiting == 0 || !step.urgent || now.Before(step.preemptAfter) {
 		return
 	}
-	allowed := s.underCeiling(step)
-	if allowed < step.waiting {
+	allowed := min(s.underCeiling(step), waiting)
+	if allowed < waiting {
 		s.reclaimCeiling(step, now)
 	}
 	missing := allowed
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -63,23 +63,19 @@
 // may have ended: that of its last answer, or the time at which it closed the connection.
 func (s *State) RenewFailed(w *Worker, lostAt time.Time) {
 	if w.reachable {
-		w.lostAt = lostAt
+		w.lostAt, w.cutOff = lostAt, false
 	}
 	w.setReachable(false)
 }
 
 // ExpireLeases releases the tasks of unreachable workers whose lease has ended, and removes unlisted ones without
-// tasks.
-func (s *State) ExpireLeases(now time.Time) {
+// tasks. Whether the worker has crashed is not known.
+func (s *State) ExpireLeases(now time.Time, unixMs int64) {
 	for w := range s.index.unreachable {
 		if now.Before(w.leaseEnd) {
 			continue
 		}
-		for t := range w.tasks {
-			if t.phase != phasePlanned {
-				s.loseRun(t, "lease ended")
-			}
-		}
+		s.loseRuns(w, runsOf(w), loss{reason: "lease ended", now: now, unixMs: unixMs})
 		if !w.Listed && len(w.tasks) == 0 {
 			delete(s.workers, w.Info.ID)
 			s.index.remove(w)
@@ -87,35 +83,18 @@
 	}
 }
 
-// unknownAge is the age of a run that no answer or report has confirmed.
-const unknownAge = -1 * time.Millisecond
-
-// ageWhenLost returns how long a run had been confirmed when its worker was lost, or unknownAge.
-func (t *Task) ageWhenLost() time.Duration {
-	if t.phase != phaseActive || t.worker.lostAt.IsZero() {
-		return unknownAge
-	}
-	return max(0, t.worker.lostAt.Sub(t.orderedAt))
-}
-
-// loseRun releases a task whose run ended with its worker.
-func (s *State) loseRun(t *Task, reason string) {
-	s.log.Decision("run lost", t.JobID(), "task", t.ID(), "run", t.run, "worker", t.WorkerID(), "reason", reason,
-		"age_ms", t.ageWhenLost().Milliseconds())
-	s.release(t)
-}
-
 // ApplyReport applies a worker's answer to a renewal; sent is when the renewal was sent. If a stop of a run was answered
 // before that and the worker does not list the run, the run has ended or will never begin.
 func (s *State) ApplyReport(w *Worker, report infra.RunReport, sent, now time.Time, unixMs int64) {
+	if w.ended && w.Info.Incarnation == report.Incarnation {
+		// Its tasks may run elsewhere by now, so the lease is not extended and its runs expire.
+		s.log.Decision("worker answers although it was listed as ended", "", "worker", w.Info.ID, "active", len(report.Active))
+		return
+	}
 	if w.Info.Incarnation != report.Incarnation && report.Incarnation != 0 {
-		if w.reported || w.lastEnd > 0 {
-			w.lastEnd = 0
-			clear(w.unsaved)
-			s.log.Decision("worker restarted", "", "worker", w.Info.ID, "incarnation", report.Incarnation)
-		}
-		w.Info.Incarnation = report.Incarnation
+		s.applyRestart(w, report.Incarnation, now)
 	}
+	w.ended, w.reportedAt = false, now
 	first := !w.reported
 	if !w.reported && !report.Incomplete {
 		w.reported = true
@@ -130,7 +109,7 @@
 	}
 	listed := make(map[*Task]bool, len(report.Active))
 	for _, active := range report.Active {
-		if t := s.applyActive(w, active, now); t != nil {
+		if t := s.applyActive(w, active, now, unixMs); t != nil {
 			listed[t] = true
 		}
 	}
@@ -138,11 +117,36 @@
 		s.log.Decision("report incomplete", "", "worker", w.Info.ID, "active", len(report.Active))
 		return
 	}
+	var lost []*Task
 	for t := range w.tasks {
-		if !listed[t] {
-			s.applyMissing(w, t, first, sent)
+		switch {
+		case listed[t]:
+		case t.ranOnEarlierIncarnation():
+			lost = append(lost, t)
+		default:
+			s.applyMissing(t, first, sent)
 		}
 	}
+	s.loseRuns(w, lost, loss{reason: "worker restarted", crashed: true, now: now, unixMs: unixMs})
+}
+
+// applyRestart records that a worker has a new incarnation.
+func (s *State) applyRestart(w *Worker, incarnation int64, now time.Time) {
+	if w.reported || w.lastEnd > 0 {
+		w.lastEnd = 0
+		clear(w.unsaved)
+		s.log.Decision("worker restarted", "", "worker", w.Info.ID, "incarnation", incarnation)
+	}
+	if w.reachable || w.lostAt.IsZero() {
+		w.lostAt = now
+	}
+	w.Info.Incarnation = incarnation
+}
+
+// ranOnEarlierIncarnation reports whether the run began on an earlier incarnation of its worker, or was ordered to begin
+// there by an earlier controller.
+func (t *Task) ranOnEarlierIncarnation() bool {
+	return (t.phase == phaseActive || t.restored) && t.incarnation != 0 && t.incarnation != t.worker.Info.Incarnation
 }
 
 // findTask returns the task of a run on a worker, or nil if the run is not the newest of its task or is on another
@@ -161,7 +165,7 @@
 
 // applyActive applies a run that a worker lists as active. It returns the task, or nil if the run is unknown or
 // outdated.
-func (s *State) applyActive(w *Worker, active infra.ActiveRun, now time.Time) *Task {
+func (s *State) applyActive(w *Worker, active infra.ActiveRun, now time.Time, unixMs int64) *Task {
 	t := s.findTask(w, active.Task, active.Run)
 	if t == nil {
 		return nil
@@ -169,8 +173,13 @@
 	if t.phase != phaseActive {
 		t.phase, t.progressAt = phaseActive, now
 		t.orderedAt = now
+		if t.restored {
+			t.orderedAt = now.Add(-time.Duration(max(0, unixMs-t.plannedUnixMs)) * time.Millisecond)
+			t.restored = false
+		}
 		t.step.job.started = true
 	}
+	t.forgetCrashes(now)
 	t.unconfirmed = false
 	t.incarnation = w.Info.Incarnation
 	if active.Checkpoint != "" {
@@ -205,7 +214,7 @@
 
 // applyMissing handles a task that is assigned to a worker whose report does not list its run; first is true for the
 // worker's first report to this controller.
-func (s *State) applyMissing(w *Worker, t *Task, first bool, sent time.Time) {
+func (s *State) applyMissing(t *Task, first bool, sent time.Time) {
 	answered := func(at time.Time) bool { return !at.IsZero() && at.Before(sent) }
 	switch {
 	case t.phase == phasePlanned:
@@ -214,8 +223,6 @@
 		s.release(t)
 	case answered(t.stopAnsweredAt):
 		s.release(t)
-	case t.phase == phaseActive && t.incarnation != w.Info.Incarnation:
-		s.loseRun(t, "worker restarted")
 	case answered(t.orderedAt):
 		// An unanswered start may still be carried out later; the stop order prevents the run from ever beginning.
 		s.requestStop(t, "not listed")
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -72,6 +72,12 @@
 	openZones []*zoneIndex
 	// stops are the tasks whose runs are to be stopped.
 	stops map[*Task]struct{}
+	// probes are the suspects that run on a worker of their own.
+	probes map[*Task]struct{}
+	// otherCrashAt is when a worker last crashed that no task can have crashed by starting.
+	otherCrashAt time.Time
+	// planUnixMs is the wall-clock time of the current plan.
+	planUnixMs int64
 	// frontier contains all steps with waiting tasks whose earlier steps have succeeded. It may contain others, which
 	// readySteps removes.
 	frontier map[*Step]struct{}
@@ -101,6 +107,7 @@
 		jobs: map[string]*Job{}, activeJobs: map[string]*Job{}, teams: map[string]*teamUsage{}, dirty: map[string]*Job{},
 		allowedRatios: map[string]float64{}, cancelled: map[string]bool{}, frontier: map[*Step]struct{}{},
 		reserved: map[string]resource.Vector{}, index: newFleetIndex(), stops: map[*Task]struct{}{},
+		probes: map[*Task]struct{}{},
 	}
 }
 
@@ -170,6 +177,7 @@
 	}
 	s.place(t, w)
 	t.phase = phaseOrdered
+	s.beginProbe(t)
 }
 
 // overRate reports whether a job exceeds its team's guaranteed job rate; if not, it takes one job from the team's
@@ -306,12 +314,14 @@
 	if w == nil {
 		return
 	}
+	s.endProbe(t)
 	w.remove(t)
 	delete(s.stops, t)
 	t.worker, t.phase = nil, phaseNone
 	t.unconfirmed, t.stop, t.stopping, t.stopReason = false, false, false, ""
 	t.stopAnsweredAt, t.stopAfter, t.orderedAt = time.Time{}, time.Time{}, time.Time{}
 	t.percent, t.progressAt = 0, time.Time{}
+	t.restored = false
 	j := t.step.job
 	if !t.done {
 		t.step.waiting++
@@ -358,9 +368,13 @@
 // Workers returns all workers by identifier. The caller must not change the map.
 func (s *State) Workers() map[string]*Worker { return s.workers }
 
-// AssumeLeases assumes that an earlier controller extended the lease of every worker until the given time.
-func (s *State) AssumeLeases(until time.Time) {
+// AssumeLeases assumes that an earlier controller extended the lease of every worker until the given time. A worker that
+// never answers this controller may have ended before now.
+func (s *State) AssumeLeases(now, until time.Time) {
 	for _, w := range s.workers {
 		s.RenewSent(w, until)
+		if w.lostAt.IsZero() {
+			w.lostAt = now
+		}
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -28,8 +28,16 @@
 	reported bool
 	// reachable is false after a renewal failed, until the next answer.
 	reachable bool
+	// reportedAt is when the worker last reported its runs.
+	reportedAt time.Time
 	// lostAt is the earliest time at which a worker that is not reachable may have ended.
 	lostAt time.Time
+	// ended is true once the platform has reported that this incarnation of the worker has ended.
+	ended bool
+	// cutOff is true if the platform has listed the worker as running since it was lost.
+	cutOff bool
+	// probe is the suspect that has the worker's next starts to itself, or nil.
+	probe *Task
 	// leaseEnd is when all runs on the worker have ended unless the lease is renewed.
 	leaseEnd time.Time
 	// lastEnd is the number of the last reported end that was applied; unsaved are the ends up to it that are not
@@ -90,6 +98,9 @@
 // Reachable reports whether the worker answered its last renewal.
 func (w *Worker) Reachable() bool { return w.reachable }
 
+// OnTrial reports whether the worker runs a suspect.
+func (w *Worker) OnTrial() bool { return w.probe != nil }
+
 // Tasks returns the number of tasks that are assigned to the worker.
 func (w *Worker) Tasks() int { return len(w.tasks) }
 
@@ -113,7 +124,7 @@
 
 // isOpen reports whether the state of the worker lets it get new tasks, apart from limits that end by time.
 func (w *Worker) isOpen() bool {
-	return w.Listed && w.reported && w.reachable && !w.Info.Draining && !w.cordoned
+	return w.Listed && w.reported && w.reachable && !w.ended && !w.Info.Draining && !w.cordoned && w.probe == nil
 }
 
 // isSchedulable reports whether the worker may get new tasks.
