Find out from the list of machines that a worker has ended

What callers saw: tasks that ran beside one that crashes its worker were late by 4.8 s each time. The worker was gone after 10 ms and its machine back after 3 s, but under another identifier, so that only the end of the lease told that its runs had ended. A restart under the same identifier was noticed at once.

Cause: a worker that does not answer may be cut off and still run its tasks, and nothing but the lease told the two apart.

Change: when a worker stops answering, the controller lists the machines.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -170,6 +170,8 @@
 	leadership *election.Term
 	log        logr.Logger
 	wake       chan struct{}
+	// workerLost wakes followMachines when a worker stops answering, workerNew when one is new.
+	workerLost, workerNew chan struct{}
 
 	goroutines sync.WaitGroup
 
@@ -192,6 +194,7 @@
 	options.Advisor = containedAdvisor{options.Advisor}
 	t := &term{
 		Options: options, leadership: leadership, log: log, wake: make(chan struct{}, 1),
+		workerLost: make(chan struct{}, 1), workerNew: make(chan struct{}, 1),
 		sessions: map[*dispatch.Worker]*workerSession{}, members: map[string]*member{}, heads: newCommitHeads(),
 		refusedEntries: map[string]string{},
 	}
@@ -206,12 +209,7 @@
 }
 
 // triggerPlan wakes the loop for another plan.
-func (t *term) triggerPlan() {
-	select {
-	case t.wake <- struct{}{}:
-	default:
-	}
-}
+func (t *term) triggerPlan() { notify(t.wake) }
 
 func (t *term) now() time.Time { return t.Clock.Now() }
 
@@ -233,6 +231,7 @@
 	t.goroutines.Go(func() { t.expireRecords(ctx) })
 	if t.Machines != nil {
 		t.goroutines.Go(func() { t.maintain(ctx) })
+		t.goroutines.Go(func() { t.followMachines(ctx) })
 	}
 	t.loop(ctx)
 }
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -64,12 +64,7 @@
 	run  int32
 }
 
-func (s *workerSession) signal() {
-	select {
-	case s.endsCommitted <- struct{}{}:
-	default:
-	}
-}
+func (s *workerSession) signal() { notify(s.endsCommitted) }
 
 // leaseBound returns how long a lease that is granted now may last on the controller's clock.
 func (t *term) leaseBound() time.Duration { return withClockDrift(t.Bounds.requestedLease()) }
@@ -86,6 +81,7 @@
 	}
 	s := &workerSession{worker: w, endsCommitted: make(chan struct{}, 1)}
 	t.sessions[w] = s
+	notify(t.workerNew)
 	t.goroutines.Go(func() { t.renewLoop(ctx, s) })
 }
 
@@ -229,6 +225,7 @@
 	if s.worker.Reachable() {
 		t.log.Info("worker does not respond", "worker", s.worker.Info.ID, "reason", err.Error(),
 			"silent_ms", t.now().Sub(lostAt).Milliseconds(), "tasks", s.worker.Tasks())
+		notify(t.workerLost)
 	}
 	t.state.RenewFailed(s.worker, lostAt)
 	t.triggerPlan()
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -378,6 +378,9 @@
 	if known := m.state.Worker(w.info.ID); known != nil {
 		m.state.RenewFailed(known, m.now)
 	}
+	if known := m.state.Worker(w.info.ID); known != nil && rapid.Bool().Draw(m.t, "listed as ended") {
+		m.state.WorkersEnded([]*Worker{known}, m.now, m.unixMs())
+	}
 	w.info.Incarnation++
 	w.epoch, w.lease, w.number, w.lastExpired = 0, time.Time{}, 0, 0
 	w.active, w.newest, w.ended = map[string]infra.ActiveRun{}, map[string]int32{}, nil
--- a/infra/machines.go
+++ b/infra/machines.go
@@ -19,7 +19,9 @@
 
 // Machine is a machine of the platform that runs one worker at a time.
 type Machine struct {
-	Name   string
+	Name string
+	// Pool is the service whose workers the machine runs.
+	Pool   string
 	Worker string
 	// Up is false while the machine is moved, maintained or down.
 	Up bool
