Give up a task after two prompt crashes

Each task ended three workers, although two crashes suffice if no worker crashes for another reason.

Cause: each report of a worker recorded that other reason, since a report without lost runs was handled as a crash that no task had caused. The rule has gone: what decides now is that the worker crashed within 50 ms of the start both times, which tells the tasks that end workers (2 to 20 ms) from older runs beside them. Crashes that are later, or not certain, still need a third one.

TestSecondPromptCrashSuffices failed before (three crashes).

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -21,12 +21,12 @@
 	takeoverWindow = 3 * time.Second
 	// crashesToSuspect is the number of crashes after which a task is a suspect although each time its run was older.
 	crashesToSuspect = 3
-	// crashesToGiveUp is the number of crashes after which a task whose worker crashed on trial is given up.
-	// lossesToGiveUp is that while workers crash for other reasons too, and includes losses of workers of which it is not
-	// known that they were crashes under a run of the task.
-	crashesToGiveUp, lossesToGiveUp = 2, 3
-	// otherCrashMemory is how long a crash that no task can have caused shows that workers crash for other reasons.
-	otherCrashMemory = 30 * time.Second
+	// promptCrash is the age of a run up to which its worker crashed at once. Tasks that crash their worker do so after 2
+	// to 20 ms, so that older runs beside them differ even if both are within startupWindow.
+	promptCrash = 50 * time.Millisecond
+	// promptToGiveUp is the number of prompt crashes after which a task whose worker crashed on trial is given up.
+	// lossesToGiveUp is that of all crashes and possible crashes.
+	promptToGiveUp, lossesToGiveUp = 2, 3
 	// commonCauseWorkers is the number of workers of one availability zone whose end at the same time has another cause
 	// than a task, such as a loss of power.
 	commonCauseWorkers = 3
@@ -39,6 +39,8 @@
 type crashCount struct {
 	// certain counts crashes while a run was confirmed, possible other losses of a worker that may have been crashes.
 	certain, possible int32
+	// prompt counts the certain ones within promptCrash of the confirmation.
+	prompt int32
 	// suspect is true if the task may have caused the last crash.
 	suspect bool
 }
@@ -144,13 +146,7 @@
 			"age_ms", r.age.Milliseconds())
 		s.release(r.task)
 	}
-	if w.hasReasonToLeave() || !l.crashed && w.cutOff {
-		return
-	}
-	if l.crashed && (l.otherCause || !slices.ContainsFunc(lost, func(r lostRun) bool { return r.fresh })) {
-		s.otherCrashAt = l.now
-	}
-	if l.otherCause {
+	if w.hasReasonToLeave() || l.otherCause || !l.crashed && w.cutOff {
 		return
 	}
 	counted := map[*Task]bool{}
@@ -173,17 +169,20 @@
 		return
 	}
 	c := &t.crashCounter().crashes
-	if r.begun && r.crashed {
-		c.certain++
-	} else {
+	switch {
+	case !r.begun || !r.crashed:
 		c.possible++
+	case r.age <= promptCrash:
+		c.certain++
+		c.prompt++
+	default:
+		c.certain++
 	}
 	c.suspect = r.fresh || c.losses() >= crashesToSuspect
 	s.markDirty(j)
 	s.log.Decision("crash counted", j.Record.GetId(), "task", t.ID(), "run", r.run, "worker", r.worker, "reason", r.reason,
 		"age_ms", r.age.Milliseconds(), "crashes", c.certain, "possible", c.possible, "suspect", c.suspect, "on_trial", r.onTrial)
-	coincidence := !s.otherCrashAt.IsZero() && r.now.Sub(s.otherCrashAt) < otherCrashMemory
-	if r.onTrial && (c.certain >= crashesToGiveUp && !coincidence || c.losses() >= lossesToGiveUp) {
+	if r.onTrial && (c.prompt >= promptToGiveUp || c.losses() >= lossesToGiveUp) {
 		s.log.Decision("failed", j.Record.GetId(), "task", t.ID(), "cause", "crashes its workers", "crashes", c.certain,
 			"possible", c.possible)
 		s.endJob(j, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED, r.unixMs)
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -339,3 +339,14 @@
 		assert.Equal(t, s.state.Job(fmt.Sprintf("beside%d", n)).Phase, siskinv1.WorkflowPhase_WORKFLOW_PHASE_SUCCEEDED)
 	}
 }
+
+// Guards against a third worker that ends although a task has ended two at once after its start.
+func TestSecondPromptCrashSuffices(t *testing.T) {
+	s := newCrashSim(t, 12)
+	s.listed = true
+	s.state.AddJob(job("deadly", step(3, 1000)), nil)
+	s.crashes["deadly.0.0.1"] = true
+	s.run(10 * time.Second)
+	assert.Equal(t, s.state.Job("deadly").Phase, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED)
+	assert.Equal(t, s.crashed["deadly.0.0.1"], 2)
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -230,7 +230,8 @@
 
 func (s *Step) restoreTask(t *Task, saved *siskinv1.TaskProgress, place func(*Task, *siskinv1.TaskProgress)) {
 	t.run, t.failures, t.checkpoint = saved.GetRun(), saved.GetFailures(), saved.GetCheckpoint()
-	t.crashes = crashCount{certain: saved.GetCrashes(), possible: saved.GetPossibleCrashes(), suspect: saved.GetSuspect()}
+	t.crashes = crashCount{certain: saved.GetCrashes(), possible: saved.GetPossibleCrashes(), suspect: saved.GetSuspect(),
+		prompt: saved.GetPromptCrashes()}
 	t.plannedUnixMs = saved.GetPlannedUnixMs()
 	if s.spec.GetGang() && t.checkpoint != "" {
 		s.checkpoint = t.checkpoint
@@ -435,7 +436,7 @@
 		saved.Tasks = append(saved.Tasks, &siskinv1.TaskProgress{
 			Done: t.done, Run: t.run, Failures: t.failures, Worker: t.WorkerID(), Incarnation: t.incarnation,
 			Checkpoint: t.checkpoint, Crashes: t.crashes.certain, PossibleCrashes: t.crashes.possible, Suspect: t.crashes.suspect,
-			PlannedUnixMs: t.plannedUnixMs,
+			PlannedUnixMs: t.plannedUnixMs, PromptCrashes: t.crashes.prompt,
 		})
 	}
 	return saved
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -74,8 +74,6 @@
 	stops map[*Task]struct{}
 	// probes are the suspects that run on a worker of their own.
 	probes map[*Task]struct{}
-	// otherCrashAt is when a worker last crashed that no task can have crashed by starting.
-	otherCrashAt time.Time
 	// planUnixMs is the wall-clock time of the current plan.
 	planUnixMs int64
 	// frontier contains all steps with waiting tasks whose earlier steps have succeeded. It may contain others, which
