Order a gang whole or not at all

Thirteen of fourteen members of a gang were started at 36.01 s; the ticket of the last one's worker had expired at 36.015 s, between plan and commit, so that its order was withheld alone, and the others waited 3 s for it and ended.

Cause: what may have changed since the plan was checked task by task.

Change: a gang of which one member may not be ordered waits as a whole. If the start of a member is declined, not sent or given up after others were ordered, these are stopped at once instead of waiting for it.

TestGangWithAnExpiredTicketIsNotOrderedInPart and the three cases of TestGangIsStoppedWhenAMemberDoesNotStart failed before (2 orders instead of 0, no stops).

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -61,11 +61,12 @@
 				settled = append(settled, end.worker)
 			}
 		}
+		withheld := s.withheldGangs(c, now)
 		for _, t := range c.orders {
 			if t.phase != phasePlanned || t.worker == nil {
 				continue
 			}
-			if t.stop || c.job.Ended() || !s.mayOrder(t, now) {
+			if t.stop || c.job.Ended() || withheld[t.step] || !s.mayOrder(t, now) {
 				s.release(t)
 				continue
 			}
@@ -76,6 +77,32 @@
 	return orders, settled
 }
 
+// withheldGangs returns the gangs of a change of which some member may not be ordered. The others would wait for it.
+func (s *State) withheldGangs(c Change, now time.Time) map[*Step]bool {
+	var withheld map[*Step]bool
+	for _, t := range c.orders {
+		if t.step.spec.GetGang() && (t.phase != phasePlanned || t.worker == nil || t.stop || !s.mayOrder(t, now)) {
+			if withheld == nil {
+				withheld = map[*Step]bool{}
+			}
+			withheld[t.step] = true
+		}
+	}
+	return withheld
+}
+
+// releaseUnstarted releases a task whose run does not begin. The other members of a gang would wait for it, so they are
+// stopped.
+func (s *State) releaseUnstarted(t *Task) {
+	s.release(t)
+	if !t.step.spec.GetGang() {
+		return
+	}
+	for i := range t.step.tasks {
+		s.requestStop(&t.step.tasks[i], "member of the gang did not start")
+	}
+}
+
 // addEnd adds the end of a run to the job's next change; it is acknowledged once that change is durable.
 func (j *Job) addEnd(w *Worker, number int64) {
 	j.ends = append(j.ends, pendingEnd{worker: w, incarnation: w.Info.Incarnation, number: number})
@@ -98,7 +125,7 @@
 		return false
 	}
 	if t.stop || t.step.job.Ended() || !s.mayOrder(t, now) {
-		s.release(t)
+		s.releaseUnstarted(t)
 		return false
 	}
 	return true
@@ -107,7 +134,7 @@
 // Withdraw gives up a run whose start order was not sent. The task waits for a worker again.
 func (s *State) Withdraw(t *Task, run int32) {
 	if t.run == run && t.worker != nil && t.phase == phaseOrdered {
-		s.release(t)
+		s.releaseUnstarted(t)
 	}
 }
 
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -331,18 +331,18 @@
 		t.step.job.started = true
 	case errors.Is(err, infra.ErrTicketInvalid):
 		delete(t.step.advice.tickets, w.Info.ID)
-		s.release(t)
+		s.releaseUnstarted(t)
 	case errors.Is(err, infra.ErrWorkerUnhealthy), errors.Is(err, infra.ErrWorkerFull):
 		w.suspend(now)
-		s.release(t)
+		s.releaseUnstarted(t)
 	case errors.Is(err, infra.ErrOrderInvalid), errors.Is(err, infra.ErrWorkerMismatch):
 		w.suspend(now)
-		s.release(t)
+		s.releaseUnstarted(t)
 	case errors.Is(err, infra.ErrNotSent):
 		s.RenewFailed(w, now)
-		s.release(t)
+		s.releaseUnstarted(t)
 	case errors.Is(err, infra.ErrStaleRun), errors.Is(err, infra.ErrOrderLeaseExpired), errors.Is(err, infra.ErrFenced):
-		s.release(t)
+		s.releaseUnstarted(t)
 	default:
 		// The order may or may not have arrived. The run is stopped; if it has begun, it ends with a checkpoint.
 		t.unconfirmed = true
