Check a worker's room again before a start is sent

What callers would see: a start that brings a worker over its capacity (LIMIT), because the worker shrank after the plan, while the commit was under way or while the order waited behind others.

Cause: service, zone, drain and ticket were checked again before an order, but not the room, since a worker's capacity was taken for constant.

Change: mayOrder compares what is ahead on the worker (runs that are being stopped included) with the newest capacity, before the commit's orders are queued and again just before each is sent. Of a gang, all members have to fit or none is ordered.

TestStartsOnAShrunkenWorkerAreWithheld and TestGangOnAShrunkenWorkerIsWithheld failed before (8 orders instead of 3, 4 instead of 0). TestStepWaitsWhileWorkersAre Small and TestStoppingRunsCountOnAShrunkenWorker held already: a step that fits no worker starts within one second of growth.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -5,6 +5,7 @@
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
 	"siskinstack.example/siskinstack/infra"
+	"siskinstack.example/siskinstack/resource"
 )
 
 // Change is the progress of one job to be committed to the store.
@@ -128,6 +129,7 @@
 		s.releaseUnstarted(t)
 		return false
 	}
+	t.sent = true
 	return true
 }
 
@@ -146,7 +148,44 @@
 	if p.isAdvised() && !t.step.advice.tickets[w.Info.ID].isValid(w, now) {
 		return false
 	}
-	return w.Listed && w.reachable && !w.Info.Draining && !w.cordoned && s.isSuitable(p, w)
+	return w.Listed && w.reachable && !w.Info.Draining && !w.cordoned && s.isSuitable(p, w) && w.hasRoomFor(t)
+}
+
+// hasRoomFor reports whether the worker still has the capacity for a task that is planned on it. A worker may shrink after
+// the plan. It then starts the tasks that fit beside those that are ahead, including runs that are being stopped: before
+// the commit those that are ordered, and before an order is sent those whose order has been sent.
+func (w *Worker) hasRoomFor(t *Task) bool {
+	if w.allocated.Fits(w.Info.Capacity) {
+		return true
+	}
+	ahead := func(other *Task) bool {
+		switch {
+		case other == t:
+			return false
+		case t.step.spec.GetGang():
+			// All members start, so all that is planned has to fit.
+			return true
+		case t.phase == phasePlanned:
+			return other.phase != phasePlanned
+		default:
+			return other.sent
+		}
+	}
+	var sum resource.Vector
+	for other := range w.tasks {
+		if ahead(other) {
+			sum = sum.Add(other.allocation())
+		}
+	}
+	return fitsBeside(t.allocation(), sum, w.Info.Capacity)
+}
+
+// fitsBeside reports whether an amount fits beside others. A dimension of which it takes nothing does not count.
+func fitsBeside(amount, others, capacity resource.Vector) bool {
+	fits := func(amount, others, capacity int64) bool { return amount == 0 || amount+others <= capacity }
+	return fits(amount.MilliCPU, others.MilliCPU, capacity.MilliCPU) &&
+		fits(amount.MemoryBytes, others.MemoryBytes, capacity.MemoryBytes) &&
+		fits(amount.Accelerators, others.Accelerators, capacity.Accelerators)
 }
 
 // Start returns the order to start a planned run.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -88,6 +88,8 @@
 	incarnation int64
 	checkpoint  string
 	phase       runPhase
+	// sent is true once the start order may have left.
+	sent bool
 	// unconfirmed is true if the start order was not answered, so that the run may or may not exist.
 	unconfirmed bool
 	// orderedAt is when the start order was answered or given up, or when the run was first reported.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -172,7 +172,7 @@
 	}
 	if t.phase != phaseActive {
 		t.phase, t.progressAt = phaseActive, now
-		t.orderedAt = now
+		t.orderedAt, t.sent = now, true
 		if t.restored {
 			t.orderedAt = now.Add(-time.Duration(max(0, unixMs-t.plannedUnixMs)) * time.Millisecond)
 			t.restored = false
@@ -324,7 +324,7 @@
 		return
 	}
 	w := t.worker
-	t.orderedAt = now
+	t.orderedAt, t.sent = now, true
 	switch {
 	case err == nil:
 		t.phase, t.progressAt, t.incarnation = phaseActive, now, w.Info.Incarnation
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -174,7 +174,7 @@
 		s.workers[saved.GetWorker()] = w
 	}
 	s.place(t, w)
-	t.phase = phaseOrdered
+	t.phase, t.sent = phaseOrdered, true
 	s.beginProbe(t)
 }
 
@@ -319,7 +319,7 @@
 	t.unconfirmed, t.stop, t.stopping, t.stopReason = false, false, false, ""
 	t.stopAnsweredAt, t.stopAfter, t.orderedAt = time.Time{}, time.Time{}, time.Time{}
 	t.percent, t.progressAt = 0, time.Time{}
-	t.restored = false
+	t.restored, t.sent = false, false
 	j := t.step.job
 	if !t.done {
 		t.step.waiting++
