Let the emulator and the soak play crashing tasks and shrinking workers

The soak could not have found either fault of the incident: its workers crashed only by a fault of their own, never with a task, and kept their capacity.

The emulator lists the machines of its workers. A job without such a task must not fail unless a worker failed tasks.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"siskinstack.example/siskinstack/platform/emulator"
@@ -27,6 +28,8 @@
 	cancelOneIn    = 12
 	retryOneIn     = 2
 	secondKeyOneIn = 5
+	// crashOneIn is the share of jobs with a task that crashes its workers, while such jobs are submitted.
+	crashOneIn = 8
 	// memoryMB is what each task declares, far below a worker's memory, so that processors are the scarce resource.
 	memoryMB = 256
 
@@ -45,6 +48,8 @@
 type job struct {
 	id, queue string
 	steps     []emulator.Step
+	// crashes is true if the first task crashes each worker that starts it.
+	crashes bool
 
 	mu sync.Mutex // guards the fields below
 	// accepted is true after a successful call, unknown after a call whose outcome is unknown.
@@ -60,6 +65,17 @@
 	mu   sync.Mutex // guards all and list
 	all  map[string]*job
 	list []*job // in order of submission
+	// crashing is true while jobs with a task that crashes its workers are submitted.
+	crashing atomic.Bool
+}
+
+// crashesWorkers reports whether a task crashes each worker that starts it.
+func (j *jobs) crashesWorkers(task string) bool {
+	id, rest, _ := strings.Cut(task, ".")
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	known := j.all[id]
+	return known != nil && known.crashes && rest == "0.0.0"
 }
 
 func (j *jobs) add(added *job) {
@@ -121,6 +137,7 @@
 			next.After = []int32{0}
 			added.steps = append(added.steps, next)
 		}
+		added.crashes = r.jobs.crashing.Load() && n%crashOneIn == 0
 		r.jobs.add(added)
 		first, retries := random.IntN(len(r.machines)), random.IntN(retryOneIn) == 0
 		cancels, caller := random.IntN(cancelOneIn) == 0, client
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -49,8 +49,16 @@
 	"worker fails":           failWorker,
 	"key revoked":            revokeKey,
 	"zone evacuated":         evacuateZone,
+	crashingTasks:            submitCrashingTasks,
+	workerShrinks:            shrinkWorker,
 }
 
+// Kinds of faults that are drawn after all others, so that the faults of a recorded seed stay the same.
+const (
+	crashingTasks = "tasks crash workers"
+	workerShrinks = "worker shrinks"
+)
+
 // kindNames lists the kinds in a fixed order, so that a seed draws the same faults in every run. Repeated kinds are more
 // likely.
 var kindNames = []string{
@@ -82,9 +90,38 @@
 		f.Target = random.IntN(options.Machines * workersPerMachine)
 		faults = append(faults, f)
 	}
+	later := rand.New(rand.NewPCG(options.Seed, laterKinds))
+	for _, kind := range []string{crashingTasks, workerShrinks, workerShrinks} {
+		faults = append(faults, Fault{
+			At:   time.Duration(later.Int64N(int64(options.Length))),
+			For:  shortestFault + time.Duration(later.Int64N(int64(longestFault-shortestFault))),
+			Kind: kind, Target: later.IntN(options.Machines * workersPerMachine),
+		})
+	}
 	return faults
 }
 
+// laterKinds is the stream of a seed from which the kinds are drawn that do not belong to kindNames.
+const laterKinds = 3
+
+// submitCrashingTasks makes the first task of some of the jobs that are submitted meanwhile crash its workers.
+func submitCrashingTasks(r *run, _ Fault) (func() error, error) {
+	r.jobs.crashing.Store(true)
+	return func() error {
+		r.jobs.crashing.Store(false)
+		return nil
+	}, nil
+}
+
+// shrinkWorker halves the capacity of a worker. Tasks that run there go on.
+func shrinkWorker(r *run, f Fault) (func() error, error) {
+	worker := r.workerOf(f)
+	half := workerCapacity
+	half.MilliCPU /= 2
+	return func() error { return r.platform.Resize(context.Background(), worker, workerCapacity) },
+		r.platform.Resize(context.Background(), worker, half)
+}
+
 func (r *run) machineOf(f Fault) *machine { return r.machines[f.Target%len(r.machines)] }
 
 func (r *run) workerOf(f Fault) int { return f.Target % len(r.platform.Workers) }
--- a/soak/machine_test.go
+++ b/soak/machine_test.go
@@ -81,7 +81,7 @@
 	}
 	text := emulator.Settings(emulator.Machine{
 		Name: name, Zone: zone, Frontend: m.frontend, Readiness: at(ports[1]), PeerPort: ports[2],
-		Store: store.address(), Advisor: p.AdvisorAddress,
+		Store: store.address(), Advisor: p.AdvisorAddress, Machines: p.MachinesAddress,
 	})
 	const ownerOnly = 0o600
 	return m, eris.Wrap(os.WriteFile(m.settings, []byte(text), ownerOnly), "settings")
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -61,6 +61,9 @@
 
 // Report is the result of a run.
 type Report struct {
+	// Crashing is the number of accepted jobs with a task that crashes its workers, GivenUp that of those that failed.
+	Crashing   int      `json:"crashing"`
+	GivenUp    int      `json:"given_up"`
 	Seed       uint64   `json:"seed"`
 	Faults     []string `json:"faults"`
 	Jobs       int      `json:"jobs"`
@@ -144,6 +147,7 @@
 	if err != nil {
 		return err
 	}
+	r.platform.SetCrashing(r.jobs.crashesWorkers)
 	if err := r.configure(true); err != nil {
 		return err
 	}
@@ -292,8 +296,8 @@
 		if j.state == cancelled && !j.cancelled {
 			r.reportViolation("job %s is cancelled although no caller cancelled it", j.id)
 		}
-		if j.state == failed && !r.mayFail.Load() {
-			r.reportViolation("job %s failed although no worker failed a task", j.id)
+		if j.state == failed && !j.crashes && !r.mayFail.Load() {
+			r.reportViolation("job %s failed although no worker failed a task and none of its tasks crashes workers", j.id)
 		}
 	}
 }
@@ -314,6 +318,8 @@
 		count(&report.Refused, j.refused)
 		count(&report.Unknown, j.unknown && !j.accepted)
 		count(&report.Completed, j.state == completed)
+		count(&report.Crashing, j.crashes && j.accepted)
+		count(&report.GivenUp, j.crashes && j.state == failed)
 	}
 }
 
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -31,6 +31,7 @@
 	failing      map[string]bool
 	// done is the set of tasks whose success was acknowledged.
 	done       map[string]bool
+	faults     fleetFaults
 	violations []string
 }
 
@@ -58,7 +59,7 @@
 func NewFleet(runFor time.Duration) *Fleet {
 	return &Fleet{
 		RunFor: runFor, workers: map[string]*fleetWorker{}, starts: map[string]int{}, unresponsive: map[string]bool{},
-		failing: map[string]bool{}, done: map[string]bool{},
+		failing: map[string]bool{}, done: map[string]bool{}, faults: newFleetFaults(),
 	}
 }
 
@@ -81,6 +82,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	incarnation := f.worker(id).incarnation + 1
+	delete(f.faults.down, id)
 	f.workers[id] = newFleetWorker(incarnation)
 	return incarnation
 }
@@ -165,6 +167,9 @@
 		f.mu.Lock()
 		return nil, ctx.Err()
 	}
+	if f.faults.down[id] {
+		return nil, errNoResponse
+	}
 	w := f.worker(id)
 	if epoch < w.epoch {
 		return nil, infra.ErrFenced
@@ -210,6 +215,7 @@
 	w.active[order.Task] = fleetRun{
 		ActiveRun: infra.ActiveRun{Task: order.Task, Run: order.Run}, startedAt: now, finishAt: now.Add(f.RunFor),
 	}
+	f.crashOnStart(worker.ID, order.Task, w.incarnation)
 	return w.clockMs(), nil
 }
 
@@ -232,7 +238,7 @@
 	for task := range w.active {
 		used = used.Add(f.DeclaredResources(task))
 	}
-	if !used.Fits(worker.Capacity) {
+	if !used.Fits(f.capacityOf(worker.ID, worker.Capacity)) {
 		f.recordViolation("%s does not fit on %s", order.Task, worker.ID)
 	}
 }
