Count crashes of workers that end together

Cause: three workers of a zone that end between two listings were taken for a loss of power, and their crashes did not count. With four such tasks a second, each listing found several workers, their tasks were restarted together, and the next listing found them together again.

Change: a common cause is assumed only if at least half of the workers had not just started a task, and such a loss still counts as a possible crash of tasks that had just begun, so that no pattern of losses goes uncounted.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -28,7 +28,7 @@
 	// lossesToGiveUp is that of all crashes and possible crashes.
 	promptToGiveUp, lossesToGiveUp = 2, 3
 	// commonCauseWorkers is the number of workers of one availability zone whose end at the same time has another cause
-	// than a task, such as a loss of power.
+	// than a task, such as a loss of power, unless most of them had just started one.
 	commonCauseWorkers = 3
 	// crashMemory is the age of a run after which earlier crashes of the task no longer count. Long-running tasks would
 	// otherwise be suspects after three ordinary crashes in months.
@@ -78,8 +78,9 @@
 // loss says how runs were lost with their worker.
 type loss struct {
 	reason string
-	// crashed is true if the worker is known to have ended, otherCause if that is known to have another cause than a task.
-	crashed, otherCause bool
+	// crashed is true if the worker is known to have ended, and commonCause if others have probably ended for the same
+	// reason, which is not a task.
+	crashed, commonCause bool
 	// now and unixMs are the time at which the loss was found out.
 	now    time.Time
 	unixMs int64
@@ -146,7 +147,7 @@
 			"age_ms", r.age.Milliseconds())
 		s.release(r.task)
 	}
-	if w.hasReasonToLeave() || l.otherCause || !l.crashed && w.cutOff {
+	if w.hasReasonToLeave() || !l.crashed && w.cutOff {
 		return
 	}
 	counted := map[*Task]bool{}
@@ -165,12 +166,13 @@
 func (s *State) countCrash(r lostRun) {
 	t := r.task
 	j := t.step.job
-	if j.Ended() || t.done || !r.crashed && !r.fresh {
+	certain := r.crashed && !r.commonCause
+	if j.Ended() || t.done || !certain && !r.fresh {
 		return
 	}
 	c := &t.crashCounter().crashes
 	switch {
-	case !r.begun || !r.crashed:
+	case !r.begun || !certain:
 		c.possible++
 	case r.age <= promptCrash:
 		c.certain++
@@ -193,19 +195,23 @@
 // released without waiting for the leases.
 func (s *State) WorkersEnded(workers []*Worker, now time.Time, unixMs int64) {
 	workers = slices.DeleteFunc(workers, func(w *Worker) bool { return w.ended })
-	zones := map[string]int{}
-	for _, w := range workers {
-		zones[w.Info.Zone]++
-	}
+	l := loss{reason: "worker ended", crashed: true, now: now, unixMs: unixMs}
+	all, explained := map[string]int{}, map[string]int{}
 	for _, w := range workers {
 		if w.reachable || w.lostAt.IsZero() {
 			w.lostAt = now
 		}
-		others := zones[w.Info.Zone] - 1
-		s.log.Decision("worker ended", "", "worker", w.Info.ID, "tasks", len(w.tasks), "others_of_zone", others)
-		s.loseRuns(w, runsOf(w), loss{
-			reason: "worker ended", crashed: true, otherCause: others+1 >= commonCauseWorkers, now: now, unixMs: unixMs,
-		})
+		all[w.Info.Zone]++
+		if slices.ContainsFunc(runsOf(w), func(t *Task) bool { return l.of(t, w).fresh }) {
+			explained[w.Info.Zone]++
+		}
+	}
+	for _, w := range workers {
+		zone := w.Info.Zone
+		l.commonCause = all[zone] >= commonCauseWorkers && 2*explained[zone] <= all[zone]
+		s.log.Decision("worker ended", "", "worker", w.Info.ID, "tasks", len(w.tasks), "others_of_zone", all[zone]-1,
+			"common_cause", l.commonCause)
+		s.loseRuns(w, runsOf(w), l)
 		w.ended, w.leaseEnd = true, now
 		w.setReachable(false)
 		s.index.update(w)
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -350,3 +350,57 @@
 	assert.Equal(t, s.state.Job("deadly").Phase, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED)
 	assert.Equal(t, s.crashed["deadly.0.0.1"], 2)
 }
+
+// Guards against crashes that are not counted because several tasks crash workers of one zone at the same time, and
+// against tasks that are given up because their zone lost power again and again.
+func TestWorkersThatEndTogether(t *testing.T) {
+	zone := func(s *crashSim, n int) []*Worker {
+		var workers []*Worker
+		for _, w := range s.workers {
+			if w.Info.Zone == "zone-0" && len(workers) < n {
+				workers = append(workers, w)
+			}
+		}
+		return workers
+	}
+	end := func(s *crashSim, workers []*Worker) {
+		for _, w := range workers {
+			s.endWorker(w)
+		}
+		s.state.WorkersEnded(workers, s.now, s.unixMs())
+	}
+	t.Run("each with a task that had just begun", func(t *testing.T) {
+		s := newCrashSim(t, 12)
+		for n := range 4 {
+			big := step(1, testMilliCPU)
+			s.state.AddJob(job(fmt.Sprintf("deadly%d", n), big), nil)
+		}
+		for range 4 {
+			s.step()
+			var hit []*Worker
+			for _, w := range s.workers {
+				if len(s.running[w]) > 0 {
+					w.Info.Zone = "zone-0"
+					hit = append(hit, w)
+				}
+			}
+			end(s, hit)
+			s.now = s.now.Add(40 * time.Millisecond)
+		}
+		for n := range 4 {
+			id := fmt.Sprintf("deadly%d", n)
+			assert.Equal(t, s.state.Job(id).Phase, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED)
+			assert.Equal(t, s.crashed[id+".0.0.0"], 2)
+		}
+	})
+	t.Run("loss of power", func(t *testing.T) {
+		s := newCrashSim(t, 24)
+		s.state.AddJob(job("harmless", step(12, 1000)), nil)
+		for range 3 {
+			s.run(100 * time.Millisecond)
+			end(s, zone(s, 8))
+		}
+		s.run(20 * time.Second)
+		assert.Equal(t, s.state.Job("harmless").Phase, siskinv1.WorkflowPhase_WORKFLOW_PHASE_SUCCEEDED)
+	})
+}
