Put fewer tasks on trial that stood beside a crash

Callers of harmless tasks waited: each task that had begun within 250 ms of a crash was tried alone on a quiet worker, three to five for each crash, although the tasks that crash workers do so after 2 to 20 ms.

Change: the window is 100 ms, and a worker with a task on trial reports after 150 ms. A task that crashes its workers later is still found by its third crash.

--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -13,7 +13,7 @@
 	// renewWait is the longest time that a worker holds a renewal open until a task ends (long poll).
 	renewWait = time.Second
 	// trialRenewWait is the same while the worker runs a suspect, whose trial ends with a report after its startup window.
-	trialRenewWait = 300 * time.Millisecond
+	trialRenewWait = 150 * time.Millisecond
 	// renewSlack is added to the time that a renewal is held open to get its timeout. It covers delays of a busy machine.
 	renewSlack = 800 * time.Millisecond
 	// maxSenders is the number of start orders that may be under way to one worker. Starts on a worker come in groups, and
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -14,8 +14,8 @@
 
 const (
 	// startupWindow is the age up to which a run may have crashed its worker by starting. Tasks that do so end it within
-	// tens of milliseconds; restoring a checkpoint takes up to 250 ms.
-	startupWindow = 250 * time.Millisecond
+	// tens of milliseconds. A longer window puts more tasks on trial that only had begun at about the same time.
+	startupWindow = 100 * time.Millisecond
 	// takeoverWindow is the same for a run that an earlier controller planned. It covers the commit of the plan, the end
 	// of that controller's lease and the recovery.
 	takeoverWindow = 3 * time.Second
