List the machines sooner after a worker is lost

Change: the least interval is 50 ms, and twice the duration of the last listing, so that a slow service or a fleet of several pages is not called more often than before.

--- a/controller/machines.go
+++ b/controller/machines.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// machinesMinInterval is the least time between two listings of the machines. The platform bounds the listings of all
-	// VMs together, and each is a priced call.
-	machinesMinInterval = 100 * time.Millisecond
+	// machinesMinInterval is the least time between two listings of the machines. The platform bounds the calls of all VMs
+	// together, and each is priced.
+	machinesMinInterval = 50 * time.Millisecond
+	// machinesRest is the least time between two listings as a multiple of the duration of the last one, which grows with
+	// the number of pages and when the service is slow.
+	machinesRest = 2
 	// machinesMaxInterval is the longest time between two listings while workers that do not answer have tasks.
 	machinesMaxInterval = time.Second
 	// newWorkersDelay is the time after which a new worker is looked up, so that one listing serves several.
@@ -79,6 +82,7 @@
 			_ = t.Clock.Sleep(ctx, storeRetryDelay)
 			continue
 		}
+		began := t.now()
 		workers := t.workersToLookUp()
 		listing, err := t.listMachines(ctx)
 		waiting := true
@@ -88,7 +92,7 @@
 			waiting = t.applyMachines(watch, listing, workers)
 		}
 		interval = nextMachinesInterval(interval, waiting)
-		_ = t.Clock.Sleep(ctx, machinesMinInterval)
+		_ = t.Clock.Sleep(ctx, max(machinesMinInterval, machinesRest*t.now().Sub(began)))
 	}
 }
 
