--- a/node/operations_test.go
+++ b/node/operations_test.go
@@ -225,3 +225,19 @@
 		assert.Assert(t, strings.Contains(fmt.Sprint(trace), "worker=w"), "the trace names no worker of a failed run")
 	})
 }
+
+// Guards against a job that failed because its task crashes workers, and whose trace shows neither the crashes nor the
+// cause.
+func TestTraceOfATaskThatCrashesItsWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 4, 500*time.Millisecond)
+		s.fleet.SetCrashing(func(task string) bool { return strings.HasPrefix(task, tracedJob) }, func(worker string) {
+			time.AfterFunc(time.Second, func() { s.fleet.Restart(worker) })
+		})
+		a := s.start("a")
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, a.submit(tracedJob, step(1)))
+		time.Sleep(20 * time.Second)
+		assertTrace(t, s.log.trace(t, tracedJob), pageTraces(t, "4.")[0])
+	})
+}
