Do not hold a ceiling for tasks that no worker can start

What callers saw (sitetest, a zone cut off while a ceiling is lowered): work of a team waited for 20 s although its ceiling was free of running work.

Jobs are not parked while no worker is usable, since that is also the state just after a takeover, so they counted.

Change: without a usable worker a shard's demand is what it runs. When workers answer, the demand rises and the shard asks for the ceiling as usual.

TestWaitingTasksWithoutAUsableWorkerAreNoDemand failed before (10 cores instead of 2).

--- a/scheduler/demand_test.go
+++ b/scheduler/demand_test.go
@@ -60,3 +60,19 @@
 	c.SetTeam(scheduler.Team{Name: "birch", Share: 1, Limit: unlimited})
 	assert.Equal(t, len(c.Plan(2*time.Second, 10).Starts), 1)
 }
+
+// TestWaitingTasksWithoutAUsableWorkerAreNoDemand guards against a shard that holds most of a team's ceiling for tasks
+// that it cannot start, because its owner reaches none of the workers, while another shard has work for it.
+func TestWaitingTasksWithoutAUsableWorkerAreNoDemand(t *testing.T) {
+	c := newCell(t, 1, vector(8, 8, 0))
+	submit(t, c, tasks("a", scheduler.Batch, vector(2, 2, 0), 1))
+	assert.Equal(t, len(c.Plan(time.Second, 10).Starts), 1)
+	submit(t, c, tasks("b", scheduler.Batch, vector(2, 2, 0), 4))
+	assert.Equal(t, c.TeamDemand("atlas"), vector(10, 10, 0))
+	worker := scheduler.Worker{Name: workerName(0), Rack: workerName(0), Capacity: vector(8, 8, 0), Leaving: true}
+	c.SetWorker(worker)
+	assert.Equal(t, c.TeamDemand("atlas"), vector(2, 2, 0))
+	worker.Leaving = false
+	c.SetWorker(worker)
+	assert.Equal(t, c.TeamDemand("atlas"), vector(10, 10, 0))
+}
--- a/scheduler/team.go
+++ b/scheduler/team.go
@@ -71,12 +71,16 @@
 
 // TeamDemand returns what a team would have running if all its queued tasks whose jobs are not parked had started. Each
 // queued task counts with its allocation on the largest worker, which exceeds the declared size if the learned one is larger.
+// Without a usable worker queued tasks do not count: they would hold a part of the ceiling that other shards could use.
 func (c *Cell) TeamDemand(name string) resource.Vector {
 	t, ok := c.teams[name]
 	if !ok {
 		return resource.Vector{}
 	}
 	demand := t.running
+	if len(c.capacityCounts) == 0 {
+		return demand
+	}
 	for _, s := range c.shapes {
 		if s.waiting > 0 && s.class.team == name {
 			c.refreshShape(s, t)
