Call the second start of a suspect a probe

A newcomer would have confused it with the trial of a suspended worker, which has the fields onTrial and trialStarts beside it.

--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -12,8 +12,8 @@
 const (
 	// renewWait is the longest time that a worker holds a renewal open until a task ends (long poll).
 	renewWait = time.Second
-	// trialRenewWait is the same while the worker runs a suspect, whose trial ends with a report after its startup window.
-	trialRenewWait = 150 * time.Millisecond
+	// probeRenewWait is the same while the worker probes a suspect, which ends with a report after the startup window.
+	probeRenewWait = 150 * time.Millisecond
 	// renewSlack is added to the time that a renewal is held open to get its timeout. It covers delays of a busy machine.
 	renewSlack = 800 * time.Millisecond
 	// maxSenders is the number of start orders that may be under way to one worker. Starts on a worker come in groups, and
@@ -95,8 +95,8 @@
 		t.mu.Lock()
 		known := t.state.Worker(s.worker.Info.ID) == s.worker
 		wait := renewWait
-		if s.worker.OnTrial() {
-			wait = trialRenewWait
+		if s.worker.IsProbing() {
+			wait = probeRenewWait
 		}
 		if s.clockMs == 0 || !s.worker.Reachable() {
 			wait = 0
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -9,12 +9,12 @@
 )
 
 // Some tasks end each worker that starts them, and all other runs on it. A task whose run had just begun when its worker
-// crashed is a suspect: it is tried once more on a worker that starts nothing else meanwhile, so that a second crash
-// tells it from the tasks beside it, and is then given up with its job.
+// crashed is a suspect. It is probed: started once more on a worker that starts nothing else meanwhile, so that a second
+// crash tells it from the tasks beside it. It is then given up with its job.
 
 const (
 	// startupWindow is the age up to which a run may have crashed its worker by starting. Tasks that do so end it within
-	// tens of milliseconds. A longer window puts more tasks on trial that only had begun at about the same time.
+	// tens of milliseconds. With a longer window more tasks are probed that only began at about the same time.
 	startupWindow = 100 * time.Millisecond
 	// takeoverWindow is the same for a run that an earlier controller planned. It covers the commit of the plan, the end
 	// of that controller's lease and the recovery.
@@ -24,7 +24,7 @@
 	// promptCrash is the age of a run up to which its worker crashed at once. Tasks that crash their worker do so after 2
 	// to 20 ms, so that older runs beside them differ even if both are within startupWindow.
 	promptCrash = 50 * time.Millisecond
-	// promptToGiveUp is the number of prompt crashes after which a task whose worker crashed on trial is given up.
+	// promptToGiveUp is the number of prompt crashes after which a task whose worker crashed during a probe is given up.
 	// lossesToGiveUp is that of all crashes and possible crashes.
 	promptToGiveUp, lossesToGiveUp = 2, 3
 	// commonCauseWorkers is the number of workers of one availability zone whose end at the same time has another cause
@@ -95,8 +95,8 @@
 	// begun is true if the run was confirmed, and age is how long it had been; fresh is true if it may have just begun.
 	begun, fresh bool
 	age          time.Duration
-	// onTrial is true if the task was a suspect and nothing else was started on the worker meanwhile.
-	onTrial bool
+	// probed is true if the run was a probe of the task: nothing else was started on the worker meanwhile.
+	probed bool
 }
 
 // unknownAge is the age of a run that no answer or report has confirmed.
@@ -136,9 +136,9 @@
 	for _, t := range tasks {
 		r := l.of(t, w)
 		if probe != nil {
-			// Nothing else was started beside a task on trial.
-			r.onTrial = t.crashCounter() == probe.crashCounter()
-			r.fresh = r.onTrial
+			// Nothing else was started beside a task that is probed.
+			r.probed = t.crashCounter() == probe.crashCounter()
+			r.fresh = r.probed
 		}
 		lost = append(lost, r)
 	}
@@ -162,7 +162,7 @@
 // hasReasonToLeave reports whether the end of a worker was announced.
 func (w *Worker) hasReasonToLeave() bool { return w.Info.Draining || w.cordoned }
 
-// countCrash counts the crash of a worker under a task, and gives the task up with its job if it was on trial.
+// countCrash counts the crash of a worker under a task, and gives the task up with its job if it was being probed.
 func (s *State) countCrash(r lostRun) {
 	t := r.task
 	j := t.step.job
@@ -183,8 +183,8 @@
 	c.suspect = r.fresh || c.losses() >= crashesToSuspect
 	s.markDirty(j)
 	s.log.Decision("crash counted", j.Record.GetId(), "task", t.ID(), "run", r.run, "worker", r.worker, "reason", r.reason,
-		"age_ms", r.age.Milliseconds(), "crashes", c.certain, "possible", c.possible, "suspect", c.suspect, "on_trial", r.onTrial)
-	if r.onTrial && (c.prompt >= promptToGiveUp || c.losses() >= lossesToGiveUp) {
+		"age_ms", r.age.Milliseconds(), "crashes", c.certain, "possible", c.possible, "suspect", c.suspect, "probed", r.probed)
+	if r.probed && (c.prompt >= promptToGiveUp || c.losses() >= lossesToGiveUp) {
 		s.log.Decision("failed", j.Record.GetId(), "task", t.ID(), "cause", "crashes its workers", "crashes", c.certain,
 			"possible", c.possible)
 		s.endJob(j, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED, r.unixMs)
@@ -235,7 +235,7 @@
 	}
 }
 
-// beginProbe reserves the worker of a planned run for the task if it is a suspect.
+// beginProbe reserves the worker of a planned run for the task if it is a suspect, so that nothing else starts there.
 func (s *State) beginProbe(t *Task) {
 	if t.isSuspect() && t.worker.probe == nil {
 		t.worker.probe = t
@@ -254,7 +254,7 @@
 }
 
 // clearSuspects clears the suspects whose worker has reported after their startup window. Those that were older in earlier
-// crashes stay on trial until their run ends.
+// crashes are probed until their run ends.
 func (s *State) clearSuspects() {
 	for t := range s.probes {
 		c := &t.crashCounter().crashes
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,7 +36,7 @@
 	ended bool
 	// cutOff is true if the platform has listed the worker as running since it was lost.
 	cutOff bool
-	// probe is the suspect that has the worker's next starts to itself, or nil.
+	// probe is the suspect for which the worker is reserved until its startup window is over, or nil.
 	probe *Task
 	// leaseEnd is when all runs on the worker have ended unless the lease is renewed.
 	leaseEnd time.Time
@@ -98,8 +98,8 @@
 // Reachable reports whether the worker answered its last renewal.
 func (w *Worker) Reachable() bool { return w.reachable }
 
-// OnTrial reports whether the worker runs a suspect.
-func (w *Worker) OnTrial() bool { return w.probe != nil }
+// IsProbing reports whether the worker runs a task that may have crashed another worker.
+func (w *Worker) IsProbing() bool { return w.probe != nil }
 
 // Tasks returns the number of tasks that are assigned to the worker.
 func (w *Worker) Tasks() int { return len(w.tasks) }
