--- a/demo/promises/requests.go
+++ b/demo/promises/requests.go
@@ -166,7 +166,8 @@
 		return within(run.Started, attempt.Sent, attempt.Done)
 	})
 	if attempt.Outcome == Unknown && (inFlight || ran) {
-		v.addViolation("%q lost its response when %s stopped", body, stop.VM)
+		v.addViolation("%q lost its response when %s stopped (sent %s and done %s after the stop began)", body, stop.VM,
+			attempt.Sent.Sub(stop.Begun).Round(time.Millisecond), attempt.Done.Sub(stop.Begun).Round(time.Millisecond))
 	}
 }
 
