--- a/review/cases/cancel.go
+++ b/review/cases/cancel.go
@@ -21,7 +21,7 @@
 // an answer and cancels the job.
 func cancelled(s *rig.Site, trouble bool) (verdict, error) {
 	const job = "00000000000000e1"
-	if err := deploy(s); err != nil {
+	if err := deploy(s, runnerCount); err != nil {
 		return verdict{}, err
 	}
 	node := s.Nodes[0]
--- a/review/cases/ends.go
+++ b/review/cases/ends.go
@@ -40,7 +40,7 @@
 // ends runs a job of many small tasks, which fit on one runner. The store is down while they end.
 func ends(s *rig.Site, trouble bool) (verdict, error) {
 	s.WorkOf = func(string, int64) rig.Work { return rig.Work{Lasts: smallTaskTime, How: "done"} }
-	if err := deploy(s); err != nil {
+	if err := deploy(s, runnerCount); err != nil {
 		return verdict{}, err
 	}
 	jobs := make([]string, smallJobs)
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -95,10 +95,10 @@
 }
 
 // deploy starts runners and three nodes, one in each zone, and waits until they serve.
-func deploy(s *rig.Site) error {
+func deploy(s *rig.Site, runners int) error {
 	zones := []string{"taichung-a", "taichung-b", "taichung-c"}
 	s.Configure(1, maxAttempts)
-	for i := range runnerCount {
+	for i := range runners {
 		if _, err := s.AddRunner(fmt.Sprintf("i-%04d", i), zones[i%len(zones)], plainLabels(i), runnerCPU, runnerMemMB); err != nil {
 			return err
 		}
--- a/review/cases/trial.go
+++ b/review/cases/trial.go
@@ -40,7 +40,7 @@
 	if !trouble {
 		close(bad)
 	}
-	if err := deploy(s); err != nil {
+	if err := deploy(s, runnerCount); err != nil {
 		return verdict{}, err
 	}
 	client := s.Client(s.Nodes[0])
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -17,6 +17,7 @@
 	EstimateMs  int64  `json:"estimateMs,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
 	Image       string `json:"image,omitempty"`
+	Gang        bool   `json:"gang,omitempty"`
 }
 
 // Client calls one node as a client does.
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -153,6 +153,7 @@
 	server := r.server
 	for _, active := range r.life.active {
 		r.site.event(Event{Kind: "gone", Runner: r.ID, Task: active.task, Run: active.run, How: "crash"})
+		r.site.leave(active.task, active.run, "crash")
 	}
 	r.life.active = map[string]*run{}
 	r.mu.Unlock()
@@ -255,6 +256,7 @@
 	}
 	started := &run{task: body.Task, run: body.Run, started: time.Now(), work: r.site.WorkOf(body.Task, body.Run)}
 	l.active[body.Task] = started
+	r.site.join(body.Task, body.Run)
 	r.site.event(Event{Kind: "start", Runner: r.ID, Task: body.Task, Run: body.Run, Fence: body.Fence})
 	return http.StatusOK, ""
 }
@@ -359,7 +361,7 @@
 			r.site.event(Event{Kind: "lapse", Runner: r.ID})
 		}
 		for _, a := range l.active {
-			if how := a.ended(l); how != "" {
+			if how := r.ended(l, a); how != "" {
 				r.finish(l, a, how)
 			}
 		}
@@ -368,11 +370,14 @@
 }
 
 // ended returns how a run has ended, or "".
-func (a *run) ended(l *life) string {
+func (r *Runner) ended(l *life, a *run) string {
+	isMember := r.site.GangOf(a.task) > 0
 	switch {
 	case !a.stopping.IsZero() && time.Now().After(a.stopping):
 		return "stopped"
-	case a.work.Lasts > 0 && time.Since(a.started) >= a.work.Lasts:
+	case isMember && r.site.gangEnd(a) != "":
+		return r.site.gangEnd(a)
+	case !isMember && a.work.Lasts > 0 && time.Since(a.started) >= a.work.Lasts:
 		return a.work.How
 	case l.clock() > l.until:
 		return "lapsed"
@@ -388,6 +393,7 @@
 	l.number++
 	l.ends = append(l.ends, end{number: l.number, task: a.task, run: a.run, how: how})
 	r.site.event(Event{Kind: "end", Runner: r.ID, Task: a.task, Run: a.run, How: how})
+	r.site.leave(a.task, a.run, how)
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -41,6 +41,8 @@
 	Nodes   []*Node
 	// WorkOf returns what a run does.
 	WorkOf func(task string, run int64) Work
+	// GangOf returns the number of members of a task's gang, 0 if it has none.
+	GangOf func(task string) int
 	// MachinesAddress is where the list of machines is served, AdvisorAddress where nothing is found: no queue has an advisor.
 	MachinesAddress, AdvisorAddress string
 
@@ -52,6 +54,7 @@
 	mu     sync.Mutex // guards the fields below
 	events []Event
 	record []string
+	gangs  map[string]*gang
 }
 
 // NewSite serves the platform of a deployment.
@@ -60,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Site{began: time.Now(), dir: dir, WorkOf: func(string, int64) Work { return Work{Lasts: time.Second, How: "done"} }}
+	s := &Site{began: time.Now(), dir: dir, gangs: map[string]*gang{}, GangOf: func(string) int { return 0 }, WorkOf: func(string, int64) Work { return Work{Lasts: time.Second, How: "done"} }}
 	if s.Store, err = StartStore(s); err != nil {
 		return nil, err
 	}
