--- a/review/cases/cancel.go
+++ b/review/cases/cancel.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"siskinstack.example/siskinstack/review/rig"
+	"siskinstack.example/siskinstack/review/platform/rig"
 )
 
 const (
--- a/review/cases/crashes.go
+++ b/review/cases/crashes.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"siskinstack.example/siskinstack/review/rig"
+	"siskinstack.example/siskinstack/review/platform/rig"
 )
 
 const (
--- a/review/cases/ends.go
+++ b/review/cases/ends.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"siskinstack.example/siskinstack/review/rig"
+	"siskinstack.example/siskinstack/review/platform/rig"
 )
 
 const (
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"siskinstack.example/siskinstack/review/rig"
+	"siskinstack.example/siskinstack/review/platform/rig"
 )
 
 const (
