Read all pages of a worker's ends before a run counts as missing

Cause: a worker lists 500 ends at a time. ApplyReport took each list for the whole, so a run whose end was on the next page counted as missing, and its task was started again; the late end was acknowledged without effect.

Change: the adapter marks a report whose page of ends is full. Such a report shows nothing about the runs that it does not list, and is not the first whole report of a worker. A success that arrives while a newer run is planned but not sent withdraws that run.

--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	ended   map[*Worker][]infra.EndedRun
 	numbers map[*Worker]int64
 	started []infra.StartOrder
+	// listedEnds is the number of ends that a worker lists at a time; 0 means all.
+	listedEnds int
 }
 
 func newFixture(t *testing.T, workers int) *fixture {
@@ -75,13 +78,19 @@
 
 func (f *fixture) unixMs() int64 { return f.now.UnixMilli() }
 
-// report applies a worker's answer to a lease renewal.
+// report applies a worker's answer to a lease renewal, which acknowledges the ends that are durable.
 func (f *fixture) report(worker *Worker) {
+	acknowledged := worker.Acknowledged()
+	f.ended[worker] = slices.DeleteFunc(f.ended[worker], func(end infra.EndedRun) bool { return end.Number <= acknowledged })
 	report := infra.RunReport{Incarnation: worker.Info.Incarnation, ClockMs: f.unixMs()}
 	for _, run := range f.running[worker] {
 		report.Active = append(report.Active, run)
 	}
 	report.Ended = f.ended[worker]
+	if f.listedEnds > 0 {
+		report.Ended = report.Ended[:min(len(report.Ended), f.listedEnds)]
+		report.MoreEnds = len(report.Ended) == f.listedEnds
+	}
 	f.state.ApplyReport(worker, report, f.now, f.now, f.unixMs())
 }
 
@@ -89,16 +98,13 @@
 func (f *fixture) step() Plan {
 	f.now = f.now.Add(20 * time.Millisecond)
 	plan := f.state.Plan(f.now, f.unixMs(), AdviceSlots{Free: 4})
-	orders, settled := f.state.Committed(f.state.TakeChanges(allJobs), f.now)
+	orders, _ := f.state.Committed(f.state.TakeChanges(allJobs), f.now)
 	for _, task := range orders {
 		order := task.Start()
 		f.started = append(f.started, order)
 		f.running[task.worker][order.Task] = infra.ActiveRun{Task: order.Task, Run: order.Run, Checkpoint: order.Checkpoint}
 		f.state.Started(task, task.Run(), nil, f.now)
 	}
-	for _, worker := range settled {
-		f.ended[worker] = nil
-	}
 	for _, task := range plan.Stops {
 		worker := task.worker
 		order, _ := task.Stop()
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -18,6 +18,9 @@
 // modelLease is the lease duration that the model's controllers request.
 const modelLease = 4 * time.Second
 
+// modelListedEnds is the number of ends that a worker of the model lists at a time.
+const modelListedEnds = 2
+
 // fakeWorker models a worker of the platform: it obeys the highest epoch, rejects runs that are not newer than ended
 // ones, and ends all runs when its lease expires.
 type fakeWorker struct {
@@ -247,7 +250,10 @@
 		}
 	}
 	w.ended = kept
-	report := infra.RunReport{Incarnation: w.info.Incarnation, Ended: append([]infra.EndedRun(nil), w.ended...)}
+	listed := w.ended[:min(len(w.ended), modelListedEnds)]
+	report := infra.RunReport{
+		Incarnation: w.info.Incarnation, Ended: append([]infra.EndedRun(nil), listed...), MoreEnds: len(listed) == modelListedEnds,
+	}
 	for _, run := range w.active {
 		report.Active = append(report.Active, run)
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -96,7 +96,8 @@
 	}
 	w.ended, w.reportedAt = false, now
 	first := !w.reported
-	if !w.reported && !report.Incomplete {
+	whole := !report.Incomplete && !report.MoreEnds
+	if first && whole {
 		w.reported = true
 		s.index.update(w)
 	}
@@ -113,8 +114,10 @@
 			listed[t] = true
 		}
 	}
-	if report.Incomplete {
-		s.log.Decision("report incomplete", "", "worker", w.Info.ID, "active", len(report.Active))
+	if !whole {
+		// A run that is not listed may be in a row that could not be read, or among the ends that follow.
+		s.log.Decision("report incomplete", "", "worker", w.Info.ID, "active", len(report.Active), "ended", len(report.Ended),
+			"more_ends", report.MoreEnds)
 		return
 	}
 	var lost []*Task
@@ -260,16 +263,40 @@
 }
 
 // applyLateEnd applies the end of a run that is not the newest of its task or is no longer assigned to the worker. A
-// success counts if the task still waits.
+// success counts if the task still waits, or if the order for its newer run has not been sent; that run is withdrawn.
 func (s *State) applyLateEnd(w *Worker, end infra.EndedRun, unixMs int64) {
 	job, position, ok := parseTask(end.Task)
 	if !ok || s.jobs[job] == nil || end.Outcome != infra.OutcomeSucceeded {
 		return
 	}
-	if t := s.jobs[job].task(position); t != nil && t.isWaiting() && !t.step.spec.GetLongRunning() {
-		s.jobs[job].addEnd(w, end.Number)
-		s.succeed(t, unixMs)
+	t := s.jobs[job].task(position)
+	if t == nil || t.done || t.step.spec.GetLongRunning() || !s.withdrawUnsent(t) {
+		return
+	}
+	s.log.Decision("late success", job, "task", end.Task, "run", end.Run, "worker", w.Info.ID)
+	s.jobs[job].addEnd(w, end.Number)
+	s.succeed(t, unixMs)
+}
+
+// withdrawUnsent releases a task, and the other members of its gang, if no start order of theirs has been sent. It
+// reports whether the task waits.
+func (s *State) withdrawUnsent(t *Task) bool {
+	members := []*Task{t}
+	if t.step.spec.GetGang() {
+		members = members[:0]
+		for i := range t.step.tasks {
+			members = append(members, &t.step.tasks[i])
+		}
+	}
+	for _, member := range members {
+		if member.worker != nil && member.sent {
+			return t.isWaiting()
+		}
+	}
+	for _, member := range members {
+		s.release(member)
 	}
+	return t.isWaiting()
 }
 
 func (s *State) succeed(t *Task, unixMs int64) {
--- a/infra/fleet.go
+++ b/infra/fleet.go
@@ -121,6 +121,9 @@
 	Ended       []EndedRun
 	// Incomplete is true if some rows could not be read. A run that is not listed may then still be active.
 	Incomplete bool
+	// MoreEnds is true if the worker may have further ends, which it lists once these are acknowledged. A run that is not
+	// listed may then be one of them.
+	MoreEnds bool
 }
 
 // Fleet sends orders to workers. The first result of Start and Stop is the worker's clock in milliseconds, 0 if the
