Keep a cancelled submission from being accepted late

Cause: a cancellation that found no job left nothing behind, while the store could still carry out the submission, of which the caller had no answer.

TestCancelledSubmissionIsNotCarriedOutLate (write 0, 1, 6 and 12 s late, with and without a change of controllers), TestSubmissionAfterItsCancellation, TestCancellationsOfUnknownJobsAreLimited and TestLateCancellationOfADeletedJobHasNoEffect fail without the change.

Change: the cancellation writes a tombstone on condition that the job does not exist, and a submission requires that there is none, so the store orders the two. The controller deletes tombstones after 30 s; a team may cause 20 a second on a machine. The cancellation of an existing job requires the record that was read.

TestFrontendStatuses cancelled an unknown identifier and then submitted a job under it, which was accepted; that is the fault.

--- a/controller/commit.go
+++ b/controller/commit.go
@@ -141,34 +141,3 @@
 	t.leadership.End()
 	return errTermEnded
 }
-
-// expireRecords periodically deletes the records of jobs past their retention.
-func (t *term) expireRecords(ctx context.Context) {
-	for ctx.Err() == nil {
-		_ = t.Clock.Sleep(ctx, expireInterval)
-		t.mu.Lock()
-		// Each job has three keys: its record, its cancellation and its progress.
-		expired := t.state.ExpiredJobs(unixMs(), maxJobsPerCommit/3)
-		t.mu.Unlock()
-		if len(expired) == 0 || !t.leadership.Valid() {
-			continue
-		}
-		var removes []string
-		for _, id := range expired {
-			removes = append(removes, JobKey(id), CancelKey(id), ProgressKey(id))
-		}
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		// Deletes are idempotent, so this commit needs no head.
-		_, err := t.Store.Commit(call, infra.Txn{Conditions: []infra.Condition{t.leadership.Condition}, Removes: removes})
-		cancel()
-		if err != nil {
-			t.log.V(1).Info("failed to delete the records of ended jobs", "jobs", len(expired), "reason", err.Error())
-			continue
-		}
-		t.mu.Lock()
-		for _, id := range expired {
-			t.state.Forget(id)
-		}
-		t.mu.Unlock()
-	}
-}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -29,8 +29,6 @@
 	storeTimeout = time.Second
 	// storeRetryDelay is the delay before a failed call is retried.
 	storeRetryDelay = 50 * time.Millisecond
-	// expireInterval is the interval between deletions of the records of jobs past their retention.
-	expireInterval = time.Second
 )
 
 // Bounds are the limits of the deployment.
@@ -184,6 +182,8 @@
 	sessions  map[*dispatch.Worker]*workerSession
 	members   map[string]*member
 	heads     []*commitHead
+	// tombstones holds when this term learned of each tombstone, by key.
+	tombstones map[string]time.Time
 	// refusedEntries holds why the entries of other writers were refused, by worker identifier.
 	refusedEntries map[string]string
 }
@@ -196,7 +196,7 @@
 		Options: options, leadership: leadership, log: log, wake: make(chan struct{}, 1),
 		workerLost: make(chan struct{}, 1), workerNew: make(chan struct{}, 1),
 		sessions: map[*dispatch.Worker]*workerSession{}, members: map[string]*member{}, heads: newCommitHeads(),
-		refusedEntries: map[string]string{},
+		refusedEntries: map[string]string{}, tombstones: map[string]time.Time{},
 	}
 	t.state = dispatch.New(options.Bounds.Limits, decisionLog{log: log, metrics: options.Metrics})
 	return t
--- a/controller/keys.go
+++ b/controller/keys.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Prefixes of the keys in the store.
@@ -11,11 +13,12 @@
 	// response was lost cannot take effect after a later one.
 	headPrefix = "commit/head/"
 	// intakePrefix is the prefix of the keys that any machine writes and the controller watches.
-	intakePrefix   = "in/"
-	jobPrefix      = intakePrefix + "job/"
-	cancelPrefix   = intakePrefix + "cancel/"
-	memberPrefix   = intakePrefix + "member/"
-	progressPrefix = "progress/"
+	intakePrefix    = "in/"
+	jobPrefix       = intakePrefix + "job/"
+	cancelPrefix    = intakePrefix + "cancel/"
+	tombstonePrefix = intakePrefix + "tombstone/"
+	memberPrefix    = intakePrefix + "member/"
+	progressPrefix  = "progress/"
 	// wavePrefix is the prefix of the progress records of maintenance waves.
 	wavePrefix = "wave/"
 )
@@ -26,6 +29,12 @@
 // CancelKey returns the key that asks to cancel a job.
 func CancelKey(id string) string { return cancelPrefix + id }
 
+// TombstoneKey returns the key that keeps a job from being accepted after its cancellation was answered. Each team has its
+// own, so that no team can keep the jobs of another from being accepted.
+func TombstoneKey(id, team string) string {
+	return tombstonePrefix + id + "/" + strconv.FormatUint(xxhash.Sum64String(team), 16)
+}
+
 // MemberKey returns the key under which a machine registers for the controller.
 func MemberKey(machine string) string { return memberPrefix + machine }
 
--- a/controller/recover.go
+++ b/controller/recover.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -138,6 +139,10 @@
 		t.applyMember(machine, event)
 		return
 	}
+	if strings.HasPrefix(event.Key, tombstonePrefix) {
+		t.applyTombstone(event)
+		return
+	}
 	if event.Deleted {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,11 +78,13 @@
 	store   *relayedStore
 	// announceSlots holds one element for each announcement in flight.
 	announceSlots chan struct{}
+	tombstones    teamBuckets
 }
 
 // New returns a gateway.
 func New(options Options) *Gateway {
 	g := &Gateway{options: options, announceSlots: make(chan struct{}, maxAnnouncements)}
+	g.tombstones.buckets = map[string]bucket{}
 	g.store = &relayedStore{
 		store: options.Store, peers: options.Peers, clock: options.Clock, log: options.Log, controller: g.remoteController,
 	}
@@ -171,18 +173,23 @@
 }
 
 // Submit accepts a job. A nil error means that the store holds it. A refusal says "not run" only if no write can take
-// effect any more.
+// effect any more. A job that its team has cancelled before is not accepted, also if the write takes effect late.
 func (g *Gateway) Submit(ctx context.Context, record *siskinv1.Workflow) error {
 	value, err := proto.Marshal(record)
 	if err != nil {
 		return g.refuse(record.GetId(), refusal.BadRequest, "%v", err)
 	}
 	txn := infra.Txn{
-		Conditions: []infra.Condition{{Key: controller.JobKey(record.GetId())}},
-		Writes:     []infra.Write{{Key: controller.JobKey(record.GetId()), Value: value}},
+		Conditions: []infra.Condition{
+			{Key: controller.JobKey(record.GetId())}, {Key: controller.TombstoneKey(record.GetId(), record.GetTeam())},
+		},
+		Writes: []infra.Write{{Key: controller.JobKey(record.GetId()), Value: value}},
 	}
 	began := g.options.Clock.Now()
 	created, err := g.write(ctx, record.GetId(), txn)
+	if err == nil && !created {
+		err = g.confirmAccepted(ctx, record.GetId())
+	}
 	took := g.options.Clock.Now().Sub(began)
 	g.options.Metrics.submitted(took, err)
 	if err != nil {
@@ -196,6 +203,22 @@
 	return nil
 }
 
+// confirmAccepted returns nil if the store holds a job that could not be created.
+func (g *Gateway) confirmAccepted(ctx context.Context, job string) error {
+	_, err := g.get(ctx, job, controller.JobKey(job))
+	var refused *refusal.Error
+	switch {
+	case !errors.As(err, &refused):
+		return err
+	case refused.Reason == refusal.NotFound:
+		refused = g.refuse(job, refusal.CancelledBefore, "the job was cancelled before it was accepted")
+		refused.RetryAfter = controller.TombstoneRetention
+		return refused
+	default:
+		return g.refuse(job, refusal.AcceptanceUnknown, "%s", refused.Message)
+	}
+}
+
 // write commits an idempotent change, with retries. It reports whether the conditions held.
 func (g *Gateway) write(ctx context.Context, job string, txn infra.Txn) (bool, error) {
 	outcomeUnknown, refused := false, 0
@@ -280,30 +303,6 @@
 	return infra.KeyValue{}, g.refuse(job, refusal.StoreUnavailable, "the state of the job cannot be read")
 }
 
-// Cancel requests the cancellation of a job. A nil error means that the store holds the request.
-func (g *Gateway) Cancel(ctx context.Context, target Target) error {
-	entry, err := g.get(ctx, target.Job, controller.JobKey(target.Job))
-	if err != nil {
-		return err
-	}
-	record := &siskinv1.Workflow{}
-	if err := proto.Unmarshal(entry.Value, record); err != nil {
-		return g.refuse(target.Job, refusal.InternalError, "job cannot be read: %v", err)
-	}
-	if record.GetTeam() != target.Team {
-		return g.refuse(target.Job, refusal.NotFound, "job belongs to another team")
-	}
-	key := controller.CancelKey(target.Job)
-	_, err = g.write(ctx, target.Job, infra.Txn{
-		Conditions: []infra.Condition{{Key: key}}, Writes: []infra.Write{{Key: key, Value: []byte{}}},
-	})
-	if err == nil {
-		g.options.Log.Info("cancellation accepted", "job", target.Job)
-		g.announce(&siskinv1.AnnounceRequest{Cancelled: target.Job})
-	}
-	return err
-}
-
 // Pending returns how many jobs of a queue have not started.
 func (g *Gateway) Pending(ctx context.Context, queue string) (int64, error) {
 	if pending, authoritative := g.options.Local.Pending(queue); authoritative {
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -42,6 +42,8 @@
 	AcceptanceUnknown  Reason = "acceptance_unknown"
 	InternalError      Reason = "internal_error"
 	CannotRunInAnyZone Reason = "cannot_run"
+	// CancelledBefore means that the job was cancelled before it was accepted.
+	CancelledBefore Reason = "cancelled_before"
 )
 
 // reasonProperties holds the HTTP status of a reason and whether the reason means that nothing has run.
@@ -77,6 +79,7 @@
 	AcceptanceUnknown:  {http.StatusServiceUnavailable, false},
 	InternalError:      {http.StatusInternalServerError, false},
 	CannotRunInAnyZone: {http.StatusUnprocessableEntity, true},
+	CancelledBefore:    {http.StatusGone, true},
 }
 
 // Reasons returns every reason, in no particular order.
