Show a cancellation once it is durable

Cause: ShownPhase showed a cancellation before its commit; while the controller is paused or cut off, other machines read the job from the store, where it still ran.

TestCancellationIsShownOnceDurable fails without the change.

Change: a cancellation is shown once it is durable, like success and failure.

--- a/dispatch/cancel_test.go
+++ b/dispatch/cancel_test.go
@@ -18,6 +18,21 @@
 	assert.Equal(t, len(f.started), 0)
 }
 
+// Guards against a cancellation that is shown before it is durable: a machine that reads the store instead, while the
+// controller is paused, then shows the job as running once more.
+func TestCancellationIsShownOnceDurable(t *testing.T) {
+	f := newFixture(t, 1)
+	record := job("0000000000000001", step(1, 1000))
+	f.state.AddJob(record, nil)
+	f.step()
+	f.state.Cancel(record.GetId(), f.unixMs())
+	assert.Equal(t, f.state.Job(record.GetId()).ShownPhase(), siskinv1.WorkflowPhase_WORKFLOW_PHASE_RUNNING)
+	changes := f.state.TakeChanges(allJobs)
+	assert.Equal(t, f.state.Job(record.GetId()).ShownPhase(), siskinv1.WorkflowPhase_WORKFLOW_PHASE_RUNNING)
+	f.state.Committed(changes, f.now)
+	assert.Equal(t, f.state.Job(record.GetId()).ShownPhase(), siskinv1.WorkflowPhase_WORKFLOW_PHASE_CANCELLED)
+}
+
 // Guards against runs of a cancelled job that continue because the controller was replaced after the cancellation was
 // durable and before the runs were stopped. Long-running tasks then never end (kvarali-salt, trouble-2, seed
 // 405133181213).
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -17,7 +17,7 @@
 type Job struct {
 	Record *siskinv1.Workflow
 	Phase  siskinv1.WorkflowPhase
-	// DurablePhase is the phase in the store. Success and failure are not shown to callers before they are durable.
+	// DurablePhase is the phase in the store. An end is not shown to callers before it is durable.
 	DurablePhase siskinv1.WorkflowPhase
 	EndedUnixMs  int64
 	occurrences  []*occurrence
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -217,13 +217,12 @@
 // Job returns a job, or nil.
 func (s *State) Job(id string) *Job { return s.jobs[id] }
 
-// ShownPhase returns the phase to report to callers. Success and failure are reported only once durable.
+// ShownPhase returns the phase to report to callers. An end is reported only once it is durable, because other machines
+// read it from the store.
 func (j *Job) ShownPhase() siskinv1.WorkflowPhase {
 	switch {
 	case ended(j.DurablePhase):
 		return j.DurablePhase
-	case j.Phase == siskinv1.WorkflowPhase_WORKFLOW_PHASE_CANCELLED:
-		return j.Phase
 	case j.started:
 		return siskinv1.WorkflowPhase_WORKFLOW_PHASE_RUNNING
 	default:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 	1007, // a controller started tasks before it knew the team's ceiling
 	1020, // the same, after all machines were killed
 	1022, // a restarted worker was told to discard ended runs that nobody had received
+	4025, // a cancellation was shown before it was durable
 	100,  // tasks that crash their workers were started without end, and jobs beside them did not end
 }
 
