End the trial of a worker by time and by runs that go on

Cause: after three failed runs a worker was on trial and got two starts until a run succeeded, which long-running tasks never do. Withdrawn and stopped starts used the trial up too, failures were never forgotten, and an image that fails everywhere put the whole fleet on trial.

Change: dispatch/health.go. A trial ends after five seconds at most, or with a run that succeeds or makes progress for three seconds; only runs without a result hold a place. An image that fails on three workers without a sound run between is blamed instead of them. At most half of a service's workers are held back because of runs. Failures are forgotten after 30 s. A worker that declines orders is tried again after two seconds at most. Suspensions are logged.

--- a/dispatch/index.go
+++ b/dispatch/index.go
@@ -22,6 +22,8 @@
 	// byLabel contains all listed workers by each of their labels; racks counts the listed workers of each rack.
 	byLabel map[string]map[*Worker]struct{}
 	racks   map[string]int
+	// open counts the open workers of each service.
+	open map[string]int
 	// departing are the draining and cordoned workers, unreachable those that did not answer their last renewal.
 	departing, unreachable map[*Worker]struct{}
 }
@@ -47,11 +49,13 @@
 	counted  *zoneIndex
 	capacity resource.Vector
 	labels   []string
+	// service is that under which the worker is counted among the open ones.
+	service string
 }
 
 func newFleetIndex() *fleetIndex {
 	return &fleetIndex{
-		byLabel: map[string]map[*Worker]struct{}{}, racks: map[string]int{}, departing: map[*Worker]struct{}{},
+		byLabel: map[string]map[*Worker]struct{}{}, racks: map[string]int{}, open: map[string]int{}, departing: map[*Worker]struct{}{},
 		unreachable: map[*Worker]struct{}{},
 	}
 }
@@ -95,11 +99,13 @@
 		e.zone.buckets[e.bucket] = bucket[:len(bucket)-1]
 		e.zone.freeMilliCPU[e.bucket] -= e.freeMilliCPU
 		e.zone = nil
+		x.open[e.service]--
 	}
 	if !w.isOpen() {
 		return
 	}
-	e.zone, e.freeMilliCPU = x.zone(w.Info.Zone), w.free().MilliCPU
+	e.zone, e.freeMilliCPU, e.service = x.zone(w.Info.Zone), w.free().MilliCPU, w.Info.Service
+	x.open[e.service]++
 	e.bucket = bucketOf(e.freeMilliCPU)
 	e.position = len(e.zone.buckets[e.bucket])
 	e.zone.buckets[e.bucket] = append(e.zone.buckets[e.bucket], w)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -105,6 +105,8 @@
 	// percent is the reported progress of the run, progressAt when it last increased or the run was confirmed.
 	percent    int32
 	progressAt time.Time
+	// sound is true once the run has made progress for soundAfter.
+	sound bool
 	// crashes are the crashes of workers under the task. Those of a gang are counted in its first task.
 	crashes crashCount
 	// plannedUnixMs is when the newest run was planned; restored is true if an earlier controller planned it and no worker
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -64,7 +64,7 @@
 // the commit that records their workers.
 func (s *State) Plan(now time.Time, unixMs int64, slots AdviceSlots) Plan {
 	var plan Plan
-	s.planUnixMs = unixMs
+	s.planTime, s.planUnixMs = now, unixMs
 	s.clearSuspects()
 	if s.policy == nil {
 		// Without a policy, the ceilings and the evacuated zones are unknown, so nothing may start.
@@ -257,9 +257,7 @@
 	t.phase, t.plannedUnixMs = phasePlanned, s.planUnixMs
 	s.beginProbe(t)
 	t.incarnation = t.worker.Info.Incarnation
-	if t.worker.onTrial {
-		t.worker.trialStarts++
-	}
+	t.worker.health.begin(t, s.planTime)
 	j := t.step.job
 	j.orders = append(j.orders, t)
 	s.markDirty(j)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -194,6 +194,10 @@
 	if active.Percent > t.percent || t.progressAt.IsZero() {
 		t.percent, t.progressAt = active.Percent, now
 	}
+	if !t.sound && t.percent > 0 && !t.stop && now.Sub(t.orderedAt) >= soundAfter {
+		t.sound = true
+		s.runSound(t, w)
+	}
 	s.checkStall(t, now)
 	return t
 }
@@ -210,7 +214,7 @@
 	if !t.stop {
 		s.log.Decision("run stalled", t.JobID(), "task", t.ID(), "run", t.run, "worker", t.WorkerID(), "percent", t.percent)
 		t.avoid, t.avoidUntil = t.WorkerID(), now.Add(avoidDuration)
-		t.worker.suspend(now)
+		s.runStalled(t, t.worker, now)
 		s.requestStop(t, "stalled")
 	}
 }
@@ -247,13 +251,15 @@
 	}
 	s.log.Decision("run ended", t.JobID(), "task", end.Task, "run", end.Run, "worker", w.Info.ID, "outcome", int(end.Outcome))
 	t.step.job.addEnd(w, end.Number)
+	if end.Outcome == infra.OutcomeFailed {
+		s.runFailed(t, w, now)
+	}
 	s.release(t)
 	switch end.Outcome {
 	case infra.OutcomeSucceeded:
-		w.succeeded()
+		s.runSound(t, w)
 		s.succeed(t, unixMs)
 	case infra.OutcomeFailed:
-		w.failed(now)
 		t.avoid, t.avoidUntil = w.Info.ID, now.Add(avoidDuration)
 		s.fail(t, unixMs)
 	case infra.OutcomeGangBroken, infra.OutcomeGangIncomplete, infra.OutcomeStopped, infra.OutcomeExpired:
@@ -359,11 +365,12 @@
 	case errors.Is(err, infra.ErrTicketInvalid):
 		delete(t.step.advice.tickets, w.Info.ID)
 		s.releaseUnstarted(t)
-	case errors.Is(err, infra.ErrWorkerUnhealthy), errors.Is(err, infra.ErrWorkerFull):
-		w.suspend(now)
+	case errors.Is(err, infra.ErrWorkerUnhealthy), errors.Is(err, infra.ErrWorkerFull), errors.Is(err, infra.ErrWorkerMismatch):
+		s.suspendDeclining(w, now, err.Error())
 		s.releaseUnstarted(t)
-	case errors.Is(err, infra.ErrOrderInvalid), errors.Is(err, infra.ErrWorkerMismatch):
-		w.suspend(now)
+	case errors.Is(err, infra.ErrOrderInvalid):
+		// The order may be at fault as well as the worker.
+		s.suspendSuspected(w, now, err.Error())
 		s.releaseUnstarted(t)
 	case errors.Is(err, infra.ErrNotSent):
 		s.RenewFailed(w, now)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -70,11 +70,15 @@
 	// index finds workers by their state. openZones are its zones that are not evacuated, in the current plan.
 	index     *fleetIndex
 	openZones []*zoneIndex
+	// failing contains the images whose tasks have failed since the last sound run, heldBack the workers that were suspended.
+	failing  map[string]*failingImage
+	heldBack map[*Worker]struct{}
 	// stops are the tasks whose runs are to be stopped.
 	stops map[*Task]struct{}
 	// probes are the suspects that run on a worker of their own.
 	probes map[*Task]struct{}
-	// planUnixMs is the wall-clock time of the current plan.
+	// planTime and planUnixMs are the time of the current plan on the monotonic and the wall clock.
+	planTime   time.Time
 	planUnixMs int64
 	// frontier contains all steps with waiting tasks whose earlier steps have succeeded. It may contain others, which
 	// readySteps removes.
@@ -105,7 +109,7 @@
 		jobs: map[string]*Job{}, activeJobs: map[string]*Job{}, teams: map[string]*teamUsage{}, dirty: map[string]*Job{},
 		allowedRatios: map[string]float64{}, cancelled: map[string]bool{}, frontier: map[*Step]struct{}{},
 		reserved: map[string]resource.Vector{}, index: newFleetIndex(), stops: map[*Task]struct{}{},
-		probes: map[*Task]struct{}{},
+		probes: map[*Task]struct{}{}, failing: map[string]*failingImage{}, heldBack: map[*Worker]struct{}{},
 	}
 }
 
@@ -313,12 +317,13 @@
 	}
 	s.endProbe(t)
 	w.remove(t)
+	w.health.release(t)
 	delete(s.stops, t)
 	t.worker, t.phase = nil, phaseNone
 	t.unconfirmed, t.stop, t.stopping, t.stopReason = false, false, false, ""
 	t.stopAnsweredAt, t.stopAfter, t.orderedAt = time.Time{}, time.Time{}, time.Time{}
 	t.percent, t.progressAt = 0, time.Time{}
-	t.restored, t.sent = false, false
+	t.restored, t.sent, t.sound = false, false, false
 	j := t.step.job
 	if !t.done {
 		t.step.waiting++
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -8,17 +8,6 @@
 	"siskinstack.example/siskinstack/resource"
 )
 
-const (
-	// failuresToSuspend is the number of consecutive failed runs after which a worker is suspended. If one task in ten
-	// fails through its own fault, three in a row have a probability of one in a thousand.
-	failuresToSuspend = 3
-	// suspendMin and suspendMax bound the suspension of a worker that fails or declines runs; it doubles each time.
-	suspendMin = 500 * time.Millisecond
-	suspendMax = 8 * time.Second
-	// trialTasks is the number of tasks that a worker may get after a suspension until one succeeds.
-	trialTasks = 2
-)
-
 // Worker is a worker with its lease and its tasks.
 type Worker struct {
 	Info infra.FleetWorker
@@ -57,12 +46,7 @@
 	// cordoned is true if the worker gets no new tasks because its machine is due for maintenance.
 	cordoned bool
 
-	failures       int
-	suspensions    int
-	suspendedUntil time.Time
-	onTrial        bool
-	// trialStarts counts the tasks placed since the suspension began.
-	trialStarts int
+	health workerHealth
 }
 
 func newWorker(info infra.FleetWorker, index *fleetIndex) *Worker {
@@ -129,10 +113,7 @@
 
 // isSchedulable reports whether the worker may get new tasks.
 func (w *Worker) isSchedulable(now time.Time) bool {
-	if !w.isOpen() || now.Before(w.suspendedUntil) {
-		return false
-	}
-	return !w.onTrial || w.trialStarts < trialTasks
+	return w.isOpen() && w.health.admits(now)
 }
 
 func (w *Worker) add(t *Task) {
@@ -163,24 +144,3 @@
 	}
 	w.index.updateFree(w)
 }
-
-// suspend excludes the worker from new tasks, each time for longer, and puts it on trial afterwards.
-func (w *Worker) suspend(now time.Time) {
-	duration := min(suspendMin<<min(w.suspensions, 8), suspendMax)
-	w.suspensions++
-	w.suspendedUntil = now.Add(duration)
-	w.onTrial, w.trialStarts = true, 0
-}
-
-// succeeded records a successful run, which ends a suspension's trial and resets the failure counts.
-func (w *Worker) succeeded() {
-	w.failures, w.suspensions, w.onTrial = 0, 0, false
-}
-
-// failed records a failed run. It suspends the worker after failuresToSuspend failures in a row, or during a trial.
-func (w *Worker) failed(now time.Time) {
-	w.failures++
-	if w.failures >= failuresToSuspend || w.onTrial {
-		w.suspend(now)
-	}
-}
