Let work beyond a team's rate wait while start orders pile up

Cause: classes order the steps within a plan, but nothing held the last ones back when the orders of earlier plans were not answered yet. A plan also ranked every waiting step every 20 ms, which costs more the longer the queue is.

Change: steps beyond their team's rate, and those too late to be of use, get no further starts while 100 start orders wait for their answer. Long-running tasks are exempt. A plan takes at most a tenth of the time, unless that would be less often than every 50 ms. The policy of a job's queue is looked up once for each configuration.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -25,6 +25,9 @@
 	// minPlanInterval is the least time between two plans with their commits. Each commit is a priced call to the
 	// store; a longer interval delays every start and every end by half of it on average.
 	minPlanInterval = 20 * time.Millisecond
+	// planShare bounds the part of the time that plans take: one in planShare, unless that exceeds maxPlanInterval. The cost of
+	// a plan grows with the number of waiting steps.
+	planShare = 10
 	// storeTimeout bounds one call to the store; in its slow periods it responds within a quarter second.
 	storeTimeout = time.Second
 	// storeRetryDelay is the delay before a failed call is retried.
@@ -250,12 +253,17 @@
 		}
 		began := time.Now()
 		t.planOnce(ctx)
-		if rest := minPlanInterval - time.Since(began); rest > 0 {
+		if rest := planInterval(time.Since(began)) - time.Since(began); rest > 0 {
 			_ = t.Clock.Sleep(ctx, rest)
 		}
 	}
 }
 
+// planInterval returns the least time between the begins of two plans, given how long the last one took.
+func planInterval(took time.Duration) time.Duration {
+	return min(max(minPlanInterval, planShare*took), maxPlanInterval)
+}
+
 // planOnce makes one plan and starts its commits, advice calls and stop orders. It resigns if a stronger machine could be
 // the controller.
 func (t *term) planOnce(ctx context.Context) {
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -72,6 +72,7 @@
 				continue
 			}
 			t.phase = phaseOrdered
+			s.unanswered[t] = struct{}{}
 			orders = append(orders, t)
 		}
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	siskinv1 "siskinstack.example/siskinstack/api/siskin/v1"
+	"siskinstack.example/siskinstack/policy"
 	"siskinstack.example/siskinstack/resource"
 )
 
@@ -32,6 +33,9 @@
 	ends   []pendingEnd
 	// setAside is true after a decision about the job failed; it gets no further starts.
 	setAside bool
+	// queue is the policy of the job's queue in the configuration queueOf. Each plan asks for it several times.
+	queue   *siskinv1.QueuePolicy
+	queueOf *policy.Policy
 	// saving is true while a commit of the job is in flight.
 	saving bool
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -93,8 +93,15 @@
 	if now.Before(r.step.nextTry) {
 		return
 	}
+	yields := r.yields()
+	if yields && s.isCongested() {
+		s.logWaitReason(r.step, now, WaitsForOrders)
+		r.step.backOff(now, false, r.rank.priority)
+		return
+	}
 	waiting := r.step.waiting
 	p := s.newPlacement(r.step, now)
+	p.yields = yields
 	s.placeStep(p)
 	s.preempt(p)
 	request := s.wantAdvice(r, p, slots)
@@ -173,6 +180,12 @@
 			continue
 		}
 		s.assign(t, w)
+		if p.yields {
+			s.unanswered[t] = struct{}{}
+			if s.isCongested() {
+				return
+			}
+		}
 	}
 }
 
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -174,6 +174,7 @@
 		return nil
 	}
 	if t.phase != phaseActive {
+		delete(s.unanswered, t)
 		t.phase, t.progressAt = phaseActive, now
 		t.orderedAt, t.sent = now, true
 		if t.restored {
@@ -357,6 +358,7 @@
 		return
 	}
 	w := t.worker
+	delete(s.unanswered, t)
 	t.orderedAt, t.sent = now, true
 	switch {
 	case err == nil:
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -73,6 +73,8 @@
 	// failing contains the images whose tasks have failed since the last sound run, heldBack the workers that were suspended.
 	failing  map[string]*failingImage
 	heldBack map[*Worker]struct{}
+	// unanswered are the tasks whose start order waits for an answer, and tasks of yielding steps whose order is planned.
+	unanswered map[*Task]struct{}
 	// stops are the tasks whose runs are to be stopped.
 	stops map[*Task]struct{}
 	// probes are the suspects that run on a worker of their own.
@@ -110,6 +112,7 @@
 		allowedRatios: map[string]float64{}, cancelled: map[string]bool{}, frontier: map[*Step]struct{}{},
 		reserved: map[string]resource.Vector{}, index: newFleetIndex(), stops: map[*Task]struct{}{},
 		probes: map[*Task]struct{}{}, failing: map[string]*failingImage{}, heldBack: map[*Worker]struct{}{},
+		unanswered: map[*Task]struct{}{},
 	}
 }
 
@@ -126,12 +129,15 @@
 // queue returns the current policy of a job's queue, or the one under which the job was accepted if the queue was
 // removed.
 func (s *State) queue(j *Job) *siskinv1.QueuePolicy {
-	if s.policy != nil {
-		if q := s.policy.Queue(j.Record.GetQueue().GetName()); q != nil {
-			return q
+	if j.queue == nil || j.queueOf != s.policy {
+		j.queue, j.queueOf = j.Record.GetQueue(), s.policy
+		if s.policy != nil {
+			if q := s.policy.Queue(j.Record.GetQueue().GetName()); q != nil {
+				j.queue = q
+			}
 		}
 	}
-	return j.Record.GetQueue()
+	return j.queue
 }
 
 // AddJob adds an accepted job with its progress, which may be nil, and returns it. A known job is returned unchanged.
@@ -319,6 +325,7 @@
 	w.remove(t)
 	w.health.release(t)
 	delete(s.stops, t)
+	delete(s.unanswered, t)
 	t.worker, t.phase = nil, phaseNone
 	t.unconfirmed, t.stop, t.stopping, t.stopReason = false, false, false, ""
 	t.stopAnsweredAt, t.stopAfter, t.orderedAt = time.Time{}, time.Time{}, time.Time{}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -50,6 +50,9 @@
 	// WaitsForCapacity means that no available worker can take one more task: they lack free capacity, or are excluded
 	// by the step's limit per worker or by other tasks on them.
 	WaitsForCapacity WaitReason = "room"
+	// WaitsForOrders means that the controller has more start orders under way than it can send at once, and the job is beyond
+	// its team's rate or too late.
+	WaitsForOrders WaitReason = "start_orders"
 	// WaitsForGangCapacity means that the available workers cannot take all tasks of a gang at once.
 	WaitsForGangCapacity WaitReason = "room_for_gang"
 )
@@ -64,11 +67,17 @@
 	if progressed || step.waiting == 0 || step.advice.inFlight {
 		return
 	}
+	if !now.Before(step.nextWaitLog) {
+		s.logWaitReason(step, now, s.waitReason(p, slots))
+	}
+}
+
+// logWaitReason logs why a step waits, unless another reason was logged within waitLogInterval or the reason is the same.
+func (s *State) logWaitReason(step *Step, now time.Time, reason WaitReason) {
 	if now.Before(step.nextWaitLog) {
 		return
 	}
 	step.nextWaitLog = now.Add(waitLogInterval)
-	reason := s.waitReason(p, slots)
 	if reason == step.loggedReason {
 		return
 	}
