--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -130,7 +130,7 @@
 		s.releaseUnstarted(t)
 		return false
 	}
-	t.sent = true
+	t.sent, t.sentAt = true, now
 	return true
 }
 
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -10,7 +10,9 @@
 
 // Some tasks end each worker that starts them, and all other runs on it. A task whose run had just begun when its worker
 // crashed is a suspect. It is probed: started once more on a worker that starts nothing else meanwhile, so that a second
-// crash tells it from the tasks beside it. It is then given up with its job.
+// crash at once after the start tells it from the tasks beside it. It is then given up with its job. Crashes later in a
+// run have mostly other causes: they delay the task and have it probed, and only many in a row give it up. Long-running
+// tasks are never given up, because their users expect them back however they end.
 
 const (
 	// startupWindow is the age up to which a run may have crashed its worker by starting. Tasks that do so end it within
@@ -25,8 +27,13 @@
 	// to 20 ms, so that older runs beside them differ even if both are within startupWindow.
 	promptCrash = 50 * time.Millisecond
 	// promptToGiveUp is the number of prompt crashes after which a task whose worker crashed during a probe is given up.
-	// lossesToGiveUp is that of all crashes and possible crashes.
-	promptToGiveUp, lossesToGiveUp = 2, 3
+	// lossesToGiveUp is that of prompt and possible ones together, crashesToGiveUp that of all certain crashes, of which
+	// those late in a run have mostly other causes.
+	promptToGiveUp, lossesToGiveUp, crashesToGiveUp = 2, 3, 8
+	// crashDelayMin is the delay before the next start from the crash on with which a task becomes a suspect by their number.
+	// It doubles up to crashDelayMax, which leaves a long-running task down for less than its users notice.
+	crashDelayMin = 500 * time.Millisecond
+	crashDelayMax = 2 * time.Second
 	// commonCauseWorkers is the number of workers of one availability zone whose end at the same time has another cause
 	// than a task, such as a loss of power, unless most of them had just started one.
 	commonCauseWorkers = 3
@@ -37,16 +44,33 @@
 
 // crashCount counts the crashes of workers under a task.
 type crashCount struct {
-	// certain counts crashes while a run was confirmed, possible other losses of a worker that may have been crashes.
+	// certain counts crashes while a run was confirmed, possible losses of a worker that may have been crashes under a run
+	// that had just begun.
 	certain, possible int32
 	// prompt counts the certain ones within promptCrash of the confirmation.
 	prompt int32
 	// suspect is true if the task may have caused the last crash.
 	suspect bool
+	// countedRun is the newest run of which a crash was counted: several workers of a gang may crash in one event.
+	countedRun int32
 }
 
 func (c crashCount) losses() int32 { return c.certain + c.possible }
 
+// isConvicted reports whether the crashes give the task up.
+func (c crashCount) isConvicted() bool {
+	return c.prompt >= promptToGiveUp || c.prompt+c.possible >= lossesToGiveUp || c.certain >= crashesToGiveUp
+}
+
+// delay returns how long the next start is delayed.
+func (c crashCount) delay() time.Duration {
+	n := max(c.losses()-crashesToSuspect, c.prompt-promptToGiveUp)
+	if n < 0 {
+		return 0
+	}
+	return min(crashDelayMin<<min(n, 8), crashDelayMax)
+}
+
 // crashCounter returns the task in which crashes are counted: the members of a gang are lost together.
 func (t *Task) crashCounter() *Task {
 	if t.step.spec.GetGang() {
@@ -95,6 +119,10 @@
 	// begun is true if the run was confirmed, and age is how long it had been; fresh is true if it may have just begun.
 	begun, fresh bool
 	age          time.Duration
+	// closed is true if the worker closed the connection at once after the start order instead of answering it.
+	closed bool
+	// restored is true if an earlier controller planned the run and no worker has reported it since.
+	restored bool
 	// probed is true if the run was a probe of the task: nothing else was started on the worker meanwhile.
 	probed bool
 }
@@ -104,7 +132,10 @@
 
 // of describes the loss of a task's run on a worker.
 func (l loss) of(t *Task, w *Worker) lostRun {
-	r := lostRun{loss: l, task: t, worker: w.Info.ID, run: t.run, begun: t.phase == phaseActive, age: unknownAge}
+	r := lostRun{
+		loss: l, task: t, worker: w.Info.ID, run: t.run, begun: t.phase == phaseActive, age: unknownAge, closed: t.closed,
+		restored: t.restored,
+	}
 	switch {
 	case r.begun:
 		r.age = max(0, w.lostAt.Sub(t.orderedAt))
@@ -162,35 +193,54 @@
 // hasReasonToLeave reports whether the end of a worker was announced.
 func (w *Worker) hasReasonToLeave() bool { return w.Info.Draining || w.cordoned }
 
+// isCertain reports whether the worker has ended, for no known cause but its tasks.
+func (r lostRun) isCertain() bool { return r.crashed && !r.commonCause }
+
+// isPrompt reports whether the worker crashed at once after it got the start order.
+func (r lostRun) isPrompt() bool { return r.begun && r.age <= promptCrash || !r.begun && r.closed }
+
 // countCrash counts the crash of a worker under a task, and gives the task up with its job if it was being probed.
 func (s *State) countCrash(r lostRun) {
 	t := r.task
 	j := t.step.job
-	certain := r.crashed && !r.commonCause
-	if j.Ended() || t.done || !certain && !r.fresh {
+	if j.Ended() || t.done || !r.isCertain() && !r.fresh {
 		return
 	}
-	c := &t.crashCounter().crashes
-	switch {
-	case !r.begun || !certain:
-		c.possible++
-	case r.age <= promptCrash:
-		c.certain++
-		c.prompt++
-	default:
-		c.certain++
+	counter := t.crashCounter()
+	c := &counter.crashes
+	if c.countedRun == r.run {
+		return
 	}
-	c.suspect = r.fresh || c.losses() >= crashesToSuspect
+	c.add(r)
+	counter.notBefore = r.now.Add(c.delay())
 	s.markDirty(j)
 	s.log.Decision("crash counted", j.Record.GetId(), "task", t.ID(), "run", r.run, "worker", r.worker, "reason", r.reason,
-		"age_ms", r.age.Milliseconds(), "crashes", c.certain, "possible", c.possible, "suspect", c.suspect, "probed", r.probed)
-	if r.probed && (c.prompt >= promptToGiveUp || c.losses() >= lossesToGiveUp) {
+		"age_ms", r.age.Milliseconds(), "closed", r.closed, "crashes", c.certain, "prompt", c.prompt, "possible", c.possible,
+		"suspect", c.suspect, "probed", r.probed)
+	if r.probed && c.isConvicted() && !t.step.spec.GetLongRunning() {
 		s.log.Decision("failed", j.Record.GetId(), "task", t.ID(), "cause", "crashes its workers", "crashes", c.certain,
 			"possible", c.possible)
 		s.endJob(j, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED, r.unixMs)
 	}
 }
 
+// add counts a crash.
+func (c *crashCount) add(r lostRun) {
+	c.countedRun = r.run
+	switch {
+	case r.isCertain() && r.isPrompt():
+		c.certain++
+		c.prompt++
+	case r.isCertain() && r.begun:
+		c.certain++
+	case r.begun || r.closed || r.restored:
+		c.possible++
+	default:
+		// The order was not answered: the worker had probably been lost before.
+	}
+	c.suspect = r.fresh || c.losses() >= crashesToSuspect
+}
+
 // WorkersEnded records that the platform no longer runs these workers. Their runs have ended, and their tasks are
 // released without waiting for the leases.
 func (s *State) WorkersEnded(workers []*Worker, now time.Time, unixMs int64) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -117,6 +117,12 @@
 	// has reported it yet.
 	plannedUnixMs int64
 	restored      bool
+	// sentAt is when the start order was sent. closed is true if the worker then closed the connection at once instead of
+	// answering.
+	sentAt time.Time
+	closed bool
+	// notBefore delays the next start of a task whose workers crash; for a gang, that of its first task.
+	notBefore time.Time
 	// avoid is the worker on which the task last failed or stalled. It may get the task again after avoidUntil.
 	avoid      string
 	avoidUntil time.Time
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -169,7 +169,7 @@
 	}
 	for i := range p.step.tasks {
 		t := &p.step.tasks[i]
-		if !t.isWaiting() {
+		if !t.isWaiting() || p.now.Before(t.notBefore) {
 			continue
 		}
 		w := s.choose(p, t, "")
@@ -191,7 +191,7 @@
 
 // placeGang places all tasks of a gang or none. It waits until no member of the gang has a worker.
 func (s *State) placeGang(p *placement) {
-	if p.step.waiting < len(p.step.tasks) {
+	if p.step.waiting < len(p.step.tasks) || p.now.Before(p.step.tasks[0].notBefore) {
 		return
 	}
 	for _, rack := range s.gangRacks(p.step) {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -382,6 +382,7 @@
 	default:
 		// The order may or may not have arrived. The run is stopped; if it has begun, it ends with a checkpoint.
 		t.unconfirmed = true
+		t.closed = errors.Is(err, infra.ErrConnectionClosed) && now.Sub(t.sentAt) <= startupWindow
 		s.requestStop(t, "start order not answered")
 	}
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -330,7 +330,7 @@
 	t.unconfirmed, t.stop, t.stopping, t.stopReason = false, false, false, ""
 	t.stopAnsweredAt, t.stopAfter, t.orderedAt = time.Time{}, time.Time{}, time.Time{}
 	t.percent, t.progressAt = 0, time.Time{}
-	t.restored, t.sent, t.sound = false, false, false
+	t.restored, t.sent, t.sound, t.closed = false, false, false, false
 	j := t.step.job
 	if !t.done {
 		t.step.waiting++
--- a/infra/fleet.go
+++ b/infra/fleet.go
@@ -32,6 +32,10 @@
 	ErrAdvisorBusy = eris.New("advisor has too many waiting calls")
 )
 
+// ErrConnectionClosed means that the worker closed the connection after an order was sent, and did not answer. It may have
+// executed the order.
+var ErrConnectionClosed = eris.New("worker closed the connection without an answer")
+
 // FleetWorker is the state that a worker last reported.
 type FleetWorker struct {
 	ID          string
