Log the controller's load, and keep rare lines under load

Change: a line a second with plans, the time they take and the longest time between two, start orders with the time to their answer, renewals, waiting steps and unanswered orders. The log keeps five lines a second of each message.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -185,6 +185,7 @@
 	sessions  map[*dispatch.Worker]*workerSession
 	members   map[string]*member
 	heads     []*commitHead
+	load      load
 	// tombstones holds when this term learned of each tombstone, by key.
 	tombstones map[string]time.Time
 	// refusedEntries holds why the entries of other writers were refused, by worker identifier.
@@ -232,6 +233,7 @@
 	t.goroutines.Go(func() { t.followIntake(ctx, intake) })
 	t.goroutines.Go(func() { t.followWorkers(ctx, workers) })
 	t.goroutines.Go(func() { t.expireRecords(ctx) })
+	t.goroutines.Go(func() { t.logLoad(ctx) })
 	if t.Machines != nil {
 		t.goroutines.Go(func() { t.maintain(ctx) })
 		t.goroutines.Go(func() { t.followMachines(ctx) })
@@ -279,6 +281,7 @@
 	t.sendAdvice(ctx, plan.Advice)
 	t.commitChanges(ctx)
 	resign := t.shouldResign(now)
+	t.load.planned(now, t.now())
 	t.mu.Unlock()
 	if resign {
 		t.log.Info("a stronger machine should be the controller", "cores", t.Cores())
--- /dev/null
+++ b/controller/load.go
@@ -0,0 +1,53 @@
+package controller
+
+import (
+	"context"
+	"time"
+)
+
+// loadInterval is the interval of the log line about the controller's load.
+const loadInterval = time.Second
+
+// load counts what the controller did since the last log line about it. The term's mu guards it.
+type load struct {
+	plans, orders, renewals int
+	// planTime and orderTime are the sums of the durations of plans and of start orders until their answer.
+	planTime, orderTime time.Duration
+	// longestPlanGap is the longest time between the begins of two plans. It shows how late the process is.
+	longestPlanGap time.Duration
+	plannedAt      time.Time
+}
+
+// planned records a plan. The caller holds mu.
+func (l *load) planned(began, now time.Time) {
+	if !l.plannedAt.IsZero() {
+		l.longestPlanGap = max(l.longestPlanGap, began.Sub(l.plannedAt))
+	}
+	l.plannedAt = began
+	l.plans++
+	l.planTime += now.Sub(began)
+}
+
+// logLoad logs the load once a second until the term ends, so that the time of day at which a controller fell behind, and
+// with what, can be read from the log.
+func (t *term) logLoad(ctx context.Context) {
+	for t.Clock.Sleep(ctx, loadInterval) == nil {
+		t.mu.Lock()
+		l := t.load
+		t.load = load{plannedAt: l.plannedAt}
+		waiting, unanswered := t.state.Backlog()
+		t.mu.Unlock()
+		t.log.Info("controller load", "plans", l.plans, "plan_ms", l.planTime.Milliseconds(),
+			"longest_plan_gap_ms", l.longestPlanGap.Milliseconds(), "orders", l.orders,
+			"order_ms", averageMs(l.orderTime, l.orders), "renewals", l.renewals, "waiting_steps", waiting,
+			"unanswered_orders", unanswered)
+	}
+}
+
+// averageMs returns the average duration in milliseconds.
+func averageMs(sum time.Duration, n int) float64 {
+	if n == 0 {
+		return 0
+	}
+	return float64(sum.Microseconds()/int64(n)) / 1000
+}
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -214,6 +214,7 @@
 	if !s.worker.Reachable() {
 		t.log.Info("worker responds", "worker", info.ID, "incarnation", report.Incarnation)
 	}
+	t.load.renewals++
 	t.recordClock(s, report.ClockMs, now)
 	t.state.ApplyReport(s.worker, report, sent, now, unixMs())
 	t.triggerPlan()
@@ -333,7 +334,7 @@
 	call, cancel := t.orderContext(ctx, orderTimeout)
 	defer cancel()
 	var clockMs int64
-	err := infra.ErrNotSent
+	began, err := t.now(), infra.ErrNotSent
 	if order.LeaseUntilMs > 0 && t.leadership.Valid() {
 		clockMs, err = t.Fleet.Start(call, info, order)
 	}
@@ -343,6 +344,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
+	t.load.orders++
+	t.load.orderTime += now.Sub(began)
 	t.recordClock(s, clockMs, now)
 	known := task.IsJobStarted()
 	t.state.Started(task, run, err, now)
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -15,6 +15,9 @@
 const (
 	// logLinesPerSecond bounds the volume of the log. A controller at current site sizes writes about 600 lines per second.
 	logLinesPerSecond = 1500
+	// reservedPerMessage is how many lines of each message are written in a second whatever the number of the others, so that
+	// frequent lines of jobs do not displace the rare ones that explain them. There are about a hundred messages.
+	reservedPerMessage = 5
 	// logQueueCapacity is how many lines are queued for a slow reader of standard output, about the lines of one second.
 	logQueueCapacity = 1024
 	// maxLogWrite is the size in bytes from which a write takes no further lines.
@@ -34,6 +37,8 @@
 	mu     sync.Mutex // guards the fields below
 	second int64
 	count  int
+	// admitted counts the lines of the current second by message, up to reservedPerMessage.
+	admitted map[string]int
 	// dropped counts the dropped lines by message.
 	dropped map[string]int64
 }
@@ -42,7 +47,7 @@
 func NewLogSink(out io.Writer) *LogSink {
 	s := &LogSink{
 		out: out, lines: make(chan []byte, logQueueCapacity), stop: make(chan struct{}), done: make(chan struct{}),
-		dropped: map[string]int64{},
+		admitted: map[string]int{}, dropped: map[string]int64{},
 	}
 	go s.run()
 	return s
@@ -109,14 +114,19 @@
 	s.dropped[message]++
 }
 
-// admit counts a line and reports whether the limit of the current second allows it.
-func (s *LogSink) admit() bool {
+// admit counts a line and reports whether the limits of the current second allow it.
+func (s *LogSink) admit(message string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now := time.Now().Unix(); now != s.second {
 		s.second, s.count = now, 0
+		clear(s.admitted)
 	}
 	s.count++
+	if s.admitted[message] < reservedPerMessage {
+		s.admitted[message]++
+		return true
+	}
 	return s.count <= logLinesPerSecond
 }
 
@@ -165,7 +175,7 @@
 	if !c.Enabled(entry.Level) {
 		return checked
 	}
-	if !c.sink.admit() {
+	if !c.sink.admit(entry.Message) {
 		c.sink.drop(entry.Message)
 		return checked
 	}
--- a/telemetry/log_test.go
+++ b/telemetry/log_test.go
@@ -47,6 +47,24 @@
 	})
 }
 
+// Guards against rare lines that are dropped because of frequent ones, as when a controller is overloaded.
+func TestRareLinesAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		sink := NewLogSink(&out)
+		log := NewLogger(sink)
+		for range 2 * logLinesPerSecond {
+			log.Info("start")
+			synctest.Wait()
+		}
+		for range 2 * reservedPerMessage {
+			log.Info("controller load")
+		}
+		sink.Close(time.Second)
+		assert.Equal(t, strings.Count(out.String(), "controller load"), reservedPerMessage)
+	})
+}
+
 // heldWriter counts the calls of Write. The first one returns only when release is closed.
 type heldWriter struct {
 	bytes.Buffer
