Leave steps that are not to be tried yet out of the ranking

Cause: each plan ranked, sorted and visited all waiting steps, also those whose next try is some hundred milliseconds away.

Change: such steps are skipped unless they are urgent, as urgent ones reserve part of their team's ceiling while they wait. Their teams still count as active for the shares.

The tests of package dispatch, the model among them, pass unchanged.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -72,9 +72,9 @@
 		return plan
 	}
 	s.evict()
-	steps := s.readySteps(unixMs)
+	steps := s.readySteps(now, unixMs)
 	s.setOpenZones()
-	s.setShares(steps)
+	s.setShares()
 	clear(s.reserved)
 	for from := 0; from < len(steps); {
 		to := from + 1
@@ -132,9 +132,11 @@
 	}
 }
 
-// readySteps returns the steps with tasks that may start, sorted by rank.
-func (s *State) readySteps(unixMs int64) []ranked {
+// readySteps returns the steps with tasks that may start, sorted by rank, without those that are not to be tried yet and
+// reserve nothing.
+func (s *State) readySteps(now time.Time, unixMs int64) []ranked {
 	var steps []ranked
+	clear(s.waitingTeams)
 	for step := range s.frontier {
 		if step.waiting == 0 || step.job.Ended() || step.job.setAside || !step.unblocked() {
 			delete(s.frontier, step)
@@ -143,6 +145,11 @@
 		if !step.due(unixMs) {
 			continue
 		}
+		s.waitingTeams[step.job.Record.GetTeam()] = struct{}{}
+		if now.Before(step.nextTry) && (step.job.excess || s.queue(step.job).GetPriority() > 0) {
+			// Only urgent steps reserve part of a ceiling while they wait.
+			continue
+		}
 		steps = append(steps, ranked{s.rankOf(step, unixMs), step})
 	}
 	slices.SortFunc(steps, func(a, b ranked) int { return a.rank.compare(b.rank) })
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -8,21 +8,17 @@
 
 // setShares computes the base of the teams' shares for the current plan: the capacity of the listed, reachable workers
 // outside evacuated zones, and the total weight of the teams with running or waiting work.
-func (s *State) setShares(steps []ranked) {
+func (s *State) setShares() {
 	s.capacity = resource.Vector{}
 	for _, z := range s.openZones {
 		s.capacity = s.capacity.Add(z.capacity)
 	}
-	active := map[string]bool{}
-	for name, use := range s.teams {
-		active[name] = !use.running.IsZero()
-	}
-	for _, r := range steps {
-		active[r.step.job.Record.GetTeam()] = true
-	}
 	s.activeWeight = 0
-	for name, isActive := range active {
-		if isActive {
+	for name := range s.waitingTeams {
+		s.activeWeight += s.policy.Teams[name].Share
+	}
+	for name, use := range s.teams {
+		if _, waiting := s.waitingTeams[name]; !waiting && !use.running.IsZero() {
 			s.activeWeight += s.policy.Teams[name].Share
 		}
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -73,6 +73,8 @@
 	// failing contains the images whose tasks have failed since the last sound run, heldBack the workers that were suspended.
 	failing  map[string]*failingImage
 	heldBack map[*Worker]struct{}
+	// waitingTeams are the teams with steps that may start, in the current plan.
+	waitingTeams map[string]struct{}
 	// unanswered are the tasks whose start order waits for an answer, and tasks of yielding steps whose order is planned.
 	unanswered map[*Task]struct{}
 	// stops are the tasks whose runs are to be stopped.
@@ -112,7 +114,7 @@
 		allowedRatios: map[string]float64{}, cancelled: map[string]bool{}, frontier: map[*Step]struct{}{},
 		reserved: map[string]resource.Vector{}, index: newFleetIndex(), stops: map[*Task]struct{}{},
 		probes: map[*Task]struct{}{}, failing: map[string]*failingImage{}, heldBack: map[*Worker]struct{}{},
-		unanswered: map[*Task]struct{}{},
+		unanswered: map[*Task]struct{}{}, waitingTeams: map[string]struct{}{},
 	}
 }
 
