Count planned jobs as pending after a change of controllers

Cause: a restored task with a run number marked its job as begun, but runs are numbered when they are planned.

Evidence: TestPlannedJobIsPendingAfterAChangeOfControllers fails without the change.

Change: the progress record says whether a run has begun. A run that an earlier controller planned counts as begun until its worker has reported, so that a running job is not shown as queued in between. dispatch/congestion.go is formatted.

--- a/dispatch/congestion.go
+++ b/dispatch/congestion.go
@@ -13,7 +13,9 @@
 func (r ranked) yields() bool { return (r.rank.late || r.rank.excess) && !r.step.spec.GetLongRunning() }
 
 // Backlog returns how many steps wait for workers, and how many start orders for their answer.
-func (s *State) Backlog() (waitingSteps, unansweredOrders int) { return len(s.frontier), len(s.unanswered) }
+func (s *State) Backlog() (waitingSteps, unansweredOrders int) {
+	return len(s.frontier), len(s.unanswered)
+}
 
 // isCongested reports whether too many start orders wait for an answer.
 func (s *State) isCongested() bool { return len(s.unanswered) >= maxOrdersForYielding }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -22,8 +22,10 @@
 	DurablePhase siskinv1.WorkflowPhase
 	EndedUnixMs  int64
 	occurrences  []*occurrence
-	// started is true once a run of any task has begun, or was planned according to the restored progress.
-	started bool
+	// started is true once a run of any task has begun. restored is the number of tasks whose run was planned by an earlier
+	// controller and has not been reported, so that it may have begun.
+	started  bool
+	restored int
 	// excess is true if the job exceeded its team's guaranteed job rate when it was added.
 	excess bool
 	// placed is the number of tasks with a worker.
@@ -149,7 +151,7 @@
 func (t *Task) Run() int32 { return t.run }
 
 // IsJobStarted reports whether any run of the task's job has begun.
-func (t *Task) IsJobStarted() bool { return t.step.job.started }
+func (t *Task) IsJobStarted() bool { return t.step.job.hasStarted() }
 
 // Record returns the job of the task as it was accepted.
 func (t *Task) Record() *siskinv1.Workflow { return t.step.job.Record }
@@ -189,6 +191,7 @@
 	j := &Job{Record: record, Phase: siskinv1.WorkflowPhase_WORKFLOW_PHASE_QUEUED}
 	if progress != nil {
 		j.Phase, j.DurablePhase, j.EndedUnixMs = progress.GetPhase(), progress.GetPhase(), progress.GetEndedUnixMs()
+		j.started = progress.GetStarted()
 	}
 	if ended(j.Phase) && len(progress.GetOccurrences()) == 0 {
 		return j
@@ -232,6 +235,7 @@
 		for index := range s.tasks {
 			t := &s.tasks[index]
 			if p.GetDone() {
+				s.job.started = true
 				t.finish()
 				continue
 			}
@@ -250,7 +254,7 @@
 	if s.spec.GetGang() && t.checkpoint != "" {
 		s.checkpoint = t.checkpoint
 	}
-	if t.run > 0 {
+	if t.failures > 0 || t.checkpoint != "" || saved.GetDone() {
 		s.job.started = true
 	}
 	if saved.GetDone() {
@@ -258,6 +262,7 @@
 	}
 	if saved.GetWorker() != "" {
 		t.incarnation, t.restored = saved.GetIncarnation(), true
+		s.job.restored++
 		place(t, saved)
 	}
 }
@@ -294,6 +299,17 @@
 	}
 }
 
+// hasStarted reports whether a run of any task has begun or, as far as is known, may have begun.
+func (j *Job) hasStarted() bool { return j.started || j.restored > 0 }
+
+// resolveRestored records that it is known whether the run that an earlier controller planned has begun.
+func (t *Task) resolveRestored() {
+	if t.restored {
+		t.restored = false
+		t.step.job.restored--
+	}
+}
+
 // Placed returns the number of tasks with a worker.
 func (j *Job) Placed() int { return j.placed }
 
@@ -417,7 +433,7 @@
 
 // Progress returns the job's progress as it is stored.
 func (j *Job) Progress() *siskinv1.WorkflowProgress {
-	p := &siskinv1.WorkflowProgress{Phase: j.Phase, EndedUnixMs: j.EndedUnixMs}
+	p := &siskinv1.WorkflowProgress{Phase: j.Phase, EndedUnixMs: j.EndedUnixMs, Started: j.started}
 	if j.Ended() && j.placed == 0 {
 		return p
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -179,7 +179,7 @@
 		t.orderedAt, t.sent = now, true
 		if t.restored {
 			t.orderedAt = now.Add(-time.Duration(max(0, unixMs-t.plannedUnixMs)) * time.Millisecond)
-			t.restored = false
+			t.resolveRestored()
 		}
 		t.step.job.started = true
 	}
@@ -252,6 +252,7 @@
 	}
 	s.log.Decision("run ended", t.JobID(), "task", end.Task, "run", end.Run, "worker", w.Info.ID, "outcome", int(end.Outcome))
 	t.step.job.addEnd(w, end.Number)
+	t.step.job.started = true
 	if end.Outcome == infra.OutcomeFailed {
 		s.runFailed(t, w, now)
 	}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -235,7 +235,7 @@
 	switch {
 	case ended(j.DurablePhase):
 		return j.DurablePhase
-	case j.started:
+	case j.hasStarted():
 		return siskinv1.WorkflowPhase_WORKFLOW_PHASE_RUNNING
 	default:
 		return siskinv1.WorkflowPhase_WORKFLOW_PHASE_QUEUED
@@ -246,7 +246,7 @@
 func (s *State) Pending(queue string) int {
 	n := 0
 	for _, j := range s.activeJobs {
-		if j.Record.GetQueue().GetName() == queue && !j.started && !j.Ended() && j.Record.GetOccurrences() == 0 {
+		if j.Record.GetQueue().GetName() == queue && !j.hasStarted() && !j.Ended() && j.Record.GetOccurrences() == 0 {
 			n++
 		}
 	}
@@ -332,7 +332,8 @@
 	t.unconfirmed, t.stop, t.stopping, t.stopReason = false, false, false, ""
 	t.stopAnsweredAt, t.stopAfter, t.orderedAt = time.Time{}, time.Time{}, time.Time{}
 	t.percent, t.progressAt = 0, time.Time{}
-	t.restored, t.sent, t.sound, t.closed = false, false, false, false
+	t.resolveRestored()
+	t.sent, t.sound, t.closed = false, false, false
 	j := t.step.job
 	if !t.done {
 		t.step.waiting++
