Play a hot team against a controller with limited orders

TestHotTeamDoesNotDelayTheOthers plays the load of the large deployment on 1,100 simulated workers, with a team at six times its rate and a controller that sends 2,500 start orders a second.

--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -29,6 +30,8 @@
 	allowed       float64
 	checkpointing bool
 	longRunning   bool
+	// team submits the jobs; testTeam if it is empty.
+	team string
 }
 
 // largeFleetKinds are the jobs of a fleet of 1,100 workers: about 1,300 task starts a second.
@@ -84,10 +87,19 @@
 	// began is when the current run of a task began, work how long it takes.
 	began map[string]time.Time
 	work  map[string]time.Duration
+	// orderTime is how long the controller needs for a start order, freeAt when it has sent those that wait.
+	orderTime time.Duration
+	freeAt    time.Time
 	// passes are the durations of all plans in real time.
 	passes []time.Duration
 }
 
+// hotTeam submits more than hotTeamRate jobs a second.
+const (
+	hotTeam     = "hot"
+	hotTeamRate = 20
+)
+
 func newLoadRun(workers int, kinds []loadKind, seed uint64) *loadRun {
 	l := &loadRun{
 		fixture: newFixture(nil, 0), kinds: kinds, random: rand.New(rand.NewPCG(seed, seed)), slots: 140,
@@ -98,7 +110,7 @@
 	for _, k := range kinds {
 		queues = append(queues, policy.Queue{Host: "h", Prefix: "/" + k.queue.GetName() + "/", Policy: k.queue})
 	}
-	teams := []policy.Team{{Name: testTeam, Share: 1_000_000}}
+	teams := []policy.Team{{Name: testTeam, Share: 1_000_000}, {Name: hotTeam, Share: hotTeamRate}}
 	l.state.SetPolicy(policy.New(1, queues, teams, []policy.Service{{Name: testService}}, policy.Limits{}))
 	for i := range workers {
 		worker, _ := l.state.SetWorker(infra.FleetWorker{
@@ -149,7 +161,7 @@
 func (l *loadRun) submit(k *loadKind) string {
 	l.jobs++
 	id := fmt.Sprintf("%016x", l.jobs)
-	record := &siskinv1.Workflow{Id: id, Team: testTeam, Queue: k.queue, AcceptedUnixMs: l.unixMs()}
+	record := &siskinv1.Workflow{Id: id, Team: cmp.Or(k.team, testTeam), Queue: k.queue, AcceptedUnixMs: l.unixMs()}
 	for i := range k.steps {
 		spec := step(int32(max(1, k.width*(0.5+l.random.Float64()))), int64(k.milliCPU*(0.6+0.8*l.random.Float64())))
 		spec.MemoryMb = 19_000
@@ -205,7 +217,11 @@
 func (l *loadRun) committed(changes []Change) {
 	for _, c := range changes {
 		if c.Ends() {
-			l.completed[c.Record().GetQueue().GetName()] = append(l.completed[c.Record().GetQueue().GetName()], l.now.Sub(l.accepted[c.ID]))
+			key := c.Record().GetQueue().GetName()
+			if c.Record().GetTeam() == hotTeam {
+				key = hotTeam
+			}
+			l.completed[key] = append(l.completed[key], l.now.Sub(l.accepted[c.ID]))
 		}
 	}
 	orders, settled := l.state.Committed(changes, l.now)
@@ -213,20 +229,35 @@
 		l.ended[worker] = nil
 	}
 	for _, task := range orders {
-		order, worker := task.Start(), task.worker
-		l.running[worker][order.Task] = infra.ActiveRun{Task: order.Task, Run: order.Run}
-		l.state.Started(task, order.Run, nil, l.now)
-		work := time.Duration(float64(l.kindOf(task.JobID()).work) * (0.5 + l.random.Float64()))
-		l.began[order.Task], l.work[order.Task] = l.now, work
-		l.after(work, func() {
-			if run, runs := l.running[worker][order.Task]; runs && run.Run == order.Run {
-				l.end(worker, order.Task, infra.OutcomeSucceeded)
-				l.answer(worker)
+		if l.orderTime == 0 {
+			l.start(task)
+			continue
+		}
+		run := task.Run()
+		l.freeAt = maxTime(l.freeAt, l.now).Add(l.orderTime)
+		l.after(l.freeAt.Sub(l.now), func() {
+			if l.state.ConfirmOrder(task, run, l.now) {
+				l.start(task)
 			}
 		})
 	}
 }
 
+// start carries out the order to start a run.
+func (l *loadRun) start(task *Task) {
+	order, worker := task.Start(), task.worker
+	l.running[worker][order.Task] = infra.ActiveRun{Task: order.Task, Run: order.Run}
+	l.state.Started(task, order.Run, nil, l.now)
+	work := time.Duration(float64(l.kindOf(task.JobID()).work) * (0.5 + l.random.Float64()))
+	l.began[order.Task], l.work[order.Task] = l.now, work
+	l.after(work, func() {
+		if run, runs := l.running[worker][order.Task]; runs && run.Run == order.Run {
+			l.end(worker, order.Task, infra.OutcomeSucceeded)
+			l.answer(worker)
+		}
+	})
+}
+
 func (l *loadRun) kindOf(job string) *loadKind {
 	name := l.state.Job(job).Record.GetQueue().GetName()
 	for i := range l.kinds {
@@ -297,3 +328,20 @@
 	assert.Assert(t, served > 300, "%d urgent jobs completed", served)
 	assert.Assert(t, mean(l.completed["preview"]) < 2200*time.Millisecond, "urgent jobs took %v", mean(l.completed["preview"]))
 }
+
+// Guards against a team that submits several times its rate to a controller that cannot send as many start orders: the
+// urgent jobs of the others then get their starts late. They take about 1.3 s of work, and are worth less to their callers
+// after about 2.2 s.
+func TestHotTeamDoesNotDelayTheOthers(t *testing.T) {
+	kinds := largeFleetKinds()
+	hot := kinds[0]
+	hot.team, hot.perS = hotTeam, 120
+	l := newLoadRun(1100, append(kinds, hot), 1)
+	l.orderTime = time.Second / 2500
+	l.advance(8 * time.Second)
+	usual := l.completed["preview"]
+	assert.Assert(t, len(usual) > 300, "%d urgent jobs completed", len(usual))
+	assert.Assert(t, mean(usual) < 2200*time.Millisecond, "urgent jobs took %v", mean(usual))
+	// The others leave some orders to the hot team, which is served within its rate at least.
+	assert.Assert(t, len(l.completed[hotTeam]) > 4*hotTeamRate, "%d jobs of the hot team completed", len(l.completed[hotTeam]))
+}
