Bound the pending start orders, and plan what can be in time first

Where the processor of the controller's machine takes less, even the usual load is more than it can start.

Cause: the fleet has room, so each plan placed all that waited, and the orders then queued in the controller in the order of their plans: ranks had no effect. And deadlines order what is in time before what is not yet late, so that under a lasting overload each job was started just too late to be of full use.

Change: at most 250 start orders are planned or without an answer at a time, those older than 300 ms left out, since workers that are cut off do not answer. Work that can no longer be in time comes after all that can, and yields at 100 like work beyond its team's rate. Work that has begun counts as missed only after its deadline. Long-running tasks are exempt.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -72,7 +72,7 @@
 				continue
 			}
 			t.phase = phaseOrdered
-			s.unanswered[t] = struct{}{}
+			s.unanswered[t] = now
 			orders = append(orders, t)
 		}
 	}
--- a/dispatch/congestion_test.go
+++ b/dispatch/congestion_test.go
@@ -22,7 +22,7 @@
 
 func (f *fixture) submitFor(team, id string, step *siskinv1.WorkflowStep) {
 	record := job(id, step)
-	record.Team, record.AcceptedUnixMs = team, f.unixMs()
+	record.Team, record.Queue, record.AcceptedUnixMs = team, f.queue, f.unixMs()
 	f.state.AddJob(record, nil)
 }
 
@@ -48,7 +48,7 @@
 	started := f.planned()
 	assert.Equal(t, started["usual"], 8)
 	const withinRate = 5 * 8
-	assert.Assert(t, started["hot"] <= withinRate+maxOrdersForYielding, "%v", started)
+	assert.Assert(t, started["hot"] <= withinRate+maxPendingYielding, "%v", started)
 	f.submitFor("usual", "00000000000000f2", step(8, 1000))
 	lasting := step(4, 1000)
 	lasting.LongRunning = true
@@ -70,13 +70,65 @@
 				f.submitFor("hot", fmt.Sprintf("%016x", i+1), step(8, 1000))
 			}
 			f.planned()
-			f.now = f.now.Add(retryDelayMaxOther)
+			f.now = f.now.Add(retryDelayMaxOther / 2)
 			assert.Equal(t, len(f.planned()), 0)
 			for task := range f.state.unanswered {
 				answer(f, task)
 			}
-			f.now = f.now.Add(retryDelayMaxOther)
+			f.now = f.now.Add(retryDelayMaxOther / 2)
 			assert.Assert(t, f.planned()["hot"] > 0)
 		})
 	}
 }
+
+// Guards against orders to workers that do not answer, which hold up the starts on all others.
+func TestOverdueOrdersHoldUpNoStarts(t *testing.T) {
+	f := congestedFixture(t)
+	f.queue.AllowanceMs = 2000
+	for i := range 5 {
+		f.submitFor("usual", fmt.Sprintf("%016x", i+1), step(100, 1000))
+	}
+	assert.Equal(t, f.planned()["usual"], maxPendingOrders)
+	f.now = f.now.Add(overdueAfter / 2)
+	assert.Equal(t, len(f.planned()), 0)
+	f.now = f.now.Add(overdueAfter / 2)
+	assert.Equal(t, f.planned()["usual"], maxPendingOrders)
+}
+
+// Guards against jobs that cannot be in time and are planned before those that can: under a lasting overload all would then
+// be late.
+func TestMissedWorkComesAfterWorkInTime(t *testing.T) {
+	f := newFixture(t, 1)
+	submit := func(id string, ageMs int64) {
+		record := job(id, step(8, 1000))
+		record.Queue, record.AcceptedUnixMs = f.queue, f.unixMs()-ageMs
+		f.state.AddJob(record, nil)
+	}
+	// The objective is 1.75 s for a second of work.
+	submit("0000000000000001", 1700)
+	submit("0000000000000002", 600)
+	submit("0000000000000003", 100)
+	f.step()
+	assert.Equal(t, f.runs(), 8)
+	for _, order := range f.started {
+		assert.Equal(t, order.Task[:16], "0000000000000003")
+	}
+	f.endAll(infra.OutcomeSucceeded)
+	f.step()
+	f.step()
+	assert.Equal(t, f.started[8].Task[:16], "0000000000000001", "the job that has missed its objective for longest comes next")
+}
+
+// Guards against a job that is put behind others although its work has begun.
+func TestBegunWorkIsNotMissedBeforeItsDeadline(t *testing.T) {
+	f := newFixture(t, 1)
+	record := job("0000000000000001", step(9, 1000))
+	record.Queue = f.queue
+	j := f.state.AddJob(record, nil)
+	s := j.occurrences[0].steps[0]
+	now := record.GetAcceptedUnixMs()
+	assert.Assert(t, !s.isMissed(now+200) && s.isMissed(now+300))
+	f.step()
+	assert.Equal(t, f.runs(), 8)
+	assert.Assert(t, !s.isMissed(now+1700) && s.isMissed(now+1800))
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -62,6 +62,8 @@
 	waiting    int // tasks that wait for a worker
 	unfinished int // tasks that have not succeeded
 	advice     advice
+	// remainingMs is the estimated time from the start of the step to the end of its occurrence, in milliseconds.
+	remainingMs float64
 	// homeZone is the availability zone that the tasks prefer.
 	homeZone string
 	// checkpoint is the newest checkpoint of a gang, from which all members resume.
@@ -202,9 +204,11 @@
 		if record.GetOccurrences() > 0 {
 			o.dueUnixMs = record.GetFirstUnixMs() + int64(k)*record.GetIntervalMs()
 		}
-		o.deadlineUnixMs = o.dueUnixMs + objective(record).Milliseconds()
+		chain := newChain(record)
+		o.deadlineUnixMs = o.dueUnixMs + chain.objective().Milliseconds()
 		for i, spec := range record.GetSteps() {
 			o.steps = append(o.steps, j.newStep(o, k, i, spec))
+			o.steps[i].remainingMs = chain.remaining[i]
 		}
 		j.occurrences = append(j.occurrences, o)
 		if progress != nil && k < len(progress.GetOccurrences()) {
@@ -267,26 +271,40 @@
 // Ended reports whether the job succeeded, failed or was cancelled.
 func (j *Job) Ended() bool { return ended(j.Phase) }
 
-// objective returns the latency objective of an occurrence: its critical path with one advice call per step, times the
-// queue's slack factor, plus the queue's allowance.
-func objective(record *siskinv1.Workflow) time.Duration {
-	queue := record.GetQueue()
+// chain is the estimated duration of an occurrence, with one advice call for each step.
+type chain struct {
+	queue *siskinv1.QueuePolicy
+	// remaining is the longest chain of steps that begins with each step, in milliseconds.
+	remaining []float64
+}
+
+func newChain(record *siskinv1.Workflow) chain {
+	c := chain{queue: record.GetQueue(), remaining: make([]float64, len(record.GetSteps()))}
 	perStep := float64(0)
-	if a := queue.GetAdvice(); a != nil {
+	if a := c.queue.GetAdvice(); a != nil {
 		perStep = a.GetDecideMs() + adviceWorkers*a.GetPerWorkerMs()
 	}
-	longest := make([]float64, len(record.GetSteps()))
-	criticalPath := float64(0)
-	for i, spec := range record.GetSteps() {
+	// A step comes after those that it depends on.
+	for i := len(c.remaining) - 1; i >= 0; i-- {
+		spec := record.GetSteps()[i]
+		c.remaining[i] += float64(spec.GetEstimateMs()) + perStep
 		for _, dependency := range spec.GetAfter() {
 			if int(dependency) < i {
-				longest[i] = max(longest[i], longest[dependency])
+				c.remaining[dependency] = max(c.remaining[dependency], c.remaining[i])
 			}
 		}
-		longest[i] += float64(spec.GetEstimateMs()) + perStep
-		criticalPath = max(criticalPath, longest[i])
 	}
-	ms := queue.GetSlackFactor()*criticalPath + float64(queue.GetAllowanceMs())
+	return c
+}
+
+// objective returns the latency objective of an occurrence: its critical path times the queue's slack factor, plus the
+// queue's allowance.
+func (c chain) objective() time.Duration {
+	criticalPath := float64(0)
+	for _, ms := range c.remaining {
+		criticalPath = max(criticalPath, ms)
+	}
+	ms := c.queue.GetSlackFactor()*criticalPath + float64(c.queue.GetAllowanceMs())
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -345,3 +345,22 @@
 	// The others leave some orders to the hot team, which is served within its rate at least.
 	assert.Assert(t, len(l.completed[hotTeam]) > 4*hotTeamRate, "%d jobs of the hot team completed", len(l.completed[hotTeam]))
 }
+
+// Guards against a controller that is asked for more starts than it can send and serves all jobs late instead of most in
+// time: their callers have a use for them within about 2.2 s.
+func TestOverloadedControllerServesMostJobsInTime(t *testing.T) {
+	kinds := largeFleetKinds()
+	l := newLoadRun(1100, kinds, 1)
+	l.orderTime = time.Second / 1300 // the usual load takes 2,000 starts a second
+	l.advance(12 * time.Second)
+	inTime := 0
+	for _, took := range l.completed["preview"] {
+		if took <= 2200*time.Millisecond {
+			inTime++
+		}
+	}
+	// Two thirds of the starts can be sent. Less urgent jobs that are in time leave enough for six in ten of the urgent ones, of
+	// which at least half have to be in time. Those of the last two seconds may still be under way.
+	arrived := kinds[0].perS * 10
+	assert.Assert(t, float64(inTime) > 0.6/2*arrived, "%d of %.0f urgent jobs in time", inTime, arrived)
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -21,8 +21,8 @@
 	ticketed []*Worker
 	// probe is true for a gang that may have crashed workers; all members start on quiet workers.
 	probe bool
-	// yields is true if the step waits while start orders pile up.
-	yields bool
+	// maxPendingOrders is the number of pending start orders from which the step gets no further starts.
+	maxPendingOrders int
 }
 
 func (s *State) newPlacement(step *Step, now time.Time) *placement {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -24,10 +24,11 @@
 	Advice []*AdviceRequest
 }
 
-// class is the part of a rank that precedes shares and deadlines; the lowest is planned first.
+// class is the part of a rank that precedes shares and deadlines; the lowest is planned first. Work that is late is of no use
+// to its user any more, excess is beyond its team's rate, and missed can no longer be in time.
 type class struct {
-	late, excess bool
-	priority     int32
+	late, excess, missed bool
+	priority             int32
 }
 
 // rank orders the steps within a plan; the lowest is planned first.
@@ -39,7 +40,8 @@
 
 func (r rank) compare(o rank) int {
 	return cmp.Or(
-		compareBool(r.late, o.late), compareBool(r.excess, o.excess), cmp.Compare(r.priority, o.priority),
+		compareBool(r.late, o.late), compareBool(r.excess, o.excess), compareBool(r.missed, o.missed),
+		cmp.Compare(r.priority, o.priority),
 		cmp.Compare(r.deadline, o.deadline), strings.Compare(r.name, o.name),
 	)
 }
@@ -65,6 +67,7 @@
 func (s *State) Plan(now time.Time, unixMs int64, slots AdviceSlots) Plan {
 	var plan Plan
 	s.planTime, s.planUnixMs = now, unixMs
+	s.pendingOrders = s.countPendingOrders(now)
 	s.clearSuspects()
 	if s.policy == nil {
 		// Without a policy, the ceilings and the evacuated zones are unknown, so nothing may start.
@@ -93,15 +96,16 @@
 	if now.Before(r.step.nextTry) {
 		return
 	}
-	yields := r.yields()
-	if yields && s.isCongested() {
+	if s.pendingOrders >= r.maxPendingOrders() {
 		s.logWaitReason(r.step, now, WaitsForOrders)
-		r.step.backOff(now, false, r.rank.priority)
+		if r.yields() {
+			r.step.backOff(now, false, r.rank.priority)
+		}
 		return
 	}
 	waiting := r.step.waiting
 	p := s.newPlacement(r.step, now)
-	p.yields = yields
+	p.maxPendingOrders = r.maxPendingOrders()
 	s.placeStep(p)
 	s.preempt(p)
 	request := s.wantAdvice(r, p, slots)
@@ -162,7 +166,8 @@
 	return rank{
 		class: class{
 			late:   !step.spec.GetLongRunning() && unixMs > o.dueUnixMs+lateFactor*span,
-			excess: step.job.excess, priority: s.queue(step.job).GetPriority(),
+			excess: step.job.excess, missed: !step.spec.GetLongRunning() && step.isMissed(unixMs),
+			priority: s.queue(step.job).GetPriority(),
 		},
 		deadline: o.deadlineUnixMs, name: step.name,
 	}
@@ -187,11 +192,8 @@
 			continue
 		}
 		s.assign(t, w)
-		if p.yields {
-			s.unanswered[t] = struct{}{}
-			if s.isCongested() {
-				return
-			}
+		if s.pendingOrders >= p.maxPendingOrders {
+			return
 		}
 	}
 }
@@ -278,6 +280,8 @@
 	s.beginProbe(t)
 	t.incarnation = t.worker.Info.Incarnation
 	t.worker.health.begin(t, s.planTime)
+	s.unanswered[t] = s.planTime
+	s.pendingOrders++
 	j := t.step.job
 	j.orders = append(j.orders, t)
 	s.markDirty(j)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -75,8 +75,10 @@
 	heldBack map[*Worker]struct{}
 	// waitingTeams are the teams with steps that may start, in the current plan.
 	waitingTeams map[string]struct{}
-	// unanswered are the tasks whose start order waits for an answer, and tasks of yielding steps whose order is planned.
-	unanswered map[*Task]struct{}
+	// unanswered are the tasks whose start order is planned or waits for an answer, with the time of the plan or of its commit.
+	// pendingOrders is the number of those that are not overdue, in the current plan.
+	unanswered    map[*Task]time.Time
+	pendingOrders int
 	// stops are the tasks whose runs are to be stopped.
 	stops map[*Task]struct{}
 	// probes are the suspects that run on a worker of their own.
@@ -114,7 +116,7 @@
 		allowedRatios: map[string]float64{}, cancelled: map[string]bool{}, frontier: map[*Step]struct{}{},
 		reserved: map[string]resource.Vector{}, index: newFleetIndex(), stops: map[*Task]struct{}{},
 		probes: map[*Task]struct{}{}, failing: map[string]*failingImage{}, heldBack: map[*Worker]struct{}{},
-		unanswered: map[*Task]struct{}{}, waitingTeams: map[string]struct{}{},
+		unanswered: map[*Task]time.Time{}, waitingTeams: map[string]struct{}{},
 	}
 }
 
