--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -50,8 +50,8 @@
 	// WaitsForCapacity means that no available worker can take one more task: they lack free capacity, or are excluded
 	// by the step's limit per worker or by other tasks on them.
 	WaitsForCapacity WaitReason = "room"
-	// WaitsForOrders means that the controller has more start orders under way than it can send at once, and the job is beyond
-	// its team's rate or too late.
+	// WaitsForOrders means that the controller has as many start orders under way as it can send. Work beyond its team's rate,
+	// and work that cannot be in time any more, waits first.
 	WaitsForOrders WaitReason = "start_orders"
 	// WaitsForGangCapacity means that the available workers cannot take all tasks of a gang at once.
 	WaitsForGangCapacity WaitReason = "room_for_gang"
