Order work that misses its objective within its priority

Cause: work that can probably not be in time came after all priorities. Previews that had waited 250 ms for room were then planned after all stitches, and stopped them afterwards.

Change: the guess orders only work of the same priority.

Measured: the tests of package dispatch pass, TestOverloadedControllerServesMostJobsInTime and TestHotTeamDoesNotDelayTheOthers among them.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -25,10 +25,12 @@
 }
 
 // class is the part of a rank that precedes shares and deadlines; the lowest is planned first. Work that is late is of no use
-// to its user any more, excess is beyond its team's rate, and missed can no longer be in time.
+// to its user any more, excess is beyond its team's rate, and missed can probably not be in time. That is a guess, so it
+// orders only work of the same priority.
 type class struct {
-	late, excess, missed bool
-	priority             int32
+	late, excess bool
+	priority     int32
+	missed       bool
 }
 
 // rank orders the steps within a plan; the lowest is planned first.
@@ -40,8 +42,8 @@
 
 func (r rank) compare(o rank) int {
 	return cmp.Or(
-		compareBool(r.late, o.late), compareBool(r.excess, o.excess), compareBool(r.missed, o.missed),
-		cmp.Compare(r.priority, o.priority),
+		compareBool(r.late, o.late), compareBool(r.excess, o.excess), cmp.Compare(r.priority, o.priority),
+		compareBool(r.missed, o.missed),
 		cmp.Compare(r.deadline, o.deadline), strings.Compare(r.name, o.name),
 	)
 }
