--- a/review/stage/node.go
+++ b/review/stage/node.go
@@ -71,9 +71,9 @@
 frontend = %q
 readiness = %q
 [limits]
-cpuShare = 1.0
+cpuShare = 0.4
 cores = 1
-memoryMb = 1024
+memoryMb = 284
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -315,19 +316,27 @@
 	}
 }
 
+// nextPort is the next port for a stand-in. The ports are below those that the kernel assigns to outgoing connections, so
+// that a stand-in that was down gets its port back.
+var nextPort = 10_000 + os.Getpid()*53%9_000
+
 // listenOn listens on an address, on a free port if it is "".
 func listenOn(address string) net.Listener {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
 	var listener net.Listener
 	var err error
-	for range 200 {
-		if listener, err = net.Listen("tcp4", address); err == nil {
+	for range 400 {
+		on := address
+		if on == "" {
+			on = "127.0.0.1:" + strconv.Itoa(nextPort)
+			nextPort++
+		}
+		if listener, err = net.Listen("tcp4", on); err == nil {
 			return listener
 		}
-		time.Sleep(10 * time.Millisecond)
+		if address != "" {
+			time.Sleep(10 * time.Millisecond)
+		}
 	}
-	fatal("listen on %s: %v", address, err)
+	fatal("listen on %q: %v", address, err)
 	return nil
 }
