Stop runs that a worker lists and that are not placed on it

Cause: a run in a report that is not the newest of its task, or whose task is placed elsewhere, was ignored, while each renewal extends the lease of all runs on the worker.

Change: such a run counts as an orphan once a report lists it that was requested after it was first seen, as reports may overtake each other. It is stopped. Until it has ended, its task is held, a planned run of it whose order was not sent is withdrawn, and the worker gets no tasks, because the room that the orphan takes is not known. A worker with orphans is asked for its next report after 150 ms at the latest. A run is stopped rather than adopted, because the record of its task may already name another run.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -301,6 +301,9 @@
 	for _, stop := range plan.Stops {
 		t.goroutines.Go(func() { t.stop(ctx, stop) })
 	}
+	for _, stop := range plan.OrphanStops {
+		t.goroutines.Go(func() { t.stopOrphan(ctx, stop) })
+	}
 }
 
 // decisionLog logs and counts the decisions of package dispatch.
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -12,7 +12,8 @@
 const (
 	// renewWait is the longest time that a worker holds a renewal open until a task ends (long poll).
 	renewWait = time.Second
-	// probeRenewWait is the same while the worker probes a suspect, which ends with a report after the startup window.
+	// probeRenewWait is the same while the worker probes a suspect, which ends with a report after the startup window, or
+	// lists runs that are not placed on it.
 	probeRenewWait = 150 * time.Millisecond
 	// renewSlack is added to the time that a renewal is held open to get its timeout. It covers delays of a busy machine.
 	renewSlack = 800 * time.Millisecond
@@ -97,7 +98,7 @@
 		t.mu.Lock()
 		known := t.state.Worker(s.worker.Info.ID) == s.worker
 		wait := renewWait
-		if s.worker.IsProbing() {
+		if s.worker.IsProbing() || s.worker.HasOrphans() {
 			wait = probeRenewWait
 		}
 		if s.clockMs == 0 || !s.worker.Reachable() {
@@ -397,6 +398,22 @@
 	}
 }
 
+// stopOrphan sends the order to end a run that is not placed on its worker.
+func (t *term) stopOrphan(ctx context.Context, stop dispatch.OrphanStop) {
+	order := stop.Order
+	order.Epoch = t.leadership.Epoch
+	err := infra.ErrNotSent
+	if t.leadership.Valid() {
+		call, cancel := t.orderContext(ctx, orderTimeout)
+		_, err = t.Fleet.Stop(call, stop.Worker, order)
+		cancel()
+	}
+	t.Metrics.order("stop", err)
+	t.checkFence(err)
+	t.log.Info("stop", "task", order.Task, "run", order.Run, "worker", stop.Worker.ID, "reason", "not placed on the worker",
+		"result", resultOf(err))
+}
+
 func resultOf(err error) string {
 	if err == nil {
 		return "ok"
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -263,6 +263,7 @@
 			"common_cause", l.commonCause)
 		s.loseRuns(w, runsOf(w), l)
 		w.ended, w.leaseEnd = true, now
+		s.dropOrphans(w, nil)
 		w.setReachable(false)
 		s.index.update(w)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -20,8 +20,9 @@
 
 // Plan holds the stops to order and the advice to request now.
 type Plan struct {
-	Stops  []*Task
-	Advice []*AdviceRequest
+	Stops       []*Task
+	OrphanStops []OrphanStop
+	Advice      []*AdviceRequest
 }
 
 // class is the part of a rank that precedes shares and deadlines; the lowest is planned first. Work that is late is of no use
@@ -157,6 +158,7 @@
 			plan.Stops = append(plan.Stops, t)
 		}
 	}
+	s.planOrphanStops(plan, now)
 }
 
 // readySteps returns the steps with tasks that may start, sorted by rank, without those that are not to be tried yet and
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -77,6 +77,7 @@
 			continue
 		}
 		s.loseRuns(w, runsOf(w), loss{reason: "lease ended", now: now, unixMs: unixMs})
+		s.dropOrphans(w, nil)
 		if !w.Listed && len(w.tasks) == 0 {
 			delete(s.workers, w.Info.ID)
 			s.index.remove(w)
@@ -114,6 +115,8 @@
 	for _, active := range report.Active {
 		if t := s.applyActive(w, active, now, unixMs); t != nil {
 			listed[t] = true
+		} else {
+			s.noteOrphan(w, active, sent, now)
 		}
 	}
 	if !whole {
@@ -122,6 +125,7 @@
 			"more_ends", report.MoreEnds)
 		return
 	}
+	s.dropOrphans(w, report.Active)
 	var lost []*Task
 	for t := range w.tasks {
 		switch {
@@ -146,6 +150,7 @@
 		w.lostAt = now
 	}
 	w.Info.Incarnation = incarnation
+	s.dropOrphans(w, nil)
 }
 
 // ranOnEarlierIncarnation reports whether the run began on an earlier incarnation of its worker, or was ordered to begin
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -86,6 +86,8 @@
 	pendingOrders int
 	// stops are the tasks whose runs are to be stopped.
 	stops map[*Task]struct{}
+	// orphaned are the workers with confirmed orphans.
+	orphaned map[*Worker]struct{}
 	// probes are the suspects that run on a worker of their own.
 	probes map[*Task]struct{}
 	// planTime and planUnixMs are the time of the current plan on the monotonic and the wall clock.
@@ -131,7 +133,7 @@
 		jobs: map[string]*Job{}, activeJobs: map[string]*Job{}, teams: map[string]*teamUsage{}, dirty: map[string]*Job{},
 		allowedRatios: map[string]float64{}, cancelled: map[string]bool{}, frontier: map[*Step]struct{}{},
 		reserved: map[string]resource.Vector{}, index: newFleetIndex(), stops: map[*Task]struct{}{},
-		probes: map[*Task]struct{}{}, failing: map[string]*failingImage{}, heldBack: map[*Worker]struct{}{},
+		orphaned: map[*Worker]struct{}{}, probes: map[*Task]struct{}{}, failing: map[string]*failingImage{}, heldBack: map[*Worker]struct{}{},
 		unanswered: map[*Task]time.Time{}, waitingTeams: map[string]struct{}{}, estimates: newRunEstimates(limits.Features),
 		forecast: newWaitForecast(limits),
 		budget:   adviceBudget{figures: adviceFigures{queues: map[string]*AdviceFigures{}}, claims: map[*Worker]float64{}, quickClaims: map[*Worker]float64{}},
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -25,6 +25,8 @@
 	ended bool
 	// cutOff is true if the platform has listed the worker as running since it was lost.
 	cutOff bool
+	// orphans are the runs that the worker lists although they are not placed on it.
+	orphans map[orphanKey]*orphan
 	// probe is the suspect for which the worker is reserved until its startup window is over, or nil.
 	probe *Task
 	// leaseEnd is when all runs on the worker have ended unless the lease is renewed.
@@ -110,7 +112,8 @@
 
 // isOpen reports whether the state of the worker lets it get new tasks, apart from limits that end by time.
 func (w *Worker) isOpen() bool {
-	return w.Listed && w.reported && w.reachable && !w.ended && !w.Info.Draining && !w.cordoned && w.probe == nil
+	return w.Listed && w.reported && w.reachable && !w.ended && !w.Info.Draining && !w.cordoned && w.probe == nil &&
+		!w.hasConfirmedOrphans()
 }
 
 // isSchedulable reports whether the worker may get new tasks.
