soak: cut zones off with refused connections while the controller runs

Each machine now reads the addresses of other machines and of workers as those of its own proxies, and two cuts a run refuse all connections across the border of a zone, in series or at the same time, while all machines reach the store. Jobs with tasks of 8 s are submitted before a cut, so that tasks are at work throughout it.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -30,6 +30,10 @@
 	secondKeyOneIn = 5
 	// crashOneIn is the share of jobs with a task that crashes its workers, while such jobs are submitted.
 	crashOneIn = 8
+	// lastOneIn is the share of jobs with tasks that last, while such jobs are submitted; lastingFor is how long these tasks
+	// run. It exceeds the longest fault.
+	lastOneIn  = 3
+	lastingFor = 8 * time.Second
 	// memoryMB is what each task declares, far below a worker's memory, so that processors are the scarce resource.
 	memoryMB = 256
 
@@ -67,6 +71,14 @@
 	list []*job // in order of submission
 	// crashing is true while jobs with a task that crashes its workers are submitted.
 	crashing atomic.Bool
+	// lasting is true while jobs with tasks that outlast a cut of their zone are submitted.
+	lasting atomic.Bool
+}
+
+// runForTask returns how long a task runs.
+func (j *jobs) runForTask(task string) time.Duration {
+	step := j.stepOf(task)
+	return time.Duration(step.EstimateMs) * time.Millisecond
 }
 
 // crashesWorkers reports whether a task crashes each worker that starts it.
@@ -91,20 +103,26 @@
 	return append([]*job(nil), j.list...)
 }
 
-// declaredResources returns the resources that a task declared. A task's name consists of job, occurrence, step and index.
+// declaredResources returns the resources that a task declared.
 func (j *jobs) declaredResources(task string) resource.Vector {
+	step := j.stepOf(task)
+	return resource.Vector{MilliCPU: step.MilliCPU, MemoryBytes: step.MemoryMB * megabyte}
+}
+
+// stepOf returns the step of a task, or the zero step. A task's name consists of job, occurrence, step and index.
+func (j *jobs) stepOf(task string) emulator.Step {
 	id, rest, _ := strings.Cut(task, ".")
 	var occurrence, step, index int
 	if n, err := fmt.Sscanf(rest, "%d.%d.%d", &occurrence, &step, &index); err != nil || n != 3 {
-		return resource.Vector{}
+		return emulator.Step{}
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	known := j.all[id]
 	if known == nil || step >= len(known.steps) {
-		return resource.Vector{}
+		return emulator.Step{}
 	}
-	return resource.Vector{MilliCPU: known.steps[step].MilliCPU, MemoryBytes: known.steps[step].MemoryMB * megabyte}
+	return known.steps[step]
 }
 
 // tasks returns the names of a job's tasks.
@@ -137,6 +155,9 @@
 			next.After = []int32{0}
 			added.steps = append(added.steps, next)
 		}
+		if r.jobs.lasting.Load() && n%lastOneIn == 0 {
+			added.steps[0].EstimateMs = lastingFor.Milliseconds()
+		}
 		added.crashes = r.jobs.crashing.Load() && n%crashOneIn == 0
 		r.jobs.add(added)
 		first, retries := random.IntN(len(r.machines)), random.IntN(retryOneIn) == 0
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -50,6 +50,7 @@
 	"key revoked":            revokeKey,
 	"zone evacuated":         evacuateZone,
 	crashingTasks:            submitCrashingTasks,
+	zoneRefuses:              cutZone,
 	workerShrinks:            shrinkWorker,
 }
 
@@ -57,6 +58,7 @@
 const (
 	crashingTasks = "tasks crash workers"
 	workerShrinks = "worker shrinks"
+	zoneRefuses   = "zone refuses connections"
 )
 
 // kindNames lists the kinds in a fixed order, so that a seed draws the same faults in every run. Repeated kinds are more
@@ -91,7 +93,7 @@
 		faults = append(faults, f)
 	}
 	later := rand.New(rand.NewPCG(options.Seed, laterKinds))
-	for _, kind := range []string{crashingTasks, workerShrinks, workerShrinks} {
+	for _, kind := range []string{crashingTasks, workerShrinks, workerShrinks, zoneRefuses, zoneRefuses} {
 		faults = append(faults, Fault{
 			At:   time.Duration(later.Int64N(int64(options.Length))),
 			For:  shortestFault + time.Duration(later.Int64N(int64(longestFault-shortestFault))),
--- a/soak/machine_test.go
+++ b/soak/machine_test.go
@@ -25,10 +25,13 @@
 // machine is one process of the product. Signals go only through its own process handle.
 type machine struct {
 	name     string
+	zone     string
 	binary   string
 	settings string
 	frontend string
+	peers    string
 	store    *proxy
+	links    *links
 
 	mu      sync.Mutex // guards process and ended
 	process *os.Process
@@ -65,7 +68,12 @@
 
 // newMachine writes a machine's settings and starts its proxy to the store.
 func newMachine(ctx context.Context, binary, dir, name, zone string, heavyLoad bool, p *emulator.Platform) (*machine, error) {
-	store, err := newProxy(ctx, p.StoreAddress)
+	l := &links{byTarget: map[string]*link{}}
+	view, err := p.ServeStore(ctx, l.view)
+	if err != nil {
+		return nil, err
+	}
+	store, err := newProxy(ctx, view)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +85,8 @@
 	}
 	at := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 	m := &machine{
-		name: name, binary: binary, settings: filepath.Join(dir, name+".toml"), frontend: at(ports[0]), store: store,
+		name: name, zone: zone, binary: binary, settings: filepath.Join(dir, name+".toml"), frontend: at(ports[0]),
+		peers: at(ports[2]), store: store, links: l,
 	}
 	text := emulator.Settings(emulator.Machine{
 		Name: name, Zone: zone, Frontend: m.frontend, Readiness: at(ports[1]), PeerPort: ports[2],
@@ -143,7 +152,7 @@
 	return m.waitEnded(ended, stopLimit)
 }
 
-// running reports whether the process has not ended.
+// running reports whether the process was started and has not ended.
 func (m *machine) running() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -151,6 +160,6 @@
 	case <-m.ended:
 		return false
 	default:
-		return true
+		return m.process != nil
 	}
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -25,50 +25,85 @@
 	modeSilent
 	// modeOneWay forwards requests and drops responses.
 	modeOneWay
+	// modeRefuse resets existing connections and refuses new ones.
+	modeRefuse
 )
 
-func (m mode) String() string { return [...]string{"pass", "delay", "reset", "silent", "one way"}[m] }
+func (m mode) String() string {
+	return [...]string{"pass", "delay", "reset", "silent", "one way", "refuse"}[m]
+}
 
 const (
 	// proxyDelay is the delay that modeDelay adds to each read; it is shorter than the product's timeouts.
 	proxyDelay  = 150 * time.Millisecond
 	proxyBuffer = 32 << 10
 	dialTimeout = time.Second
+
+	listenTimeout       = time.Second
+	listenRetryInterval = 10 * time.Millisecond
 )
 
 // proxy is a TCP proxy for one address.
 type proxy struct {
-	target   string
-	listener net.Listener
+	target string
 
-	mu    sync.Mutex // guards mode and conns
-	mode  mode
-	conns map[net.Conn]struct{}
+	mu       sync.Mutex // guards the fields below
+	listener net.Listener
+	mode     mode
+	conns    map[net.Conn]struct{}
 }
 
+// newProxy starts a proxy on a free port.
 func newProxy(ctx context.Context, target string) (*proxy, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", "127.0.0.1:0")
+	return newProxyAt(ctx, "127.0.0.1:0", target)
+}
+
+func newProxyAt(ctx context.Context, address, target string) (*proxy, error) {
+	p := &proxy{target: target, conns: map[net.Conn]struct{}{}}
+	return p, p.listen(ctx, address)
+}
+
+// listen accepts connections on an address until the listener is closed. It retries for listenTimeout: a process that is
+// being started holds copies of closed listeners for a moment.
+func (p *proxy) listen(ctx context.Context, address string) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+	for deadline := time.Now().Add(listenTimeout); err != nil && time.Now().Before(deadline); {
+		time.Sleep(listenRetryInterval)
+		listener, err = (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+	}
 	if err != nil {
-		return nil, eris.Wrap(err, "proxy")
+		return eris.Wrap(err, "proxy")
 	}
-	p := &proxy{target: target, listener: listener, conns: map[net.Conn]struct{}{}}
-	go p.accept(ctx)
-	return p, nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = listener
+	go p.accept(ctx, listener)
+	return nil
+}
+
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) close() { p.set(modeRefuse) }
 
-func (p *proxy) close() {
-	_ = p.listener.Close()
-	p.set(modeReset)
+// reopen forwards again after modeRefuse. The address must not be one that the kernel assigns to other connections.
+func (p *proxy) reopen(ctx context.Context) error {
+	p.set(modeForward)
+	return p.listen(ctx, p.address())
 }
 
-// set changes the mode; modeReset also resets the open connections.
+// set changes the mode; modeReset and modeRefuse also reset the open connections.
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
-	if m != modeReset {
+	if m == modeRefuse {
+		_ = p.listener.Close()
+	}
+	if m != modeReset && m != modeRefuse {
 		return
 	}
 	for conn := range p.conns {
@@ -90,9 +125,9 @@
 	_ = conn.Close()
 }
 
-func (p *proxy) accept(ctx context.Context) {
+func (p *proxy) accept(ctx context.Context, listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -101,7 +136,7 @@
 }
 
 func (p *proxy) serve(ctx context.Context, caller net.Conn) {
-	if p.current() == modeReset {
+	if m := p.current(); m == modeReset || m == modeRefuse {
 		reset(caller)
 		return
 	}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -148,6 +148,7 @@
 		return err
 	}
 	r.platform.SetCrashing(r.jobs.crashesWorkers)
+	r.platform.Fleet.RunForTask = r.jobs.runForTask
 	if err := r.configure(true); err != nil {
 		return err
 	}
@@ -157,12 +158,36 @@
 		if err != nil {
 			return err
 		}
+		r.machines = append(r.machines, m)
+	}
+	if err := r.startMachines(ctx); err != nil {
+		return err
+	}
+	return r.waitServing()
+}
+
+// startMachines opens the links of all machines and starts them.
+func (r *run) startMachines(ctx context.Context) error {
+	for _, m := range r.machines {
+		for _, other := range r.machines {
+			if other != m {
+				if err := m.links.add(ctx, other.peers, other.zone); err != nil {
+					return err
+				}
+			}
+		}
+		for i, p := range r.workers {
+			if err := m.links.add(ctx, p.address(), r.platform.Workers[i].Zone); err != nil {
+				return err
+			}
+		}
+	}
+	for _, m := range r.machines {
 		if err := m.start(); err != nil {
 			return err
 		}
-		r.machines = append(r.machines, m)
 	}
-	return r.waitServing()
+	return nil
 }
 
 // waitServing waits until a first job has been completed.
@@ -243,6 +268,9 @@
 	r.platform.Store.Deliver()
 	for _, m := range r.machines {
 		m.store.set(modeForward)
+		if err := m.links.openAll(ctx); err != nil {
+			r.reportViolation("links of %s: %v", m.name, err)
+		}
 		if err := r.restart(m); err != nil {
 			r.reportViolation("machine %s does not start again: %v", m.name, err)
 		}
@@ -273,13 +301,13 @@
 
 // workDuration returns how long the work of jobs takes at the team's ceiling.
 func workDuration(all []*job) time.Duration {
-	milliCPU := int64(0)
+	milliCPUMs := int64(0)
 	for _, j := range all {
 		for _, step := range j.steps {
-			milliCPU += int64(step.Count) * step.MilliCPU
+			milliCPUMs += int64(step.Count) * step.MilliCPU * step.EstimateMs
 		}
 	}
-	return time.Duration(milliCPU * int64(runFor) / ceiling.MilliCPU)
+	return time.Duration(milliCPUMs/ceiling.MilliCPU) * time.Millisecond
 }
 
 // checkEnds compares how each job ended with what its callers were told and with what ran.
@@ -331,6 +359,7 @@
 			_ = m.kill() // the run is over; the result does not matter
 		}
 		m.store.close()
+		m.links.close()
 	}
 	for _, p := range r.workers {
 		p.close()
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -19,6 +19,8 @@
 type Fleet struct {
 	// RunFor is the duration of a task.
 	RunFor time.Duration
+	// RunForTask returns the duration of a task if it is not nil; 0 means RunFor.
+	RunForTask func(task string) time.Duration
 	// LeaseMax caps the duration of leases; 0 sets no limit.
 	LeaseMax time.Duration
 	// DeclaredResources returns the resources that a task declared; nil if the capacity of workers is not checked.
@@ -213,12 +215,22 @@
 	f.starts[order.Task]++
 	now := time.Now()
 	w.active[order.Task] = fleetRun{
-		ActiveRun: infra.ActiveRun{Task: order.Task, Run: order.Run}, startedAt: now, finishAt: now.Add(f.RunFor),
+		ActiveRun: infra.ActiveRun{Task: order.Task, Run: order.Run}, startedAt: now, finishAt: now.Add(f.runFor(order.Task)),
 	}
 	f.crashOnStart(worker.ID, order.Task, w.incarnation)
 	return w.clockMs(), nil
 }
 
+// runFor returns the duration of a task.
+func (f *Fleet) runFor(task string) time.Duration {
+	if f.RunForTask != nil {
+		if d := f.RunForTask(task); d > 0 {
+			return d
+		}
+	}
+	return f.RunFor
+}
+
 // checkStart records a start that violates a rule. The caller holds mu.
 func (f *Fleet) checkStart(worker infra.FleetWorker, w *fleetWorker, order infra.StartOrder) {
 	if f.done[order.Task] {
@@ -316,7 +328,7 @@
 	}
 	for _, run := range w.active {
 		const complete = 100
-		run.Percent = int32(min(complete-1, complete*time.Since(run.startedAt)/max(1, f.RunFor)))
+		run.Percent = int32(min(complete-1, complete*time.Since(run.startedAt)/max(1, f.runFor(run.Task))))
 		report.Active = append(report.Active, run.ActiveRun)
 	}
 	return report, nil
