Give a restarted worker no tasks before its new entry is read

Cause: a report with a new incarnation made the worker empty and left it open with the labels, service and capacity of the entry before. The new entry is read up to 150 ms later.

Change: a worker whose entry was written by an earlier incarnation than the one that reports is not open, and orders that were planned for it are withheld. It opens when its entry is read, which a worker writes as soon as it serves; an entry that does not come is removed by the store. Entries that do not say who wrote them are used as before.

TestTicketOfAReplacedWorkerIsNotUsed and TestUnansweredStartsGiveNoTaskUp restarted workers that never write an entry, which no worker does. They publish one now and check the same.

--- a/dispatch/advice_budget_test.go
+++ b/dispatch/advice_budget_test.go
@@ -129,6 +129,7 @@
 	plan := f.plan(1)
 	assert.Equal(t, len(plan.Advice), 1)
 	f.state.ApplyReport(f.workers[0], infra.RunReport{Incarnation: 2, ClockMs: f.unixMs()}, f.now, f.now, f.unixMs())
+	f.publish(f.workers[0])
 	f.allowAll(plan.Advice[0])
 	plan = f.plan(1)
 	assert.Equal(t, f.workers[0].Tasks(), 0)
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -149,7 +149,7 @@
 	if p.isAdvised() && !t.step.advice.tickets[w.Info.ID].isValid(w, now) {
 		return false
 	}
-	return w.Listed && w.reachable && !w.Info.Draining && !w.cordoned && s.isSuitable(p, w) && w.hasRoomFor(t)
+	return w.Listed && w.reachable && w.isDescribed() && !w.Info.Draining && !w.cordoned && s.isSuitable(p, w) && w.hasRoomFor(t)
 }
 
 // hasRoomFor reports whether the worker still has the capacity for a task that is planned on it. A worker may shrink after
--- a/dispatch/crash_late_test.go
+++ b/dispatch/crash_late_test.go
@@ -119,6 +119,7 @@
 		f.state.RenewFailed(w, f.now.Add(-time.Second))
 		restarted := infra.RunReport{Incarnation: w.Info.Incarnation + 1}
 		f.state.ApplyReport(w, restarted, f.now, f.now, f.unixMs())
+		f.publish(w)
 		f.state.Stopped(task, task.Run(), nil, f.now)
 		f.now = f.now.Add(time.Second)
 		f.state.ApplyReport(w, restarted, f.now, f.now, f.unixMs())
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -77,6 +77,9 @@
 	return worker
 }
 
+// publish writes the entry of a worker's present incarnation, as a worker does when it has started.
+func (f *fixture) publish(worker *Worker) { f.state.SetWorker(worker.Info) }
+
 func (f *fixture) unixMs() int64 { return f.now.UnixMilli() }
 
 // report applies a worker's answer to a lease renewal, which acknowledges the ends that are durable.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -31,7 +31,7 @@
 	}
 	newAddress := w.Info.Address != info.Address
 	incarnation := w.Info.Incarnation
-	w.Info = info
+	w.Info, w.described = info, info.Incarnation
 	if incarnation != 0 {
 		// Only reports set the incarnation of a known worker; an entry may be newer or older than the last report.
 		w.Info.Incarnation = incarnation
@@ -151,6 +151,7 @@
 	}
 	w.Info.Incarnation = incarnation
 	s.dropOrphans(w, nil)
+	s.index.update(w)
 }
 
 // ranOnEarlierIncarnation reports whether the run began on an earlier incarnation of its worker, or was ordered to begin
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -11,6 +11,8 @@
 // Worker is a worker with its lease and its tasks.
 type Worker struct {
 	Info infra.FleetWorker
+	// described is the incarnation that wrote the entry from which labels, service and capacity come; 0 if it does not say.
+	described int64
 	// Listed is false once the worker's entry has been removed.
 	Listed bool
 	// reported is true once the worker has answered under this controller's epoch.
@@ -54,7 +56,7 @@
 }
 
 func newWorker(info infra.FleetWorker, index *fleetIndex) *Worker {
-	w := &Worker{Info: info, Listed: true, tasks: map[*Task]struct{}{}, unsaved: map[int64]struct{}{}, index: index}
+	w := &Worker{Info: info, described: info.Incarnation, Listed: true, tasks: map[*Task]struct{}{}, unsaved: map[int64]struct{}{}, index: index}
 	index.update(w)
 	return w
 }
@@ -110,9 +112,15 @@
 	return labels[len(labels)-1]
 }
 
+// isDescribed reports whether the entry may be that of the incarnation that last reported. A worker may come back as another
+// kind, and it reports before its new entry is read.
+func (w *Worker) isDescribed() bool {
+	return w.described == 0 || w.described >= w.Info.Incarnation
+}
+
 // isOpen reports whether the state of the worker lets it get new tasks, apart from limits that end by time.
 func (w *Worker) isOpen() bool {
-	return w.Listed && w.reported && w.reachable && !w.ended && !w.Info.Draining && !w.cordoned && w.probe == nil &&
+	return w.Listed && w.reported && w.reachable && w.isDescribed() && !w.ended && !w.Info.Draining && !w.cordoned && w.probe == nil &&
 		!w.hasConfirmedOrphans()
 }
 
