Drain machines whose maintenance an earlier controller recorded

Seen: a controller was killed between the record of a wave's orders and sending them.

Cause: the machines in the record counted as ordered. They were neither cordoned nor drained, and their orders were sent without a look at what ran there by then.

Change: such machines are inherited. They count against the wave's limit as before and are drained, and the order is sent once the worker is empty or the machine is not up any more. The record lists the machines that are done as well, so that a new controller does not drain these again; those that were done since the last record are, at most as many as may be down at once.

TestWaveKeepsItsLimit now draws controllers that read the list of machines that are done.

--- a/controller/maintain.go
+++ b/controller/maintain.go
@@ -108,6 +108,7 @@
 		t.state.Cordon(worker, true)
 	}
 	t.triggerPlan()
+	tracker.ResumeOrders(t.now(), t.state.IsEmpty)
 	return tracker.ReadyToOrder(t.now(), t.state.IsEmpty)
 }
 
@@ -152,7 +153,7 @@
 	if record.GetCompleted() {
 		return nil, true, nil
 	}
-	w = &wave{tracker: maintenance.NewTracker(request, t.Bounds.MaintenanceTime, record.GetOrdered()), revision: entry.Revision}
+	w = &wave{tracker: maintenance.NewTracker(request, t.Bounds.MaintenanceTime, record.GetOrdered(), record.GetDone()), revision: entry.Revision}
 	if entry.Revision == 0 {
 		t.log.Info("maintenance wave begins", "wave", request.Number, "machines", len(request.Machines),
 			"at_once", request.AtOnce, "within_ms", request.Within.Milliseconds())
@@ -164,7 +165,7 @@
 // recordWave makes the state of a wave durable, together with the status shown to operators.
 func (t *term) recordWave(ctx context.Context, w *wave, ordered []string, completed bool) error {
 	number := w.tracker.Wave.Number
-	value, err := proto.Marshal(&siskinv1.MaintenanceProgress{Ordered: ordered, Completed: completed})
+	value, err := proto.Marshal(&siskinv1.MaintenanceProgress{Ordered: ordered, Completed: completed, Done: w.tracker.AllDone()})
 	if err != nil {
 		return err
 	}
--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -27,6 +27,9 @@
 	waiting phase = iota
 	// draining machines get no new tasks, so that their workers become empty.
 	draining
+	// inherited machines may have been ordered by an earlier controller. Until the order is sent again they are drained like
+	// others, as tasks may have been started on them since.
+	inherited
 	// ordered machines have a durable order that the platform may or may not have carried out.
 	ordered
 	// down machines have an order that the platform confirmed.
@@ -44,13 +47,13 @@
 	phases      map[string]phase
 	// workers holds the worker of each machine.
 	workers map[string]string
-	// since holds when each machine's drain began or, once the platform has confirmed its order, when it did so.
+	// since holds when each machine's drain began (for an inherited one, when this tracker first saw it) or, once the platform has confirmed its order, when it did so.
 	since map[string]time.Time
 }
 
-// NewTracker returns a tracker of a wave. The machines in alreadyOrdered may have been ordered by an earlier
-// controller.
-func NewTracker(wave Wave, minDowntime time.Duration, alreadyOrdered []string) *Tracker {
+// NewTracker returns a tracker of a wave. The machines in alreadyOrdered may have been ordered by an earlier controller, and
+// alreadyDone are those of them that are done.
+func NewTracker(wave Wave, minDowntime time.Duration, alreadyOrdered, alreadyDone []string) *Tracker {
 	t := &Tracker{
 		Wave: wave, minDowntime: minDowntime, phases: map[string]phase{}, workers: map[string]string{},
 		since: map[string]time.Time{},
@@ -58,12 +61,18 @@
 	for _, machine := range wave.Machines {
 		t.phases[machine] = waiting
 	}
-	for _, machine := range alreadyOrdered {
+	t.setPhase(alreadyOrdered, inherited)
+	t.setPhase(alreadyDone, done)
+	return t
+}
+
+// setPhase sets the phase of those of the given machines that belong to the wave.
+func (t *Tracker) setPhase(machines []string, p phase) {
+	for _, machine := range machines {
 		if _, known := t.phases[machine]; known {
-			t.phases[machine] = ordered
+			t.phases[machine] = p
 		}
 	}
-	return t
 }
 
 // Observe applies a complete list of the platform's machines.
@@ -79,8 +88,11 @@
 			t.phases[name] = done
 		case p == down && m.Up && now.Sub(t.since[name]) >= t.minDowntime:
 			t.phases[name] = done
-		case p <= draining && m.Up:
+		case p <= inherited && m.Up:
 			t.workers[name] = m.Worker
+		case p == inherited:
+			// The maintenance has begun, or the machine is down for another reason.
+			t.phases[name] = ordered
 		}
 	}
 }
@@ -91,7 +103,7 @@
 // Drain starts to drain the next waiting machines, within the limit of machines that may be down, and returns the
 // workers of all machines being drained.
 func (t *Tracker) Drain(now time.Time) []string {
-	allowed := t.maxDown() - t.count(ordered) - t.count(down) - t.count(draining)
+	allowed := t.maxDown() - t.count(inherited) - t.count(ordered) - t.count(down) - t.count(draining)
 	for _, name := range t.inPhase(waiting) {
 		if allowed <= 0 {
 			break
@@ -103,7 +115,10 @@
 		allowed--
 	}
 	var workers []string
-	for _, name := range t.inPhase(draining) {
+	for _, name := range append(t.inPhase(draining), t.inPhase(inherited)...) {
+		if _, drained := t.since[name]; !drained {
+			t.since[name] = now
+		}
 		workers = append(workers, t.workers[name])
 	}
 	return workers
@@ -121,13 +136,25 @@
 // ReadyToOrder returns the draining machines to order now. isEmpty reports whether a worker is empty; forced is true
 // once the grace period of tasks that cannot be moved has passed.
 func (t *Tracker) ReadyToOrder(now time.Time, isEmpty func(worker string, forced bool) bool) []string {
-	var next []string
-	for _, name := range t.inPhase(draining) {
+	return t.emptied(draining, now, isEmpty)
+}
+
+// ResumeOrders lets the orders be sent again that an earlier controller recorded, for the machines whose workers are empty.
+func (t *Tracker) ResumeOrders(now time.Time, isEmpty func(worker string, forced bool) bool) {
+	for _, name := range t.emptied(inherited, now, isEmpty) {
+		t.phases[name] = ordered
+	}
+}
+
+// emptied returns the machines in a phase whose workers are empty.
+func (t *Tracker) emptied(p phase, now time.Time, isEmpty func(worker string, forced bool) bool) []string {
+	var names []string
+	for _, name := range t.inPhase(p) {
 		if isEmpty(t.workers[name], now.Sub(t.since[name]) > t.gracePeriod()) {
-			next = append(next, name)
+			names = append(names, name)
 		}
 	}
-	return next
+	return names
 }
 
 // Ordered records that the order for a machine is durable, so that it may be carried out from now on.
@@ -151,7 +178,7 @@
 func (t *Tracker) AllOrdered() []string {
 	var names []string
 	for name, p := range t.phases {
-		if p >= ordered {
+		if p >= inherited {
 			names = append(names, name)
 		}
 	}
@@ -159,6 +186,9 @@
 	return names
 }
 
+// AllDone returns the machines that are done, for the durable record.
+func (t *Tracker) AllDone() []string { return t.inPhase(done) }
+
 // Worker returns the last known worker of a machine before its maintenance, or "".
 func (t *Tracker) Worker(machine string) string { return t.workers[machine] }
 
--- a/maintenance/maintenance_test.go
+++ b/maintenance/maintenance_test.go
@@ -77,7 +77,7 @@
 			Number: 1, Machines: machines, AtOnce: rapid.IntRange(0, 3).Draw(t, "at once"), Within: 20 * time.Second,
 		}
 		p := newFakePlatform(machines)
-		tracker, recorded := NewTracker(wave, testDowntime, nil), []string(nil)
+		tracker, recorded, recordedDone := NewTracker(wave, testDowntime, nil, nil), []string(nil), []string(nil)
 		now := time.Unix(0, 0)
 		for round := 0; !tracker.Finished(); round++ {
 			assert.Assert(t, round < 500, "the wave does not complete")
@@ -92,12 +92,14 @@
 				delete(p.up, rapid.SampledFrom(machines).Draw(t, "which"))
 			}
 			if !faultFree && rapid.IntRange(0, 10).Draw(t, "controller changes") == 0 {
-				tracker = NewTracker(wave, testDowntime, recorded)
+				tracker = NewTracker(wave, testDowntime, recorded, recordedDone)
 			}
 			tracker.Observe(now, p.list())
 			tracker.Drain(now)
-			next := tracker.ReadyToOrder(now, func(string, bool) bool { return faultFree || rapid.Bool().Draw(t, "empty") })
-			recorded = append(tracker.AllOrdered(), next...)
+			isEmpty := func(string, bool) bool { return faultFree || rapid.Bool().Draw(t, "empty") }
+			tracker.ResumeOrders(now, isEmpty)
+			next := tracker.ReadyToOrder(now, isEmpty)
+			recorded, recordedDone = append(tracker.AllOrdered(), next...), tracker.AllDone()
 			for _, m := range next {
 				tracker.Ordered(m)
 			}
@@ -119,7 +121,7 @@
 
 // Guards against a wave that waits indefinitely for tasks to finish, and against one that gives them no time.
 func TestTasksHaveTimeToFinish(t *testing.T) {
-	tracker := NewTracker(Wave{Number: 1, Machines: names(2), AtOnce: 1, Within: 20 * time.Second}, testDowntime, nil)
+	tracker := NewTracker(Wave{Number: 1, Machines: names(2), AtOnce: 1, Within: 20 * time.Second}, testDowntime, nil, nil)
 	p := newFakePlatform(names(2))
 	began := time.Unix(0, 0)
 	tracker.Observe(began, p.list())
@@ -129,9 +131,29 @@
 	assert.DeepEqual(t, tracker.ReadyToOrder(began.Add(6*time.Second), emptyIfForced), []string{"m0"})
 }
 
+// Guards against ending tasks of a service beyond its limit: the orders of a controller that was killed before it sent them
+// were sent by the next one, which had started tasks on these machines meanwhile (review/9).
+func TestOrdersOfAnEarlierControllerWaitForEmptyWorkers(t *testing.T) {
+	wave := Wave{Number: 1, Machines: names(4), AtOnce: 2, Within: 20 * time.Second}
+	tracker := NewTracker(wave, testDowntime, []string{"m0", "m1", "m2"}, []string{"m2"})
+	p := newFakePlatform(names(4))
+	now := time.Unix(0, 0)
+	tracker.Observe(now, p.list())
+	assert.Equal(t, len(tracker.Unconfirmed()), 0, "an order is sent before the worker is drained")
+	assert.DeepEqual(t, tracker.Drain(now), []string{"w-m0", "w-m1"})
+	tracker.ResumeOrders(now, func(worker string, _ bool) bool { return worker == "w-m1" })
+	assert.DeepEqual(t, tracker.Unconfirmed(), []string{"m1"})
+	assert.DeepEqual(t, tracker.AllOrdered(), []string{"m0", "m1", "m2"})
+	tracker.Confirmed(now, "m1")
+	p.up["m0"] = false // its order was carried out after all
+	tracker.Observe(now, p.list())
+	assert.DeepEqual(t, tracker.Unconfirmed(), []string{"m0"})
+	assert.Equal(t, len(tracker.Drain(now)), 0, "more machines are drained than may be down")
+}
+
 // Guards against draining a second machine because a stale list still shows the first one as up.
 func TestStaleListDoesNotEndMaintenance(t *testing.T) {
-	tracker := NewTracker(Wave{Number: 1, Machines: names(2), AtOnce: 1, Within: 20 * time.Second}, testDowntime, nil)
+	tracker := NewTracker(Wave{Number: 1, Machines: names(2), AtOnce: 1, Within: 20 * time.Second}, testDowntime, nil, nil)
 	stale := newFakePlatform(names(2)).list()
 	now := time.Unix(0, 0)
 	tracker.Observe(now, stale)
