Give no task up for crashes of a single worker

Cause: eight crashes late in its runs gave a task up, however few workers they came from.

Change: the crashes must come from three workers at least. The first three are kept in the progress record, so that the count survives a change of controllers. Prompt crashes give a task up as before.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -30,6 +30,9 @@
 	// lossesToGiveUp is that of prompt and possible ones together, crashesToGiveUp that of all certain crashes, of which
 	// those late in a run have mostly other causes.
 	promptToGiveUp, lossesToGiveUp, crashesToGiveUp = 2, 3, 8
+	// workersToGiveUp is the number of workers that must be among those crashes. A task that only one worker may run would
+	// else be given up for the faults of that worker.
+	workersToGiveUp = 3
 	// crashDelayMin is the delay before the next start from the crash on with which a task becomes a suspect by their number.
 	// It doubles up to crashDelayMax, which leaves a long-running task down for less than its users notice.
 	crashDelayMin = 500 * time.Millisecond
@@ -47,6 +50,8 @@
 	// certain counts crashes while a run was confirmed, possible losses of a worker that may have been crashes under a run
 	// that had just begun.
 	certain, possible int32
+	// workers are the first workers that certainly crashed, at most workersToGiveUp.
+	workers *[]string
 	// prompt counts the certain ones within promptCrash of the confirmation.
 	prompt int32
 	// suspect is true if the task may have caused the last crash.
@@ -59,7 +64,24 @@
 
 // isConvicted reports whether the crashes give the task up.
 func (c crashCount) isConvicted() bool {
-	return c.prompt >= promptToGiveUp || c.prompt+c.possible >= lossesToGiveUp || c.certain >= crashesToGiveUp
+	return c.prompt >= promptToGiveUp || c.prompt+c.possible >= lossesToGiveUp ||
+		c.certain >= crashesToGiveUp && len(c.crashedWorkers()) >= workersToGiveUp
+}
+
+// addWorker adds a worker to those that crashed.
+func (c *crashCount) addWorker(id string) {
+	if known := c.crashedWorkers(); len(known) < workersToGiveUp && !slices.Contains(known, id) {
+		known = append(known, id)
+		c.workers = &known
+	}
+}
+
+// crashedWorkers returns the first workers that crashed.
+func (c crashCount) crashedWorkers() []string {
+	if c.workers == nil {
+		return nil
+	}
+	return *c.workers
 }
 
 // delay returns how long the next start is delayed.
@@ -227,6 +249,9 @@
 // add counts a crash.
 func (c *crashCount) add(r lostRun) {
 	c.countedRun = r.run
+	if r.isCertain() && r.begun {
+		c.addWorker(r.worker)
+	}
 	switch {
 	case r.isCertain() && r.isPrompt():
 		c.certain++
--- a/dispatch/crash_late_test.go
+++ b/dispatch/crash_late_test.go
@@ -156,3 +156,28 @@
 	assert.Equal(t, f.state.Job("0000000000000001").Phase, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED)
 	assert.Equal(t, starts, 2)
 }
+
+// Guards against a job that is shown as failed although no run of it failed, because the only worker that may run it crashes
+// again and again (review/8).
+func TestCrashesOfOneWorkerGiveNoTaskUp(t *testing.T) {
+	f := newFixture(t, 1)
+	long := step(1, 1000)
+	long.EstimateMs = time.Hour.Milliseconds() // so that the run does not count as stalled
+	f.state.AddJob(job("0000000000000001", long), nil)
+	worker := f.workers[0]
+	for n := range 2 * crashesToGiveUp {
+		for range 80 {
+			f.step()
+		}
+		assert.Equal(t, f.runs(), 1, "crash %d", n)
+		f.now = f.now.Add(3 * time.Second)
+		clear(f.running[worker])
+		f.ended[worker], f.numbers[worker] = nil, 0
+		restarted := infra.RunReport{Incarnation: worker.Info.Incarnation + 1}
+		f.state.ApplyReport(worker, restarted, f.now, f.now, f.unixMs())
+		f.publish(worker)
+	}
+	assert.Assert(t, !f.state.Job("0000000000000001").Ended())
+	restored := New(Limits{}, discardLog{}).AddJob(f.state.Job("0000000000000001").Record, f.state.Job("0000000000000001").Progress())
+	assert.DeepEqual(t, restored.task([3]int{}).crashes.crashedWorkers(), []string{worker.Info.ID})
+}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -40,6 +40,7 @@
 			Done: t.done, Run: t.run, Failures: t.failures, Worker: t.WorkerID(), Incarnation: t.incarnation,
 			Checkpoint: t.checkpoint, Crashes: t.crashes.certain, PossibleCrashes: t.crashes.possible, Suspect: t.crashes.suspect,
 			PlannedUnixMs: t.plannedUnixMs, PromptCrashes: t.crashes.prompt,
+			CrashedWorkers: t.crashes.crashedWorkers(),
 		})
 	}
 	return saved
@@ -69,6 +70,9 @@
 	t.run, t.failures, t.checkpoint = saved.GetRun(), saved.GetFailures(), saved.GetCheckpoint()
 	t.crashes = crashCount{certain: saved.GetCrashes(), possible: saved.GetPossibleCrashes(), suspect: saved.GetSuspect(),
 		prompt: saved.GetPromptCrashes()}
+	for _, id := range saved.GetCrashedWorkers() {
+		t.crashes.addWorker(id)
+	}
 	t.plannedUnixMs = saved.GetPlannedUnixMs()
 	if s.spec.GetGang() && t.checkpoint != "" {
 		s.checkpoint = t.checkpoint
