--- a/controller/starts_test.go
+++ b/controller/starts_test.go
@@ -23,7 +23,12 @@
 // leadershipOf returns the leadership of a machine that has just been elected.
 func leadershipOf(t *testing.T) *election.Term {
 	t.Helper()
-	store := standin.NewTxnStore(clock.Real{})
+	return leadershipIn(t, standin.NewTxnStore(clock.Real{}))
+}
+
+// leadershipIn is leadershipOf with a store.
+func leadershipIn(t *testing.T, store infra.TxnStore) *election.Term {
+	t.Helper()
 	session := election.NewSession(store, clock.Real{}, logr.Discard(), time.Minute)
 	elected := make(chan *election.Term, 1)
 	elector := &election.Elector{
--- a/election/store_test.go
+++ b/election/store_test.go
@@ -3,63 +3,105 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 )
 
-// blindStore answers no watches and listings while it is blind, like a connection that has gone silent; other calls go
-// through.
-type blindStore struct {
+// revokeFailingStore loses the first calls that revoke a lease.
+type revokeFailingStore struct {
 	*standin.TxnStore
-	mu    sync.Mutex // guards blind
-	blind bool
+	mu       sync.Mutex // guards failures
+	failures int
 }
 
-func (b *blindStore) setBlind(blind bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.blind = blind
+func (r *revokeFailingStore) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
+	r.mu.Lock()
+	fails := r.failures > 0
+	r.failures--
+	r.mu.Unlock()
+	if fails {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return r.TxnStore.RevokeLease(ctx, lease)
+}
+
+// unresponsiveStore blocks calls until their context ends while it is set to be unresponsive.
+type unresponsiveStore struct {
+	*standin.TxnStore
+	mu           sync.Mutex // guards unresponsive and callCount
+	unresponsive bool
+	callCount    int
 }
 
-func (b *blindStore) isBlind() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.blind
+// calls returns the number of calls so far.
+func (c *unresponsiveStore) calls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.callCount
 }
 
-func (b *blindStore) List(ctx context.Context, prefix string) (infra.Listing, error) {
-	if b.isBlind() {
+func (c *unresponsiveStore) setUnresponsive(unresponsive bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unresponsive = unresponsive
+}
+
+func (c *unresponsiveStore) block(ctx context.Context) error {
+	c.mu.Lock()
+	c.callCount++
+	unresponsive := c.unresponsive
+	c.mu.Unlock()
+	if unresponsive {
 		<-ctx.Done()
-		return infra.Listing{}, ctx.Err()
 	}
-	return b.TxnStore.List(ctx, prefix)
+	return ctx.Err()
 }
 
-func (b *blindStore) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
-	result, err := b.TxnStore.Watch(ctx, request)
-	if b.isBlind() {
-		<-ctx.Done()
-		return infra.WatchResult{}, ctx.Err()
+func (c *unresponsiveStore) GrantLease(ctx context.Context, ttl time.Duration) (infra.LeaseID, time.Duration, error) {
+	if err := c.block(ctx); err != nil {
+		return 0, 0, err
+	}
+	return c.TxnStore.GrantLease(ctx, ttl)
+}
+
+func (c *unresponsiveStore) List(ctx context.Context, prefix string) (infra.Listing, error) {
+	if err := c.block(ctx); err != nil {
+		return infra.Listing{}, err
+	}
+	return c.TxnStore.List(ctx, prefix)
+}
+
+func (c *unresponsiveStore) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
+	if err := c.block(ctx); err != nil {
+		return infra.WatchResult{}, err
+	}
+	result, err := c.TxnStore.Watch(ctx, request)
+	if blocked := c.block(ctx); blocked != nil {
+		return infra.WatchResult{}, blocked
 	}
 	return result, err
 }
 
-// revokeFailingStore loses the first calls that revoke a lease.
-type revokeFailingStore struct {
-	*standin.TxnStore
-	mu       sync.Mutex // guards failures
-	failures int
+func (c *unresponsiveStore) Commit(ctx context.Context, txn infra.Txn) (infra.Revision, error) {
+	if err := c.block(ctx); err != nil {
+		return 0, err
+	}
+	return c.TxnStore.Commit(ctx, txn)
 }
 
-func (r *revokeFailingStore) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
-	r.mu.Lock()
-	fails := r.failures > 0
-	r.failures--
-	r.mu.Unlock()
-	if fails {
-		<-ctx.Done()
-		return ctx.Err()
+func (c *unresponsiveStore) RevokeLease(ctx context.Context, lease infra.LeaseID) error {
+	if err := c.block(ctx); err != nil {
+		return err
 	}
-	return r.TxnStore.RevokeLease(ctx, lease)
+	return c.TxnStore.RevokeLease(ctx, lease)
+}
+
+func (c *unresponsiveStore) RenewLease(ctx context.Context, lease infra.LeaseID) error {
+	if err := c.block(ctx); err != nil {
+		return err
+	}
+	return c.TxnStore.RenewLease(ctx, lease)
 }
--- a/election/suspicion_test.go
+++ b/election/suspicion_test.go
@@ -50,12 +50,12 @@
 func TestReplacedControllerStopsInTimeWithoutCommits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewTxnStore(clock.Real{})
-		blind := &blindStore{TxnStore: store}
+		blind := &standin.BlindStore{TxnStore: store, Prefix: leaderPrefix}
 		a := start(t, blind, "a", 1, 0)
 		time.Sleep(100 * time.Millisecond)
 		first := a.current()
 		assert.Assert(t, first.Valid())
-		blind.setBlind(true)
+		blind.SetBlind(true)
 		b := prepare(t, store, "b", 1, 0)
 		b.elector.AwaitRefusal = alwaysRefused
 		b.run(t)
@@ -101,10 +101,10 @@
 func TestFormerControllerIsAwaitedUntilItsLeaseIsRevoked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewTxnStore(clock.Real{})
-		blind := &blindStore{TxnStore: store}
+		blind := &standin.BlindStore{TxnStore: store, Prefix: leaderPrefix}
 		a := start(t, blind, "a", 1, 0)
 		time.Sleep(100 * time.Millisecond)
-		blind.setBlind(true)
+		blind.SetBlind(true)
 		faulty := &revokeFailingStore{TxnStore: store, failures: 5}
 		b := prepare(t, faulty, "b", 1, 0)
 		b.elector.AwaitRefusal = alwaysRefused
--- a/maintenance/maintenance.go
+++ b/maintenance/maintenance.go
@@ -47,7 +47,8 @@
 	phases      map[string]phase
 	// workers holds the worker of each machine.
 	workers map[string]string
-	// since holds when each machine's drain began (for an inherited one, when this tracker first saw it) or, once the platform has confirmed its order, when it did so.
+	// since holds when each machine's drain began or, once the platform has confirmed its order, when it did so. That of an
+	// inherited machine begins with its first Drain.
 	since map[string]time.Time
 }
 
--- a/node/cut_test.go
+++ b/node/cut_test.go
@@ -1,58 +1,16 @@
 package node_test
 
 import (
-	"context"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"siskinstack.example/siskinstack/infra"
 	"siskinstack.example/siskinstack/standin"
 )
 
-// blindStore answers no watches and listings of the leadership while it is blind, so that a controller does not learn
-// from them that it is suspected or replaced. Its leases are renewed.
-type blindStore struct {
-	*standin.TxnStore
-	mu    sync.Mutex // guards blind
-	blind bool
-}
-
-func (b *blindStore) setBlind(blind bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.blind = blind
-}
-
-func (b *blindStore) await(ctx context.Context, prefix string) error {
-	b.mu.Lock()
-	blind := b.blind && strings.HasPrefix(prefix, "lead/")
-	b.mu.Unlock()
-	if blind {
-		<-ctx.Done()
-	}
-	return ctx.Err()
-}
-
-func (b *blindStore) List(ctx context.Context, prefix string) (infra.Listing, error) {
-	if err := b.await(ctx, prefix); err != nil {
-		return infra.Listing{}, err
-	}
-	return b.TxnStore.List(ctx, prefix)
-}
-
-func (b *blindStore) Watch(ctx context.Context, request infra.WatchRequest) (infra.WatchResult, error) {
-	result, err := b.TxnStore.Watch(ctx, request)
-	if blind := b.await(ctx, request.Prefix); blind != nil {
-		return infra.WatchResult{}, blind
-	}
-	return result, err
-}
-
 // cutWorkers are the workers of the zone that is cut off; its machine is "a".
 var cutWorkers = map[string]bool{"w0": true, "w3": true}
 
@@ -85,7 +43,7 @@
 				for worker := range cutWorkers {
 					s.put(workersPrefix+worker, []byte("zone-0"))
 				}
-				store := &blindStore{TxnStore: s.store}
+				store := &standin.BlindStore{TxnStore: s.store, Prefix: "lead/"}
 				a := s.startWith("a", store)
 				time.Sleep(2 * time.Second)
 				s.start("b")
@@ -101,11 +59,11 @@
 				time.Sleep(2 * time.Second)
 				assert.Equal(t, len(s.fleet.Active()), 4)
 				for range cut.repeats {
-					store.setBlind(cut.blind)
+					store.SetBlind(cut.blind)
 					s.links.set(acrossTheCut)
 					time.Sleep(cut.cutFor)
 					s.links.set(nil)
-					store.setBlind(false)
+					store.SetBlind(false)
 					time.Sleep(time.Second)
 				}
 				time.Sleep(15 * time.Second)
