Ignore reports of another incarnation that overlap with the last report

Cause: any report with another incarnation counted as a restart. Answers on different connections overtake each other, so the former life's late answer undid the restart, and all runs of the new life were taken for lost.

Evidence: TestLateReportOfTheFormerIncarnationEndsNoRun failed before (the task starts again while its run goes on), also with a number of the new life that is lower because the clock was set back.

Change: a report of another incarnation counts only if it was requested after the last report was received; otherwise the next one is awaited. The numbers are not compared. The log line of a restart has both incarnations.

Result: the test passes.

--- /dev/null
+++ b/dispatch/incarnation_test.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinstack.example/siskinstack/infra"
+)
+
+// answerAs applies the answer of an incarnation of a worker to a renewal that was requested at sent.
+func (f *fixture) answerAs(worker *Worker, incarnation int64, sent time.Time, runs ...infra.ActiveRun) {
+	f.state.ApplyReport(worker, infra.RunReport{Incarnation: incarnation, ClockMs: 1, Active: runs}, sent, f.now, f.unixMs())
+	f.state.SetWorker(worker.Info)
+}
+
+// order plans the waiting tasks and returns those whose start order has been sent.
+func (f *fixture) order() []*Task {
+	f.now = f.now.Add(time.Millisecond)
+	f.state.Plan(f.now, f.unixMs(), AdviceSlots{Free: 4})
+	orders, _ := f.state.Committed(f.state.TakeChanges(allJobs), f.now)
+	var sent []*Task
+	for _, task := range orders {
+		if f.state.ConfirmOrder(task, task.Run(), f.now) {
+			sent = append(sent, task)
+		}
+	}
+	return sent
+}
+
+// orderOne is order for a single task.
+func (f *fixture) orderOne() *Task {
+	f.t.Helper()
+	tasks := f.order()
+	assert.Equal(f.t, len(tasks), 1)
+	return tasks[0]
+}
+
+func (f *fixture) wait(d time.Duration) time.Time {
+	f.now = f.now.Add(d)
+	return f.now
+}
+
+func runOf(task *Task) infra.ActiveRun { return infra.ActiveRun{Task: task.ID(), Run: task.Run()} }
+
+// newRestartFixture returns a fixture with one worker, and a job of one task.
+func newRestartFixture(t *testing.T) (*fixture, *Worker) {
+	f := newFixture(t, 1)
+	f.state.AddJob(job("0000000000000001", step(1, 1000)), nil)
+	return f, f.workers[0]
+}
+
+// Guards against a task that runs twice because a late report of the former incarnation counts as a restart.
+func TestLateReportOfTheFormerIncarnationEndsNoRun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		next int64
+	}{{"clock goes on", 2}, {"clock set back", -5}} {
+		t.Run(c.name, func(t *testing.T) {
+			f, worker := newRestartFixture(t)
+			requested := f.wait(time.Millisecond)
+			f.wait(time.Millisecond)
+			f.answerAs(worker, c.next, f.now)
+			task := f.orderOne()
+			f.wait(time.Millisecond)
+			f.state.Started(task, 1, nil, f.now)
+			f.wait(time.Millisecond)
+			f.answerAs(worker, 1, requested)
+			assert.Equal(t, len(f.order()), 0, "the task starts again while its run goes on")
+			assert.Equal(t, worker.Info.Incarnation, c.next)
+			f.wait(time.Millisecond)
+			f.answerAs(worker, c.next, f.now, runOf(task))
+			assert.Equal(t, task.WorkerID(), worker.Info.ID)
+		})
+	}
+}
+
+// unanswered orders one task whose start order gets no answer, and returns it with the stop order that follows.
+func (f *fixture) unanswered() *Task {
+	f.t.Helper()
+	task := f.orderOne()
+	f.wait(time.Millisecond)
+	f.state.Started(task, 1, infra.ErrConnectionClosed, f.now)
+	f.assertStopPlanned()
+	return task
+}
+
+func (f *fixture) assertStopPlanned() {
+	f.t.Helper()
+	f.wait(time.Millisecond)
+	plan := f.state.Plan(f.now, f.unixMs(), AdviceSlots{Free: 4})
+	assert.Equal(f.t, len(plan.Stops), 1, "the run is not stopped")
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -86,18 +86,28 @@
 }
 
 // ApplyReport applies a worker's answer to a renewal; sent is when the renewal was sent. If a stop of a run was answered
-// before that and the worker does not list the run, the run has ended or will never begin.
-func (s *State) ApplyReport(w *Worker, report infra.RunReport, sent, now time.Time, unixMs int64) {
+// before that and the worker does not list the run, the run has ended or will never begin. It reports whether the answer
+// was used.
+func (s *State) ApplyReport(w *Worker, report infra.RunReport, sent, now time.Time, unixMs int64) bool {
 	s.usage.advance(now)
 	if w.ended && w.Info.Incarnation == report.Incarnation {
 		// Its tasks may run elsewhere by now, so the lease is not extended and its runs expire.
 		s.log.Decision("worker answers although it was listed as ended", "", "worker", w.Info.ID, "active", len(report.Active))
-		return
+		return false
 	}
 	if w.Info.Incarnation != report.Incarnation && report.Incarnation != 0 {
+		if sent.Before(w.reportedAt) {
+			// Answers overtake each other, and the clock that numbers incarnations may be set back, so only a report that was
+			// requested after the last one shows which incarnation is the newer one.
+			w.unsettled = true
+			s.log.Decision("report of another incarnation overlaps with the last report", "", "worker", w.Info.ID,
+				"incarnation", report.Incarnation, "known_incarnation", w.Info.Incarnation,
+				"requested_ms_earlier", w.reportedAt.Sub(sent).Milliseconds())
+			return false
+		}
 		s.applyRestart(w, report.Incarnation, now)
 	}
-	w.ended, w.reportedAt = false, now
+	w.ended, w.reportedAt, w.unsettled = false, now, false
 	first := !w.reported
 	whole := !report.Incomplete && !report.MoreEnds
 	if first && whole {
@@ -123,7 +133,7 @@
 		// A run that is not listed may be in a row that could not be read, or among the ends that follow.
 		s.log.Decision("report incomplete", "", "worker", w.Info.ID, "active", len(report.Active), "ended", len(report.Ended),
 			"more_ends", report.MoreEnds)
-		return
+		return true
 	}
 	s.dropOrphans(w, report.Active)
 	var lost []*Task
@@ -137,6 +147,7 @@
 		}
 	}
 	s.loseRuns(w, lost, loss{reason: "worker restarted", crashed: true, now: now, unixMs: unixMs})
+	return true
 }
 
 // applyRestart records that a worker has a new incarnation.
@@ -144,7 +155,8 @@
 	if w.reported || w.lastEnd > 0 {
 		w.lastEnd = 0
 		clear(w.unsaved)
-		s.log.Decision("worker restarted", "", "worker", w.Info.ID, "incarnation", incarnation)
+		s.log.Decision("worker restarted", "", "worker", w.Info.ID, "incarnation", incarnation,
+			"former_incarnation", w.Info.Incarnation)
 	}
 	if w.reachable || w.lostAt.IsZero() {
 		w.lostAt = now
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -19,8 +19,10 @@
 	reported bool
 	// reachable is false after a renewal failed, until the next answer.
 	reachable bool
-	// reportedAt is when the worker last reported its runs.
+	// reportedAt is when the last report of the incarnation in Info was received.
 	reportedAt time.Time
+	// unsettled is true if the next report is needed to tell which incarnation is the newer one, or which one a run is on.
+	unsettled bool
 	// lostAt is the earliest time at which a worker that is not reachable may have ended.
 	lostAt time.Time
 	// ended is true once the platform has reported that this incarnation of the worker has ended.
@@ -88,6 +90,9 @@
 // Reachable reports whether the worker answered its last renewal.
 func (w *Worker) Reachable() bool { return w.reachable }
 
+// IsUnsettled reports whether the state of the worker or its runs is open until the next report.
+func (w *Worker) IsUnsettled() bool { return w.unsettled }
+
 // IsProbing reports whether the worker runs a task that may have crashed another worker.
 func (w *Worker) IsProbing() bool { return w.probe != nil }
 
