Keep a run whose start was answered after a report was requested

Cause: the answer to a start names no incarnation, so the run was filed under the one that was known. A worker that is back under its ID takes orders that were meant for its former life. If a report of the new life was requested before the start and applied after its answer, the run was not listed, counted as one of the former life and started again.

Evidence: TestReportRequestedBeforeTheStartDoesNotEndARunOnTheNewIncarnation failed before: the task starts again while its run goes on.

Change: a run is filed under the incarnation that was known when its order was sent, as a lower bound. A report of a later one ends it only if it was requested after the answer to the start; until then the worker is unsettled, and the log says so.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -130,7 +130,7 @@
 		s.releaseUnstarted(t)
 		return false
 	}
-	t.sent, t.sentAt = true, now
+	t.sent, t.sentAt, t.incarnation = true, now, t.worker.Info.Incarnation
 	return true
 }
 
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -92,3 +92,51 @@
 	plan := f.state.Plan(f.now, f.unixMs(), AdviceSlots{Free: 4})
 	assert.Equal(f.t, len(plan.Stops), 1, "the run is not stopped")
 }
+
+// Guards against a task that runs twice because a report older than its start ends the run on the new incarnation.
+func TestReportRequestedBeforeTheStartDoesNotEndARunOnTheNewIncarnation(t *testing.T) {
+	f, worker := newRestartFixture(t)
+	requested := f.wait(time.Millisecond)
+	task := f.orderOne()
+	f.wait(time.Millisecond)
+	f.state.Started(task, 1, nil, f.now)
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, requested)
+	assert.Equal(t, len(f.order()), 0, "the task starts again while its run goes on")
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, f.now, runOf(task))
+	assert.Equal(t, len(f.order()), 0)
+	assert.Equal(t, task.WorkerID(), worker.Info.ID)
+	assert.Assert(t, !worker.HasOrphans())
+}
+
+// Guards against the same if the report is applied before the answer to the start.
+func TestReportAppliedBeforeTheAnswerToTheStartDoesNotEndTheRun(t *testing.T) {
+	f, worker := newRestartFixture(t)
+	requested := f.wait(time.Millisecond)
+	task := f.orderOne()
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, requested)
+	f.wait(time.Millisecond)
+	f.state.Started(task, 1, nil, f.now)
+	assert.Equal(t, len(f.order()), 0)
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, f.now, runOf(task))
+	assert.Equal(t, task.WorkerID(), worker.Info.ID)
+}
+
+// Guards against a run of the former incarnation that is never given up.
+func TestRunOfTheFormerIncarnationIsLostByTheNextReport(t *testing.T) {
+	f, worker := newRestartFixture(t)
+	requested := f.wait(time.Millisecond)
+	task := f.orderOne()
+	f.wait(time.Millisecond)
+	f.state.Started(task, 1, nil, f.now)
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, requested)
+	assert.Assert(t, worker.IsUnsettled())
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, f.now)
+	assert.Assert(t, !worker.IsUnsettled())
+	assert.Equal(t, len(f.order()), 1, "the task waits although its run ended with the worker")
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -102,8 +102,8 @@
 	done     bool
 	run      int32
 	failures int32
-	// worker is the worker on which the newest run may be, or nil; incarnation is the worker's when the run was planned or
-	// last confirmed.
+	// worker is the worker on which the newest run may be, or nil; incarnation is the one that was known when the run was
+	// planned or its start order was sent, or that last listed the run.
 	worker      *Worker
 	incarnation int64
 	checkpoint  string
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -140,16 +140,23 @@
 	for t := range w.tasks {
 		switch {
 		case listed[t]:
-		case t.ranOnEarlierIncarnation():
+		case !t.ranOnEarlierIncarnation():
+			s.applyMissing(t, first, sent)
+		case t.restored || isBefore(t.orderedAt, sent):
 			lost = append(lost, t)
 		default:
-			s.applyMissing(t, first, sent)
+			// The answer to a start order does not say which incarnation took it, and this report may be older than the run.
+			w.unsettled = true
+			s.log.Decision("run may be on the new incarnation", t.JobID(), "task", t.ID(), "run", t.run, "worker", w.Info.ID)
 		}
 	}
 	s.loseRuns(w, lost, loss{reason: "worker restarted", crashed: true, now: now, unixMs: unixMs})
 	return true
 }
 
+// isBefore reports whether an event is known to have happened before a report was requested.
+func isBefore(event, requested time.Time) bool { return !event.IsZero() && event.Before(requested) }
+
 // applyRestart records that a worker has a new incarnation.
 func (s *State) applyRestart(w *Worker, incarnation int64, now time.Time) {
 	if w.reported || w.lastEnd > 0 {
@@ -249,15 +256,14 @@
 // applyMissing handles a task that is assigned to a worker whose report does not list its run; first is true for the
 // worker's first report to this controller.
 func (s *State) applyMissing(t *Task, first bool, sent time.Time) {
-	answered := func(at time.Time) bool { return !at.IsZero() && at.Before(sent) }
 	switch {
 	case t.phase == phasePlanned:
 	case first:
 		// The renewal has fenced the worker, so orders of earlier controllers can no longer take effect.
 		s.release(t)
-	case answered(t.stopAnsweredAt):
+	case isBefore(t.stopAnsweredAt, sent):
 		s.release(t)
-	case answered(t.orderedAt):
+	case isBefore(t.orderedAt, sent):
 		// An unanswered start may still be carried out later; the stop order prevents the run from ever beginning.
 		s.requestStop(t, "not listed")
 	}
@@ -392,7 +398,7 @@
 	t.orderedAt, t.sent = now, true
 	switch {
 	case err == nil:
-		t.phase, t.progressAt, t.incarnation = phaseActive, now, w.Info.Incarnation
+		t.phase, t.progressAt = phaseActive, now
 		t.beginMeasurement(now)
 		t.step.job.started = true
 	case errors.Is(err, infra.ErrTicketInvalid):
