Repeat stops that a former incarnation may have answered

Cause: a start without an answer is excluded by a stop and a report that was requested after its answer. A stop that the former life answered counted together with a report of the new one, which knows nothing of that stop and may still carry out the start.

Evidence: TestStopAnsweredByTheFormerIncarnationIsRepeated failed before: the task was released while the new life could still start it.

Change: a restart voids the answers to stops that were ordered before the new incarnation was first reported; the stop is ordered again at once.

TestUnansweredStartsGiveNoTaskUp answered a stop that no plan had ordered. It plans the stop now; its bounds are the same.

--- a/dispatch/crash_late_test.go
+++ b/dispatch/crash_late_test.go
@@ -120,6 +120,8 @@
 		restarted := infra.RunReport{Incarnation: w.Info.Incarnation + 1}
 		f.state.ApplyReport(w, restarted, f.now, f.now, f.unixMs())
 		f.publish(w)
+		stops := f.state.Plan(f.now, f.unixMs(), AdviceSlots{}).Stops
+		assert.Assert(t, len(stops) == 1 && stops[0] == task)
 		f.state.Stopped(task, task.Run(), nil, f.now)
 		f.now = f.now.Add(time.Second)
 		f.state.ApplyReport(w, restarted, f.now, f.now, f.unixMs())
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -140,3 +140,35 @@
 	assert.Assert(t, !worker.IsUnsettled())
 	assert.Equal(t, len(f.order()), 1, "the task waits although its run ended with the worker")
 }
+
+// Guards against a late start on the new incarnation after the task was placed again: only the former one was told to stop it.
+func TestStopAnsweredByTheFormerIncarnationIsRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		overlap bool
+	}{{"answered before the restart", false}, {"answered after the restart", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			f, worker := newRestartFixture(t)
+			task := f.unanswered()
+			f.wait(time.Millisecond)
+			if !c.overlap {
+				f.state.Stopped(task, 1, nil, f.now)
+			}
+			f.wait(time.Millisecond)
+			f.answerAs(worker, 2, f.now)
+			f.wait(time.Millisecond)
+			if c.overlap {
+				f.state.Stopped(task, 1, nil, f.now)
+			}
+			f.wait(time.Millisecond)
+			f.answerAs(worker, 2, f.now)
+			assert.Equal(t, task.WorkerID(), worker.Info.ID, "the new incarnation may still carry out the start")
+			f.assertStopPlanned()
+			f.wait(time.Millisecond)
+			f.state.Stopped(task, 1, nil, f.now)
+			f.wait(time.Millisecond)
+			f.answerAs(worker, 2, f.now)
+			assert.Equal(t, len(f.order()), 1, "the task waits although its run was stopped")
+		})
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -120,8 +120,8 @@
 	stopping   bool
 	// stopAnsweredAt is when the worker last confirmed a stop order; zero if it has not.
 	stopAnsweredAt time.Time
-	// stopAfter is when the stop may be ordered again.
-	stopAfter time.Time
+	// stopOrderedAt is when the stop was last ordered, and stopAfter when it may be ordered again.
+	stopOrderedAt, stopAfter time.Time
 	// percent is the reported progress of the run, progressAt when it last increased or the run was confirmed.
 	percent    int32
 	progressAt time.Time
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -154,7 +154,7 @@
 func (s *State) planStops(plan *Plan, now time.Time) {
 	for t := range s.stops {
 		if !t.stopping && t.phase != phasePlanned && now.After(t.stopAfter) && t.worker.reachable {
-			t.stopping = true
+			t.stopping, t.stopOrderedAt = true, now
 			plan.Stops = append(plan.Stops, t)
 		}
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -168,7 +168,11 @@
 	if w.reachable || w.lostAt.IsZero() {
 		w.lostAt = now
 	}
-	w.Info.Incarnation = incarnation
+	w.Info.Incarnation, w.restartedAt = incarnation, now
+	for t := range w.tasks {
+		// The former incarnation may have answered the stop. The new one rejects a late start only after a stop of its own.
+		t.stopAnsweredAt, t.stopAfter = time.Time{}, time.Time{}
+	}
 	s.dropOrphans(w, nil)
 	s.index.update(w)
 }
@@ -432,6 +436,11 @@
 		return
 	}
 	t.stopping = false
+	if t.stopOrderedAt.Before(t.worker.restartedAt) {
+		// An earlier incarnation may have answered. The stop is repeated at once.
+		t.stopAfter = time.Time{}
+		return
+	}
 	if err == nil || errors.Is(err, infra.ErrStaleRun) {
 		t.stopAnsweredAt, t.stopAfter = now, now.Add(stopRepeatDelay)
 		return
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -355,7 +355,8 @@
 	delete(s.unanswered, t)
 	t.worker, t.phase = nil, phaseNone
 	t.unconfirmed, t.stop, t.stopping, t.stopReason = false, false, false, ""
-	t.stopAnsweredAt, t.stopAfter, t.orderedAt = time.Time{}, time.Time{}, time.Time{}
+	t.stopAnsweredAt, t.stopOrderedAt, t.stopAfter = time.Time{}, time.Time{}, time.Time{}
+	t.orderedAt = time.Time{}
 	t.percent, t.progressAt = 0, time.Time{}
 	t.resolveRestored()
 	t.sent, t.sound, t.closed, t.startedAt = false, false, false, time.Time{}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -19,8 +19,9 @@
 	reported bool
 	// reachable is false after a renewal failed, until the next answer.
 	reachable bool
-	// reportedAt is when the last report of the incarnation in Info was received.
-	reportedAt time.Time
+	// reportedAt is when the last report of the incarnation in Info was received, restartedAt when the first one was, if
+	// another incarnation was known before.
+	reportedAt, restartedAt time.Time
 	// unsettled is true if the next report is needed to tell which incarnation is the newer one, or which one a run is on.
 	unsettled bool
 	// lostAt is the earliest time at which a worker that is not reachable may have ended.
