Keep an orphan that a report requested before does not list

What callers saw: nothing in the record; found while looking for the same cause elsewhere: a report taken as evidence about a later event.

Cause: reports overtake each other. A report that was requested before a run was first seen as an orphan dropped the orphan, and its task could start while the run went on.

Evidence: TestReportOlderThanAnOrphanDoesNotFreeItsTask failed before.

Change: only a report that was requested after the orphan was seen drops it.

Result: the test and the other tests of orphans pass.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -288,7 +288,7 @@
 			"common_cause", l.commonCause)
 		s.loseRuns(w, runsOf(w), l)
 		w.ended, w.leaseEnd = true, now
-		s.dropOrphans(w, nil)
+		s.forgetOrphans(w)
 		w.setReachable(false)
 		s.index.update(w)
 	}
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -172,3 +172,22 @@
 		})
 	}
 }
+
+// Guards against a task that starts while an orphan of it runs: a report that was requested before the orphan was seen does not
+// list it.
+func TestReportOlderThanAnOrphanDoesNotFreeItsTask(t *testing.T) {
+	f, worker := newRestartFixture(t)
+	requested := f.wait(time.Millisecond)
+	f.wait(time.Millisecond)
+	orphan := infra.ActiveRun{Task: "0000000000000001.0.0.0", Run: 1}
+	f.answerAs(worker, 1, f.now, orphan)
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 1, requested)
+	assert.Equal(t, len(f.order()), 0)
+	assert.Assert(t, worker.HasOrphans())
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 1, f.now)
+	assert.Assert(t, !worker.HasOrphans())
+	f.wait(orphanHold / 4)
+	assert.Equal(t, len(f.order()), 1)
+}
--- a/dispatch/orphan.go
+++ b/dispatch/orphan.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// dropOrphans forgets the orphans of a worker that a complete report does not list; nil means that none is left.
-func (s *State) dropOrphans(w *Worker, listed []infra.ActiveRun) {
+// dropOrphans forgets the orphans of a worker that a complete report does not list; sent is when it was requested.
+func (s *State) dropOrphans(w *Worker, listed []infra.ActiveRun, sent time.Time) {
 	if len(w.orphans) == 0 {
 		return
 	}
@@ -99,19 +99,35 @@
 	for _, run := range listed {
 		active[orphanKey{run.Task, run.Run}] = true
 	}
-	confirmed := 0
 	for key, o := range w.orphans {
-		switch {
-		case !active[key]:
-			delete(w.orphans, key)
-			if o.held != nil && o.held.notBefore.Equal(o.heldUntil) {
-				o.held.notBefore = time.Time{}
-			}
-		case o.confirmed:
-			confirmed++
+		// A report that was requested before the run was seen may be older than the run.
+		if !active[key] && !sent.Before(o.seenAt) {
+			w.dropOrphan(key)
 		}
 	}
-	if _, known := s.orphaned[w]; known && confirmed == 0 {
+	s.indexOrphans(w)
+}
+
+// forgetOrphans forgets all orphans of a worker whose runs have ended.
+func (s *State) forgetOrphans(w *Worker) {
+	for key := range w.orphans {
+		w.dropOrphan(key)
+	}
+	s.indexOrphans(w)
+}
+
+// dropOrphan forgets an orphan, whose task may then start.
+func (w *Worker) dropOrphan(key orphanKey) {
+	o := w.orphans[key]
+	delete(w.orphans, key)
+	if o.held != nil && o.held.notBefore.Equal(o.heldUntil) {
+		o.held.notBefore = time.Time{}
+	}
+}
+
+// indexOrphans opens a worker to new tasks again once it has no confirmed orphans.
+func (s *State) indexOrphans(w *Worker) {
+	if _, known := s.orphaned[w]; known && !w.hasConfirmedOrphans() {
 		delete(s.orphaned, w)
 		s.index.update(w)
 	}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		s.loseRuns(w, runsOf(w), loss{reason: "lease ended", now: now, unixMs: unixMs})
-		s.dropOrphans(w, nil)
+		s.forgetOrphans(w)
 		if !w.Listed && len(w.tasks) == 0 {
 			delete(s.workers, w.Info.ID)
 			s.index.remove(w)
@@ -135,7 +135,7 @@
 			"more_ends", report.MoreEnds)
 		return true
 	}
-	s.dropOrphans(w, report.Active)
+	s.dropOrphans(w, report.Active, sent)
 	var lost []*Task
 	for t := range w.tasks {
 		switch {
@@ -173,7 +173,7 @@
 		// The former incarnation may have answered the stop. The new one rejects a late start only after a stop of its own.
 		t.stopAnsweredAt, t.stopAfter = time.Time{}, time.Time{}
 	}
-	s.dropOrphans(w, nil)
+	s.forgetOrphans(w)
 	s.index.update(w)
 }
 
