Clear a suspect only by a report that lists its run

Cause: a probe counted as passed when its worker reported more than 100 ms after the answer to the start, even if the report was requested before the start and did not list the run, whose worker may have crashed meanwhile.

Evidence: TestReportOlderThanAProbeDoesNotClearTheSuspect failed before.

Change: the time of the last report that lists the run counts.

Result: the tests of suspects and probes pass.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -334,7 +334,7 @@
 func (s *State) clearSuspects() {
 	for t := range s.probes {
 		c := &t.crashCounter().crashes
-		if t.phase != phaseActive || t.worker.reportedAt.Sub(t.orderedAt) <= startupWindow || c.losses() >= crashesToSuspect {
+		if t.phase != phaseActive || t.listedAt.Sub(t.orderedAt) <= startupWindow || c.losses() >= crashesToSuspect {
 			continue
 		}
 		if c.suspect {
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -191,3 +191,20 @@
 	f.wait(orphanHold / 4)
 	assert.Equal(t, len(f.order()), 1)
 }
+
+// Guards against a suspect that is cleared by a report that is older than its run: its worker may have crashed meanwhile.
+func TestReportOlderThanAProbeDoesNotClearTheSuspect(t *testing.T) {
+	f, worker := newRestartFixture(t)
+	requested := f.wait(time.Millisecond)
+	f.state.Job("0000000000000001").task([3]int{}).crashes = crashCount{certain: 1, suspect: true}
+	task := f.orderOne()
+	f.state.Started(task, 1, nil, f.now)
+	f.wait(2 * startupWindow)
+	f.answerAs(worker, 1, requested)
+	f.order()
+	assert.Assert(t, worker.IsProbing(), "the suspect is cleared by a report that does not list its run")
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 1, f.now, runOf(task))
+	f.order()
+	assert.Assert(t, !worker.IsProbing())
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -122,6 +122,8 @@
 	stopAnsweredAt time.Time
 	// stopOrderedAt is when the stop was last ordered, and stopAfter when it may be ordered again.
 	stopOrderedAt, stopAfter time.Time
+	// listedAt is when a report last listed the run.
+	listedAt time.Time
 	// percent is the reported progress of the run, progressAt when it last increased or the run was confirmed.
 	percent    int32
 	progressAt time.Time
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -216,7 +216,7 @@
 	}
 	t.forgetCrashes(now)
 	t.unconfirmed = false
-	t.incarnation = w.Info.Incarnation
+	t.incarnation, t.listedAt = w.Info.Incarnation, now
 	if active.Checkpoint != "" {
 		if active.Checkpoint != t.checkpoint {
 			t.checkpointAt = now
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -356,7 +356,7 @@
 	t.worker, t.phase = nil, phaseNone
 	t.unconfirmed, t.stop, t.stopping, t.stopReason = false, false, false, ""
 	t.stopAnsweredAt, t.stopOrderedAt, t.stopAfter = time.Time{}, time.Time{}, time.Time{}
-	t.orderedAt = time.Time{}
+	t.orderedAt, t.listedAt = time.Time{}, time.Time{}
 	t.percent, t.progressAt = 0, time.Time{}
 	t.resolveRestored()
 	t.sent, t.sound, t.closed, t.startedAt = false, false, false, time.Time{}
