Compare the incarnations of entry and report for equality

What callers saw: nothing in the record; the same class: a fact of the former life is taken for one of the new life.

Cause: an entry counted as that of the reporting incarnation if its number was not lower. Incarnations are numbered by the wall clock; after that was set back, the former life's entry described the new one, which got tasks by the labels and the capacity of before.

Evidence: TestEntryOfAFormerIncarnationWithAHigherNumberDescribesNothing failed before.

Change: the numbers have to be equal. An entry that is newer than the last report closes the worker until it reports, so no orders meant for the former life are sent then.

Result: the tests pass.

--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -208,3 +208,15 @@
 	f.order()
 	assert.Assert(t, !worker.IsProbing())
 }
+
+// Guards against tasks that a worker gets by an entry of its former incarnation, whose number is higher because the clock was
+// set back.
+func TestEntryOfAFormerIncarnationWithAHigherNumberDescribesNothing(t *testing.T) {
+	f, worker := newRestartFixture(t)
+	f.wait(time.Millisecond)
+	f.state.ApplyReport(worker, infra.RunReport{Incarnation: -5, ClockMs: 1}, f.now, f.now, f.unixMs())
+	assert.Equal(t, len(f.order()), 0)
+	f.publish(worker)
+	f.wait(time.Second)
+	assert.Equal(t, len(f.order()), 1)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -118,10 +118,11 @@
 	return labels[len(labels)-1]
 }
 
-// isDescribed reports whether the entry may be that of the incarnation that last reported. A worker may come back as another
-// kind, and it reports before its new entry is read.
+// isDescribed reports whether the entry is that of the incarnation that last reported. A worker may come back as another kind,
+// and either its report or its new entry may be read first. The numbers are compared for equality, because the clock that
+// they come from may be set back.
 func (w *Worker) isDescribed() bool {
-	return w.described == 0 || w.described >= w.Info.Incarnation
+	return w.described == 0 || w.described == w.Info.Incarnation
 }
 
 // isOpen reports whether the state of the worker lets it get new tasks, apart from limits that end by time.
