Count leases on the clock of a former incarnation in full

What callers saw: nothing in the record; the same class: an order for the former life of a worker is taken by the next one.

Cause: the end of a lease is a time on the worker's clock, which starts anew with each life. The next life cuts a lease on the former clock to the longest one, 6 s instead of the 4.5 s that are requested. The controller allowed for that only if the clock in an answer went back by more than a second: not after a short life, not for an order whose answer was lost in a cut right after the restart, and not for those of an earlier controller. The task could start elsewhere up to 1.5 s before its run ended. Answers to orders also moved the clock, so that an answer of the former life, which overtook a report of the new one, extended leases on the wrong clock.

Evidence: with the earlier code a worker whose clock went from 300 ms back to 250 ms, or to 600 ms after a second, had no assumed lease at all after a report of the new life.

Change: only reports move the clock. A restart is seen from the incarnation, or from a clock that is behind by more than drift and 50 ms. The longest lease is assumed after a restart, for an order that was sent more than 100 ms after the last report and not answered, and by a new controller for the orders of the one before. A clock that is behind has the worker polled.

Bounds changed: TestBoundsCountFromTheEndOfAnEarlierController asks for the longest lease instead of the requested one, which was too short. TestLeaseOnAnEarlierClockCountsInFull asks the same of the new functions, and for smaller steps of the clock.

--- a/controller/recover.go
+++ b/controller/recover.go
@@ -55,7 +55,8 @@
 	t.loadJobs(jobs.Entries, progress.Entries)
 	now := t.now()
 	t.soleSince = laterOf(now, formerUntil)
-	t.state.AssumeLeases(now, t.soleSince.Add(t.leaseBound()))
+	// The earlier controller may not have known of a restart, and so have extended the lease by the clock of before.
+	t.state.AssumeLeases(now, t.soleSince.Add(t.maxLeaseBound()))
 	t.applyWorkers(ctx, fleet.Entries, true)
 	t.recovered = true
 	return jobs.Revision, fleet.Revision, nil
--- a/controller/recover_test.go
+++ b/controller/recover_test.go
@@ -48,5 +48,5 @@
 	const slack = time.Second
 	until := c.soleSince.Sub(began)
 	assert.Assert(t, until > mayActFor-slack && until < mayActFor+slack, "%s", until)
-	assert.Equal(t, c.state.Worker("w").LeaseEnd(), c.soleSince.Add(c.leaseBound()))
+	assert.Equal(t, c.state.Worker("w").LeaseEnd(), c.soleSince.Add(c.maxLeaseBound()))
 }
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -28,17 +28,16 @@
 	// maxAckDelay is the longest time that a renewal waits for the commit of the reported ends, so that it can
 	// acknowledge them.
 	maxAckDelay = 300 * time.Millisecond
-	// maxAnswerAge is the greatest age of a worker's last response for which its ends are acknowledged. No process
-	// restarts in less, and commits usually take a fifth of it.
+	// maxAnswerAge is the greatest age of a worker's last report for which its ends are acknowledged and a lease on its clock
+	// is certain. No process restarts in less, and commits usually take a fifth of it.
 	maxAnswerAge = 100 * time.Millisecond
 	// renewRetryDelay is the delay before a failed renewal is retried.
 	renewRetryDelay = 150 * time.Millisecond
 	// clockDriftDivisor sets the part of a lease that is added for clock drift: one in clockDriftDivisor, or 3%, because
 	// a worker's clock may be 2% slower than the controller's.
 	clockDriftDivisor = 33
-	// minClockRegression is how far a worker's clock must go back to count as that of another incarnation. Responses on
-	// different connections are reordered by less.
-	minClockRegression = time.Second
+	// clockSlack is how far the clock in an answer may be behind the last report without being that of another incarnation.
+	clockSlack = 50 * time.Millisecond
 	// leaseSlack covers the transit time of an order to the worker.
 	leaseSlack = 150 * time.Millisecond
 )
@@ -48,10 +47,11 @@
 	worker *dispatch.Worker
 	// endsCommitted is signalled when reported ends of the worker's runs have become durable.
 	endsCommitted chan struct{}
-	// The term's mu guards the fields below. clockMs is the worker's clock at readAt; 0 if it has not responded.
+	// The term's mu guards the fields below. clockMs is the worker's clock at readAt, when its last report was received; 0 if
+	// it has not reported.
 	clockMs int64
 	readAt  time.Time
-	// polling is true while stop polls the worker for the end of a run.
+	// polling is true while the worker is asked for a report beside its renewal.
 	polling bool
 	// starts are the start orders that wait to be sent, senders the goroutines that send them, without those whose order
 	// has been under way for senderPatience.
@@ -72,6 +72,10 @@
 // leaseBound returns how long a lease that is granted now may last on the controller's clock.
 func (t *term) leaseBound() time.Duration { return withClockDrift(t.Bounds.requestedLease()) }
 
+// maxLeaseBound is the same for a lease whose end is on the clock of an earlier incarnation. Clocks start anew with each
+// incarnation, so the new one shortens such a lease to the longest one.
+func (t *term) maxLeaseBound() time.Duration { return withClockDrift(t.Bounds.LeaseMax) }
+
 // withClockDrift returns how long a lease may last on the controller's clock, given the drift and the transit time.
 func withClockDrift(lease time.Duration) time.Duration {
 	return lease + lease/clockDriftDivisor + leaseSlack
@@ -101,7 +105,7 @@
 		if s.worker.IsProbing() || s.worker.HasOrphans() {
 			wait = probeRenewWait
 		}
-		if s.clockMs == 0 || !s.worker.Reachable() {
+		if s.clockMs == 0 || !s.worker.Reachable() || s.worker.IsUnsettled() {
 			wait = 0
 		}
 		if !known {
@@ -151,17 +155,40 @@
 	return s.clockMs + sent.Sub(s.readAt).Milliseconds() + t.Bounds.requestedLease().Milliseconds()
 }
 
-// recordClock records the worker's clock. A clock that has gone back is that of another incarnation; leases requested on
-// the earlier clock then last as long as the worker allows. The caller holds mu.
-func (t *term) recordClock(s *workerSession, clockMs int64, now time.Time) {
-	if clockMs <= 0 {
-		return
+// isBehind reports whether the clock in an answer to an order is that of another incarnation than the last report. Answers
+// overtake each other, so nothing is known of an order that was sent before that report was received.
+func (s *workerSession) isBehind(clockMs int64, sent time.Time) bool {
+	if clockMs <= 0 || s.clockMs <= 0 || sent.Before(s.readAt) {
+		return false
 	}
-	if clockMs < s.clockMs-minClockRegression.Milliseconds() {
-		t.state.RenewSent(s.worker, now.Add(withClockDrift(t.Bounds.LeaseMax)))
+	since := sent.Sub(s.readAt)
+	least := s.clockMs + (since - since/clockDriftDivisor - clockSlack).Milliseconds()
+	return clockMs < least
+}
+
+// noteAnswer applies what the end of an order with a lease says about the worker's lease: that the worker has restarted, or
+// may have, so that the order's lease end is on the clock of an earlier incarnation. The caller holds mu.
+func (t *term) noteAnswer(s *workerSession, order sentOrder, clockMs int64, err error, now time.Time) {
+	switch {
+	case s.isBehind(clockMs, order.sent):
+		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 		t.state.RenewFailed(s.worker, now) // unreachable until it has reported its runs
+	case s.worker.Info.Incarnation != order.incarnation, isUnanswered(err) && order.overdue:
+		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 	}
-	s.clockMs, s.readAt = clockMs, now
+}
+
+// sentOrder is what was known of a worker when an order with a lease was sent to it.
+type sentOrder struct {
+	sent        time.Time
+	incarnation int64
+	// overdue is true if the last report was so old that the worker could have restarted since.
+	overdue bool
+}
+
+// sending returns what is known of the worker now. The caller holds mu.
+func (s *workerSession) sending(now time.Time) sentOrder {
+	return sentOrder{sent: now, incarnation: s.worker.Info.Incarnation, overdue: now.Sub(s.readAt) > maxAnswerAge}
 }
 
 // acknowledged returns the number up to which a worker may forget ends. A worker that has restarted since its last
@@ -192,7 +219,7 @@
 		// A restart is detected by the renewal that is held open at the worker, so a concurrent one acknowledges nothing.
 		order.Acknowledged = s.acknowledged(sent)
 	}
-	info := s.worker.Info
+	info, sending := s.worker.Info, s.sending(sent)
 	t.mu.Unlock()
 	if !t.leadership.Valid() {
 		return errTermEnded
@@ -204,6 +231,9 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	if err != nil {
+		if order.LeaseUntilMs > 0 {
+			t.noteAnswer(s, sending, 0, err, now)
+		}
 		if ctx.Err() == nil {
 			lostAt := s.readAt
 			if call.Err() == nil {
@@ -218,12 +248,25 @@
 		t.log.Info("worker responds", "worker", info.ID, "incarnation", report.Incarnation)
 	}
 	t.load.renewals++
-	t.recordClock(s, report.ClockMs, now)
-	t.state.ApplyReport(s.worker, report, sent, now, unixMs())
+	t.applyReport(s, report, sending, now)
 	t.triggerPlan()
 	return nil
 }
 
+// applyReport applies a worker's answer to a renewal. The caller holds mu.
+func (t *term) applyReport(s *workerSession, report infra.RunReport, order sentOrder, now time.Time) {
+	if report.Incarnation == 0 {
+		t.noteAnswer(s, order, report.ClockMs, nil, now)
+	}
+	if !t.state.ApplyReport(s.worker, report, order.sent, now, unixMs()) {
+		return
+	}
+	t.noteAnswer(s, order, 0, nil, now)
+	if report.ClockMs > 0 {
+		s.clockMs, s.readAt = report.ClockMs, now
+	}
+}
+
 // recordRenewFailure marks the worker as unreachable after a failed renewal. The caller holds mu.
 func (t *term) recordRenewFailure(s *workerSession, err error, lostAt time.Time) {
 	if s.worker.Reachable() {
@@ -277,8 +320,9 @@
 // confirmedStart is a start order that may be sent now.
 type confirmedStart struct {
 	startOrder
-	worker infra.FleetWorker
-	order  infra.StartOrder
+	worker  infra.FleetWorker
+	order   infra.StartOrder
+	sending sentOrder
 }
 
 // nextStart removes and returns the first start order that may still be sent. If there is none, the sender ends. The
@@ -293,7 +337,7 @@
 		if t.state.ConfirmOrder(next.task, next.run, now) {
 			order := next.task.Start()
 			order.Epoch, order.LeaseUntilMs = t.leadership.Epoch, t.leaseUntil(s, now)
-			return confirmedStart{next, next.task.Worker(), order}, true
+			return confirmedStart{next, next.task.Worker(), order, s.sending(now)}, true
 		}
 		t.triggerPlan()
 	}
@@ -354,7 +398,12 @@
 	now := t.now()
 	t.load.orders++
 	t.load.orderTime += now.Sub(began)
-	t.recordClock(s, clockMs, now)
+	if order.LeaseUntilMs > 0 {
+		t.noteAnswer(s, next.sending, clockMs, err, now)
+	}
+	if s.isBehind(clockMs, next.sending.sent) {
+		t.goroutines.Go(func() { t.poll(ctx, s) })
+	}
 	known := task.IsJobStarted()
 	t.state.Started(task, run, err, now)
 	if !known && task.IsJobStarted() {
@@ -382,20 +431,25 @@
 	t.checkFence(err)
 	t.log.Info("stop", "job", task.JobID(), "task", order.Task, "run", order.Run, "worker", info.ID, "reason", reason,
 		"result", resultOf(err))
-	t.mu.Lock()
-	t.state.Stopped(task, order.Run, err, t.now())
-	poll := err == nil && s != nil && !s.polling
-	if poll {
-		s.polling = true
+	t.withLock(func() { t.state.Stopped(task, order.Run, err, t.now()) })
+	if err == nil && s != nil {
+		t.poll(ctx, s)
 	}
+}
+
+// poll asks a worker for a report beside the renewal that is held open there, unless that is under way.
+func (t *term) poll(ctx context.Context, s *workerSession) {
+	t.mu.Lock()
+	poll := !s.polling
+	s.polling = true
 	t.mu.Unlock()
-	t.triggerPlan()
-	if poll {
-		_ = t.renew(ctx, s, 0, true)
-		t.mu.Lock()
-		s.polling = false
-		t.mu.Unlock()
+	if !poll {
+		return
 	}
+	_ = t.renew(ctx, s, 0, true)
+	t.mu.Lock()
+	s.polling = false
+	t.mu.Unlock()
 }
 
 // stopOrphan sends the order to end a run that is not placed on its worker.
--- a/controller/worker_session_test.go
+++ b/controller/worker_session_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -12,23 +13,83 @@
 	"siskinstack.example/siskinstack/infra"
 )
 
-// Guards against a task being moved to another worker while its own worker, which has restarted, may still run it: a
-// lease end on the clock of the earlier incarnation lasts as long as the worker allows on the clock of the new one.
-func TestLeaseOnAnEarlierClockCountsInFull(t *testing.T) {
-	const leaseMax = 6 * time.Second
+const testLeaseMax = 6 * time.Second
+
+// newTestSession returns the session of a worker that has reported its first incarnation with the given clock.
+func newTestSession(clockMs int64, now time.Time) (*term, *workerSession) {
 	c := newTerm(Options{
-		Clock: clock.Real{}, Log: logr.Discard(), Metrics: NewMetrics(nil), Bounds: Bounds{LeaseMax: leaseMax},
+		Clock: clock.Real{}, Log: logr.Discard(), Metrics: NewMetrics(nil), Bounds: Bounds{LeaseMax: testLeaseMax},
 	}, &election.Term{})
 	w, _ := c.state.SetWorker(infra.FleetWorker{ID: "w", Incarnation: 1})
 	s := &workerSession{worker: w}
+	c.applyReport(s, infra.RunReport{Incarnation: 1, ClockMs: clockMs}, s.sending(now), now)
+	return c, s
+}
+
+// Guards against a task being moved to another worker while its own worker, which has restarted, may still run it: a
+// lease end on the clock of the earlier incarnation lasts as long as the worker allows on the clock of the new one.
+func TestLeaseOnAnEarlierClockCountsInFull(t *testing.T) {
+	now := time.Now()
+	later := now.Add(time.Second)
+	for _, test := range []struct {
+		name                string
+		clockMs, answeredMs int64
+		restarted           bool
+	}{
+		{"clock advances", 60_000, 61_000, false},
+		{"clock 2% slow", 60_000, 60_980, false},
+		{"clock back", 60_000, 100, true},
+		{"clock back by less than a second", 300, 250, true},
+		{"clock advances by less than the time", 300, 600, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, s := newTestSession(test.clockMs, now)
+			c.noteAnswer(s, s.sending(later), test.answeredMs, nil, later)
+			assert.Equal(t, s.worker.LeaseEnd().Sub(later) >= testLeaseMax, test.restarted)
+			assert.Equal(t, s.worker.Reachable(), !test.restarted)
+		})
+	}
+}
+
+// Guards against the same if the clocks do not show the restart, but the report does.
+func TestLeaseCountsInFullAfterAReportOfAnotherIncarnation(t *testing.T) {
+	now := time.Now()
+	c, s := newTestSession(300, now)
+	later := now.Add(100 * time.Millisecond)
+	c.applyReport(s, infra.RunReport{Incarnation: 2, ClockMs: 400}, s.sending(later), later)
+	assert.Assert(t, s.worker.LeaseEnd().Sub(later) >= testLeaseMax)
+	assert.Equal(t, s.clockMs, int64(400))
+	again := later.Add(time.Second)
+	c.noteAnswer(s, sentOrder{sent: later.Add(-time.Millisecond), incarnation: 1}, 0, nil, again)
+	assert.Assert(t, s.worker.LeaseEnd().Sub(again) >= testLeaseMax, "the order was sent before the restart was known")
+}
+
+// Guards against the same if the worker is cut off before it answers: the order may have reached its next incarnation.
+func TestLeaseOfAnUnansweredOrderCountsInFull(t *testing.T) {
+	now := time.Now()
+	c, s := newTestSession(60_000, now)
+	prompt := s.sending(now.Add(maxAnswerAge))
+	c.noteAnswer(s, prompt, 0, context.DeadlineExceeded, now.Add(orderTimeout))
+	assert.Assert(t, s.worker.LeaseEnd().IsZero(), "no process restarts in this time")
+	late := now.Add(time.Second)
+	c.noteAnswer(s, s.sending(late), 0, infra.ErrFenced, late)
+	assert.Assert(t, s.worker.LeaseEnd().IsZero(), "the order was declined")
+	c.noteAnswer(s, s.sending(late), 0, context.DeadlineExceeded, late.Add(orderTimeout))
+	assert.Assert(t, s.worker.LeaseEnd().Sub(late.Add(orderTimeout)) >= testLeaseMax)
+}
+
+// Guards against leases that are counted on the clock of another incarnation: answers to orders overtake reports.
+func TestAnswersToOrdersDoNotMoveTheClock(t *testing.T) {
 	now := time.Now()
-	c.recordClock(s, 60_000, now)
-	c.recordClock(s, 61_000, now.Add(time.Second))
-	assert.Assert(t, w.LeaseEnd().IsZero(), "a clock that advances is that of the same incarnation")
-	c.recordClock(s, 100, now.Add(2*time.Second))
-	assert.Assert(t, w.LeaseEnd().Sub(now.Add(2*time.Second)) >= leaseMax)
-	assert.Equal(t, s.clockMs, int64(100))
-	assert.Assert(t, !w.Reachable())
+	c, s := newTestSession(60_000, now)
+	before := s.sending(now.Add(-time.Millisecond))
+	later := now.Add(time.Second)
+	c.applyReport(s, infra.RunReport{Incarnation: 2, ClockMs: 200}, s.sending(later), later)
+	c.noteAnswer(s, before, 61_000, nil, later.Add(time.Millisecond))
+	assert.Equal(t, s.clockMs, int64(200))
+	assert.Assert(t, s.worker.Reachable())
+	c.applyReport(s, infra.RunReport{Incarnation: 1, ClockMs: 61_000}, before, later.Add(time.Millisecond))
+	assert.Equal(t, s.clockMs, int64(200), "a late report of the former incarnation moves the clock")
 }
 
 // Guards against a restarted worker forgetting ends that were never reported, because it restarted between a response and
