--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -125,6 +125,9 @@
 	return w.described == 0 || w.described == w.Info.Incarnation
 }
 
+// IsRestarted reports whether the worker has written the entry of an incarnation that has not reported yet.
+func (w *Worker) IsRestarted() bool { return w.reported && !w.isDescribed() }
+
 // isOpen reports whether the state of the worker lets it get new tasks, apart from limits that end by time.
 func (w *Worker) isOpen() bool {
 	return w.Listed && w.reported && w.reachable && w.isDescribed() && !w.ended && !w.Info.Draining && !w.cordoned && w.probe == nil &&
