Hold a task while an order to its ended worker is under way

What callers saw: nothing in the record; the same class: an order for the former life of a worker is taken by the next one.

Cause: when the platform lists a worker as ended, its tasks start elsewhere at once, also those whose start order is under way. A worker that is back under its ID within the timeout of that order takes it, and the task runs twice.

Evidence: TestOrderUnderWayToAnEndedWorkerHoldsItsTask failed before.

Change: such a task waits until its order is answered or given up, 750 ms at most. An order that is answered after its worker was listed as ended was taken by the next life, and the longest lease is assumed for it.

Result: the test and those of dispatch, controller, node and sitetest pass. Price: a task that was ordered just before its worker crashed starts again up to 750 ms later than by the listing alone.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -207,7 +207,9 @@
 		sessions: map[*dispatch.Worker]*workerSession{}, members: map[string]*member{}, heads: newCommitHeads(),
 		refusedEntries: map[string]string{}, tombstones: map[string]tombstone{},
 	}
-	t.state = dispatch.New(options.Bounds.Limits, decisionLog{log: log, metrics: options.Metrics})
+	limits := options.Bounds.Limits
+	limits.OrderTimeout = orderTimeout + leaseSlack
+	t.state = dispatch.New(limits, decisionLog{log: log, metrics: options.Metrics})
 	return t
 }
 
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -173,6 +173,11 @@
 	case s.isBehind(clockMs, order.sent):
 		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 		t.state.RenewFailed(s.worker, now) // unreachable until it has reported its runs
+	case s.worker.IsEnded():
+		// Only its next incarnation grants a lease now.
+		if err == nil {
+			t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
+		}
 	case s.worker.Info.Incarnation != order.incarnation, isUnanswered(err) && order.overdue:
 		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 	}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -182,6 +182,30 @@
 	return tasks
 }
 
+// isUnderWay reports whether the start order of a run was sent and neither answered nor given up.
+func (t *Task) isUnderWay() bool { return t.phase == phaseOrdered && t.sent && t.orderedAt.IsZero() }
+
+// settledRunsOf returns the tasks whose run has been ordered, without those whose start order is under way at a time, and when
+// the last of these orders will have been answered or given up. Until then a worker that is back under its ID may take it.
+func (s *State) settledRunsOf(w *Worker, now time.Time) (settled []*Task, until time.Time) {
+	until = now
+	for _, t := range runsOf(w) {
+		if end := t.sentAt.Add(s.limits.OrderTimeout); t.isUnderWay() && now.Before(end) {
+			until = later(until, end)
+			continue
+		}
+		settled = append(settled, t)
+	}
+	return settled, until
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // loseRuns releases tasks whose runs ended with their worker, and counts the crash.
 func (s *State) loseRuns(w *Worker, tasks []*Task, l loss) {
 	probe := w.probe
@@ -267,7 +291,7 @@
 }
 
 // WorkersEnded records that the platform no longer runs these workers. Their runs have ended, and their tasks are
-// released without waiting for the leases.
+// released without waiting for the leases, but for those whose start order is under way.
 func (s *State) WorkersEnded(workers []*Worker, now time.Time, unixMs int64) {
 	workers = slices.DeleteFunc(workers, func(w *Worker) bool { return w.ended })
 	l := loss{reason: "worker ended", crashed: true, now: now, unixMs: unixMs}
@@ -286,8 +310,9 @@
 		l.commonCause = all[zone] >= commonCauseWorkers && 2*explained[zone] <= all[zone]
 		s.log.Decision("worker ended", "", "worker", w.Info.ID, "tasks", len(w.tasks), "others_of_zone", all[zone]-1,
 			"common_cause", l.commonCause)
-		s.loseRuns(w, runsOf(w), l)
-		w.ended, w.leaseEnd = true, now
+		runs, until := s.settledRunsOf(w, now)
+		s.loseRuns(w, runs, l)
+		w.ended, w.leaseEnd = true, until
 		s.forgetOrphans(w)
 		w.setReachable(false)
 		s.index.update(w)
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -220,3 +220,36 @@
 	f.wait(time.Second)
 	assert.Equal(t, len(f.order()), 1)
 }
+
+// Guards against a task that runs twice because its worker is listed as ended while an order is under way, which the worker
+// takes when it is back.
+func TestOrderUnderWayToAnEndedWorkerHoldsItsTask(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		taken  bool
+		orders int
+	}{{"taken by the next incarnation", true, 0}, {"not taken", false, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			f, worker := newRestartFixture(t)
+			f.state.limits.OrderTimeout = 600 * time.Millisecond
+			f.addWorker("other", "zone-1")
+			f.wait(time.Millisecond)
+			task := f.orderOne()
+			worker = task.worker
+			f.wait(time.Millisecond)
+			f.state.WorkersEnded([]*Worker{worker}, f.now, f.unixMs())
+			f.wait(500 * time.Millisecond)
+			f.state.ExpireLeases(f.now, f.unixMs())
+			assert.Equal(t, len(f.order()), 0, "the task starts while an order for it is under way")
+			if c.taken {
+				f.state.RenewSent(worker, f.now.Add(6*time.Second))
+				f.state.Started(task, 1, nil, f.now)
+				f.wait(time.Millisecond)
+				f.answerAs(worker, 2, f.now, runOf(task))
+			}
+			f.wait(time.Second)
+			f.state.ExpireLeases(f.now, f.unixMs())
+			assert.Equal(t, len(f.order()), c.orders)
+		})
+	}
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -40,6 +40,8 @@
 type Limits struct {
 	// StatusKept is how long the state of an ended job is retained.
 	StatusKept time.Duration
+	// OrderTimeout is the longest time between sending a start order and applying its answer or its timeout.
+	OrderTimeout time.Duration
 	// Features are the optional decisions.
 	Features Features
 	// Forecast measures the starts from which the waits of further jobs are forecast.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -94,6 +94,9 @@
 // IsUnsettled reports whether the state of the worker or its runs is open until the next report.
 func (w *Worker) IsUnsettled() bool { return w.unsettled }
 
+// IsEnded reports whether the platform no longer runs the incarnation that last reported.
+func (w *Worker) IsEnded() bool { return w.ended }
+
 // IsProbing reports whether the worker runs a task that may have crashed another worker.
 func (w *Worker) IsProbing() bool { return w.probe != nil }
 
