--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -230,12 +230,12 @@
 		orders int
 	}{{"taken by the next incarnation", true, 0}, {"not taken", false, 1}} {
 		t.Run(c.name, func(t *testing.T) {
-			f, worker := newRestartFixture(t)
+			f, _ := newRestartFixture(t)
 			f.state.limits.OrderTimeout = 600 * time.Millisecond
 			f.addWorker("other", "zone-1")
 			f.wait(time.Millisecond)
 			task := f.orderOne()
-			worker = task.worker
+			worker := task.worker
 			f.wait(time.Millisecond)
 			f.state.WorkersEnded([]*Worker{worker}, f.now, f.unixMs())
 			f.wait(500 * time.Millisecond)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -95,17 +95,8 @@
 		s.log.Decision("worker answers although it was listed as ended", "", "worker", w.Info.ID, "active", len(report.Active))
 		return false
 	}
-	if w.Info.Incarnation != report.Incarnation && report.Incarnation != 0 {
-		if sent.Before(w.reportedAt) {
-			// Answers overtake each other, and the clock that numbers incarnations may be set back, so only a report that was
-			// requested after the last one shows which incarnation is the newer one.
-			w.unsettled = true
-			s.log.Decision("report of another incarnation overlaps with the last report", "", "worker", w.Info.ID,
-				"incarnation", report.Incarnation, "known_incarnation", w.Info.Incarnation,
-				"requested_ms_earlier", w.reportedAt.Sub(sent).Milliseconds())
-			return false
-		}
-		s.applyRestart(w, report.Incarnation, now)
+	if w.Info.Incarnation != report.Incarnation && report.Incarnation != 0 && !s.applyRestart(w, report.Incarnation, sent, now) {
+		return false
 	}
 	w.ended, w.reportedAt, w.unsettled = false, now, false
 	first := !w.reported
@@ -136,6 +127,13 @@
 		return true
 	}
 	s.dropOrphans(w, report.Active, sent)
+	s.applyUnlisted(w, listed, sent, now, unixMs, first)
+	return true
+}
+
+// applyUnlisted handles the tasks that are assigned to a worker and that a complete report does not list; first is true for
+// the worker's first report to this controller.
+func (s *State) applyUnlisted(w *Worker, listed map[*Task]bool, sent, now time.Time, unixMs int64, first bool) {
 	var lost []*Task
 	for t := range w.tasks {
 		switch {
@@ -151,14 +149,22 @@
 		}
 	}
 	s.loseRuns(w, lost, loss{reason: "worker restarted", crashed: true, now: now, unixMs: unixMs})
-	return true
 }
 
 // isBefore reports whether an event is known to have happened before a report was requested.
 func isBefore(event, requested time.Time) bool { return !event.IsZero() && event.Before(requested) }
 
-// applyRestart records that a worker has a new incarnation.
-func (s *State) applyRestart(w *Worker, incarnation int64, now time.Time) {
+// applyRestart records that a worker reported another incarnation; sent is when the report was requested. It returns false if
+// that one may be the former one: answers overtake each other, and the clock that numbers incarnations may be set back, so
+// only a report that was requested after the last one shows which is the newer one.
+func (s *State) applyRestart(w *Worker, incarnation int64, sent, now time.Time) bool {
+	if sent.Before(w.reportedAt) {
+		w.unsettled = true
+		s.log.Decision("report of another incarnation overlaps with the last report", "", "worker", w.Info.ID,
+			"incarnation", incarnation, "known_incarnation", w.Info.Incarnation,
+			"requested_ms_earlier", w.reportedAt.Sub(sent).Milliseconds())
+		return false
+	}
 	if w.reported || w.lastEnd > 0 {
 		w.lastEnd = 0
 		clear(w.unsaved)
@@ -175,6 +181,7 @@
 	}
 	s.forgetOrphans(w)
 	s.index.update(w)
+	return true
 }
 
 // ranOnEarlierIncarnation reports whether the run began on an earlier incarnation of its worker, or was ordered to begin
