Take a clock that is ahead for that of another incarnation

What callers saw: on a series of short crashes, starts on a worker that had restarted were declined with an expired lease, one after the other, until the worker reported: the clock of its new life was seconds ahead of the former.

Cause: only a clock that went back counted as a restart. A clock starts anew at any value.

Evidence: TestLeaseOnAnEarlierClockCountsInFull, case 'clock advances by more than the time', failed before.

Change: an answer whose clock is more than a second ahead of what the last report lets expect closes the worker and has it polled, like one behind.

--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -36,8 +36,10 @@
 	// clockDriftDivisor sets the part of a lease that is added for clock drift: one in clockDriftDivisor, or 3%, because
 	// a worker's clock may be 2% slower than the controller's.
 	clockDriftDivisor = 33
-	// clockSlack is how far the clock in an answer may be behind the last report without being that of another incarnation.
+	// A clock in an answer is that of another incarnation if it is more than clockSlack behind, or clockLead ahead of what the
+	// last report lets expect. clockLead covers the time that the report was on its way.
 	clockSlack = 50 * time.Millisecond
+	clockLead  = time.Second
 	// leaseSlack covers the transit time of an order to the worker.
 	leaseSlack = 150 * time.Millisecond
 )
@@ -155,22 +157,24 @@
 	return s.clockMs + sent.Sub(s.readAt).Milliseconds() + t.Bounds.requestedLease().Milliseconds()
 }
 
-// isBehind reports whether the clock in an answer to an order is that of another incarnation than the last report. Answers
-// overtake each other, so nothing is known of an order that was sent before that report was received.
-func (s *workerSession) isBehind(clockMs int64, sent time.Time) bool {
+// isOtherClock reports whether the clock in an answer to an order is that of another incarnation than the last report. Clocks
+// start anew at any value. Answers overtake each other, so nothing is known of an order that was sent before that report was
+// received.
+func (s *workerSession) isOtherClock(clockMs int64, sent, now time.Time) bool {
 	if clockMs <= 0 || s.clockMs <= 0 || sent.Before(s.readAt) {
 		return false
 	}
 	since := sent.Sub(s.readAt)
 	least := s.clockMs + (since - since/clockDriftDivisor - clockSlack).Milliseconds()
-	return clockMs < least
+	most := s.clockMs + (now.Sub(s.readAt) + clockLead).Milliseconds()
+	return clockMs < least || clockMs > most
 }
 
 // noteAnswer applies what the end of an order with a lease says about the worker's lease: that the worker has restarted, or
 // may have, so that the order's lease end is on the clock of an earlier incarnation. The caller holds mu.
 func (t *term) noteAnswer(s *workerSession, order sentOrder, clockMs int64, err error, now time.Time) {
 	switch {
-	case s.isBehind(clockMs, order.sent):
+	case s.isOtherClock(clockMs, order.sent, now):
 		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 		t.state.RenewFailed(s.worker, now) // unreachable until it has reported its runs
 	case s.worker.IsEnded():
@@ -406,7 +410,8 @@
 	if order.LeaseUntilMs > 0 {
 		t.noteAnswer(s, next.sending, clockMs, err, now)
 	}
-	if s.isBehind(clockMs, next.sending.sent) {
+	if s.isOtherClock(clockMs, next.sending.sent, now) {
+		t.log.Info("clock of another incarnation", "worker", info.ID, "clock_ms", clockMs, "reported_clock_ms", s.clockMs)
 		t.goroutines.Go(func() { t.poll(ctx, s) })
 	}
 	known := task.IsJobStarted()
--- a/controller/worker_session_test.go
+++ b/controller/worker_session_test.go
@@ -41,6 +41,8 @@
 		{"clock back", 60_000, 100, true},
 		{"clock back by less than a second", 300, 250, true},
 		{"clock advances by less than the time", 300, 600, true},
+		{"clock advances by more than the time", 300, 2400, true},
+		{"report was on its way for a while", 300, 2200, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c, s := newTestSession(test.clockMs, now)
