Ignore renewals that a former incarnation left unanswered

Cause: the renewal that was held open at the former life fails when it times out or its connection is closed, and that counted against the worker although a poll had been answered by the new life since.

Evidence: TestEntryOfARestartedWorkerHasItReport, which now lets that renewal fail, failed before: the end of the renewal at the former incarnation counts against the new one.

Change: a failed renewal says nothing about a worker that has reported another incarnation since, or that has answered a poll since if it timed out.

--- a/controller/restart_test.go
+++ b/controller/restart_test.go
@@ -15,21 +15,21 @@
 // silentFleet has a worker that restarted while a renewal was held open, which is never answered.
 type silentFleet struct {
 	infra.Fleet
-	held chan struct{}
+	held, end chan struct{}
 }
 
-func (f *silentFleet) Renew(ctx context.Context, _ infra.FleetWorker, order infra.RenewOrder) (infra.RunReport, error) {
+func (f *silentFleet) Renew(_ context.Context, _ infra.FleetWorker, order infra.RenewOrder) (infra.RunReport, error) {
 	if order.Wait > 0 {
 		close(f.held)
-		<-ctx.Done()
-		return infra.RunReport{}, ctx.Err()
+		<-f.end
+		return infra.RunReport{}, infra.ErrConnectionClosed
 	}
 	return infra.RunReport{Incarnation: 2, ClockMs: 1}, nil
 }
 
 // Guards against a restarted worker that stays closed until the renewal that its former incarnation held open times out.
 func TestEntryOfARestartedWorkerHasItReport(t *testing.T) {
-	fleet := &silentFleet{held: make(chan struct{})}
+	fleet := &silentFleet{held: make(chan struct{}), end: make(chan struct{})}
 	c := newTerm(Options{Clock: clock.Real{}, Log: logr.Discard(), Metrics: NewMetrics(nil), Fleet: fleet, WorkersPrefix: "workers/",
 		DecodeWorker: func(entry infra.KeyValue) (infra.FleetWorker, error) {
 			return infra.FleetWorker{ID: "w", Incarnation: int64(entry.Value[0])}, nil
@@ -42,11 +42,10 @@
 	c.sessions[w] = s
 	c.applyReport(s, infra.RunReport{Incarnation: 1, ClockMs: 60_000}, s.sending(now), now)
 	c.mu.Unlock()
-	renewal, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = c.renew(renewal, s, time.Minute, false)
+		_ = c.renew(t.Context(), s, time.Minute, false)
 	}()
 	<-fleet.held
 	c.withLock(func() {
@@ -57,6 +56,9 @@
 	assert.Equal(t, w.Info.Incarnation, int64(2), "the worker was not asked for a report")
 	assert.Assert(t, !w.IsRestarted())
 	c.mu.Unlock()
-	cancel()
+	close(fleet.end)
 	<-done
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Assert(t, w.Reachable(), "the end of the renewal at the former incarnation counts against the new one")
 }
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -170,6 +170,12 @@
 	return clockMs < least || clockMs > most
 }
 
+// hasReportedSince reports whether a renewal that failed says nothing about the worker, because a poll has been answered since
+// it was sent: by another incarnation, or before the renewal timed out.
+func (s *workerSession) hasReportedSince(renewal sentOrder, timedOut bool) bool {
+	return s.worker.Info.Incarnation != renewal.incarnation || timedOut && s.readAt.After(renewal.sent)
+}
+
 // noteAnswer applies what the end of an order with a lease says about the worker's lease: that the worker has restarted, or
 // may have, so that the order's lease end is on the clock of an earlier incarnation. The caller holds mu.
 func (t *term) noteAnswer(s *workerSession, order sentOrder, clockMs int64, err error, now time.Time) {
@@ -243,7 +249,7 @@
 		if order.LeaseUntilMs > 0 {
 			t.noteAnswer(s, sending, 0, err, now)
 		}
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !s.hasReportedSince(sending, call.Err() != nil) {
 			lostAt := s.readAt
 			if call.Err() == nil {
 				// The connection was closed or refused before the timeout.
