Judge a run only by listings of machines requested after its start

Cause: a listing that was requested while the worker was down, and applied after the next life had answered a start, ended that run and its lease. A report of the new life that is older than the start then opened the worker.

Evidence: TestListingRequestedBeforeTheAnswerDoesNotEndARun fails without the new case.

Change: WorkersEnded gets the time at which the listing was requested. Runs that were answered since keep the lease of their worker; a later listing settles them, so that a worker that was listed as ended is looked at again while it has runs.

--- a/controller/machines.go
+++ b/controller/machines.go
@@ -89,7 +89,7 @@
 		if err != nil {
 			t.log.Info("machines not listed", "reason", err.Error())
 		} else {
-			waiting = t.applyMachines(watch, listing, workers)
+			waiting = t.applyMachines(watch, listing, workers, began)
 		}
 		interval = nextMachinesInterval(interval, waiting)
 		_ = t.Clock.Sleep(ctx, max(machinesMinInterval, machinesRest*t.now().Sub(began)))
@@ -140,8 +140,11 @@
 	return workers
 }
 
-// applyMachines applies a listing. It reports whether workers that do not answer still have tasks.
-func (t *term) applyMachines(watch *machineWatch, listing []infra.Machine, workers map[string]infra.FleetWorker) bool {
+// applyMachines applies a listing that was requested at a time, when the given workers were known. It reports whether workers
+// that do not answer still have tasks.
+func (t *term) applyMachines(
+	watch *machineWatch, listing []infra.Machine, workers map[string]infra.FleetWorker, requested time.Time,
+) bool {
 	ended, running := watch.observe(listing, workers)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,7 +161,7 @@
 		}
 	}
 	if len(gone) > 0 {
-		t.state.WorkersEnded(gone, now, unixMs())
+		t.state.WorkersEnded(gone, requested, now, unixMs())
 		t.triggerPlan()
 	}
 	return t.state.HasUnreachableTasks()
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -185,16 +185,21 @@
 // isUnderWay reports whether the start order of a run was sent and neither answered nor given up.
 func (t *Task) isUnderWay() bool { return t.phase == phaseOrdered && t.sent && t.orderedAt.IsZero() }
 
-// settledRunsOf returns the tasks whose run has been ordered, without those whose start order is under way at a time, and when
-// the last of these orders will have been answered or given up. Until then a worker that is back under its ID may take it.
-func (s *State) settledRunsOf(w *Worker, now time.Time) (settled []*Task, until time.Time) {
+// settledRunsOf returns the tasks whose run has surely ended with a worker that a listing of machines, requested at a time,
+// shows as ended, and when the leases of the others end. A worker that is back under its ID may have taken an order that was
+// answered since, and may take one that is under way.
+func (s *State) settledRunsOf(w *Worker, requested, now time.Time) (settled []*Task, until time.Time) {
 	until = now
 	for _, t := range runsOf(w) {
-		if end := t.sentAt.Add(s.limits.OrderTimeout); t.isUnderWay() && now.Before(end) {
+		end := t.sentAt.Add(s.limits.OrderTimeout)
+		switch {
+		case t.isUnderWay() && now.Before(end):
 			until = later(until, end)
-			continue
+		case t.phase == phaseActive && !t.orderedAt.Before(requested):
+			until = later(until, w.leaseEnd)
+		default:
+			settled = append(settled, t)
 		}
-		settled = append(settled, t)
 	}
 	return settled, until
 }
@@ -290,10 +295,11 @@
 	c.suspect = r.fresh || c.losses() >= crashesToSuspect
 }
 
-// WorkersEnded records that the platform no longer runs these workers. Their runs have ended, and their tasks are
-// released without waiting for the leases, but for those whose start order is under way.
-func (s *State) WorkersEnded(workers []*Worker, now time.Time, unixMs int64) {
-	workers = slices.DeleteFunc(workers, func(w *Worker) bool { return w.ended })
+// WorkersEnded records that the platform no longer runs these workers, by a listing that was requested at a time. Their runs
+// have ended, and their tasks are released without waiting for the leases, but for those whose start order is under way or
+// has been answered since.
+func (s *State) WorkersEnded(workers []*Worker, requested, now time.Time, unixMs int64) {
+	workers = slices.DeleteFunc(workers, func(w *Worker) bool { return w.ended && len(runsOf(w)) == 0 })
 	l := loss{reason: "worker ended", crashed: true, now: now, unixMs: unixMs}
 	all, explained := map[string]int{}, map[string]int{}
 	for _, w := range workers {
@@ -310,7 +316,7 @@
 		l.commonCause = all[zone] >= commonCauseWorkers && 2*explained[zone] <= all[zone]
 		s.log.Decision("worker ended", "", "worker", w.Info.ID, "tasks", len(w.tasks), "others_of_zone", all[zone]-1,
 			"common_cause", l.commonCause)
-		runs, until := s.settledRunsOf(w, now)
+		runs, until := s.settledRunsOf(w, requested, now)
 		s.loseRuns(w, runs, l)
 		w.ended, w.leaseEnd = true, until
 		s.forgetOrphans(w)
--- a/dispatch/crash_late_test.go
+++ b/dispatch/crash_late_test.go
@@ -152,7 +152,7 @@
 			f.now = f.now.Add(20 * time.Millisecond)
 			f.state.Started(task, task.Run(), infra.ErrConnectionClosed, f.now)
 			f.state.RenewFailed(w, f.now)
-			f.state.WorkersEnded([]*Worker{w}, f.now, f.unixMs())
+			f.state.WorkersEnded([]*Worker{w}, f.now, f.now, f.unixMs())
 		}
 	}
 	assert.Equal(t, f.state.Job("0000000000000001").Phase, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED)
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -76,7 +76,7 @@
 	if s.listed {
 		s.after(30*time.Millisecond, func() {
 			if known := s.state.Worker(w.Info.ID); known != nil {
-				s.state.WorkersEnded([]*Worker{known}, s.now, s.unixMs())
+				s.state.WorkersEnded([]*Worker{known}, s.now, s.now, s.unixMs())
 			}
 		})
 	}
@@ -339,7 +339,7 @@
 		for _, w := range workers {
 			s.endWorker(w)
 		}
-		s.state.WorkersEnded(workers, s.now, s.unixMs())
+		s.state.WorkersEnded(workers, s.now, s.now, s.unixMs())
 	}
 	t.Run("each with a task that had just begun", func(t *testing.T) {
 		s := newCrashSim(t, 12)
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -237,7 +237,7 @@
 			task := f.orderOne()
 			worker := task.worker
 			f.wait(time.Millisecond)
-			f.state.WorkersEnded([]*Worker{worker}, f.now, f.unixMs())
+			f.state.WorkersEnded([]*Worker{worker}, f.now, f.now, f.unixMs())
 			f.wait(500 * time.Millisecond)
 			f.state.ExpireLeases(f.now, f.unixMs())
 			assert.Equal(t, len(f.order()), 0, "the task starts while an order for it is under way")
@@ -253,3 +253,36 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice because a listing of machines, requested while its worker was down, ends a run that the
+// next incarnation has answered since.
+func TestListingRequestedBeforeTheAnswerDoesNotEndARun(t *testing.T) {
+	f, worker := newRestartFixture(t)
+	requested := f.wait(time.Millisecond)
+	task := f.orderOne()
+	f.state.RenewSent(worker, f.wait(time.Millisecond).Add(6*time.Second))
+	f.state.Started(task, 1, nil, f.now)
+	f.wait(time.Millisecond)
+	f.state.WorkersEnded([]*Worker{worker}, requested, f.now, f.unixMs())
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, requested)
+	assert.Equal(t, len(f.order()), 0, "the task starts again while its run goes on")
+	assert.Equal(t, task.WorkerID(), worker.Info.ID)
+}
+
+// Guards against a task that waits for the lease of an answered run although a later listing shows that it has ended.
+func TestLaterListingEndsARunThatAnEarlierOneLeft(t *testing.T) {
+	f, _ := newRestartFixture(t)
+	f.addWorker("other", "zone-1")
+	requested := f.wait(time.Millisecond)
+	task := f.orderOne()
+	worker := task.worker
+	f.state.RenewSent(worker, f.wait(time.Millisecond).Add(6*time.Second))
+	f.state.Started(task, 1, nil, f.now)
+	f.state.WorkersEnded([]*Worker{worker}, requested, f.now, f.unixMs())
+	assert.Assert(t, f.state.HasUnreachableTasks())
+	again := f.wait(50 * time.Millisecond)
+	f.wait(time.Millisecond)
+	f.state.WorkersEnded([]*Worker{worker}, again, f.now, f.unixMs())
+	assert.Equal(t, len(f.order()), 1)
+}
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -412,7 +412,7 @@
 		m.state.RenewFailed(known, m.now)
 	}
 	if known := m.state.Worker(w.info.ID); known != nil && rapid.Bool().Draw(m.t, "listed as ended") {
-		m.state.WorkersEnded([]*Worker{known}, m.now, m.unixMs())
+		m.state.WorkersEnded([]*Worker{known}, m.now, m.now, m.unixMs())
 	}
 	w.info.Incarnation++
 	w.epoch, w.lease, w.number, w.lastExpired = 0, time.Time{}, 0, 0
