Count three further kinds of leases of the next incarnation in full

Cause: the longest lease was not assumed for an order that was sent just before the last report of the former life and answered by the next one, for a renewal whose report was not used because it overlapped with another one, and for orders of the former life that the next one carries out late, after its first report.

Change: the clock in an answer is compared whenever the order was sent under the incarnation that is known; an unused report counts for the longest lease; so do all leases in the 12 s after a restart.

--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -40,6 +40,8 @@
 	// last report lets expect. clockLead covers the time that the report was on its way.
 	clockSlack = 50 * time.Millisecond
 	clockLead  = time.Second
+	// lateOrderLimit is the longest time after which a worker carries out an order that it has not answered.
+	lateOrderLimit = 12 * time.Second
 	// leaseSlack covers the transit time of an order to the worker.
 	leaseSlack = 150 * time.Millisecond
 )
@@ -53,6 +55,8 @@
 	// it has not reported.
 	clockMs int64
 	readAt  time.Time
+	// longLeases is when orders of a former incarnation, which may extend a lease to the longest one, are no longer carried out.
+	longLeases time.Time
 	// polling is true while the worker is asked for a report beside its renewal.
 	polling bool
 	// starts are the start orders that wait to be sent, senders the goroutines that send them, without those whose order
@@ -153,19 +157,22 @@
 	if s.clockMs == 0 || !s.worker.Reachable() {
 		return 0
 	}
-	t.state.RenewSent(s.worker, sent.Add(t.leaseBound()))
+	bound := t.leaseBound()
+	if sent.Before(s.longLeases) {
+		bound = t.maxLeaseBound()
+	}
+	t.state.RenewSent(s.worker, sent.Add(bound))
 	return s.clockMs + sent.Sub(s.readAt).Milliseconds() + t.Bounds.requestedLease().Milliseconds()
 }
 
 // isOtherClock reports whether the clock in an answer to an order is that of another incarnation than the last report. Clocks
-// start anew at any value. Answers overtake each other, so nothing is known of an order that was sent before that report was
-// received.
+// start anew at any value. The order may have been sent before that report was received.
 func (s *workerSession) isOtherClock(clockMs int64, sent, now time.Time) bool {
-	if clockMs <= 0 || s.clockMs <= 0 || sent.Before(s.readAt) {
+	if clockMs <= 0 || s.clockMs <= 0 {
 		return false
 	}
 	since := sent.Sub(s.readAt)
-	least := s.clockMs + (since - since/clockDriftDivisor - clockSlack).Milliseconds()
+	least := s.clockMs + (since - since.Abs()/clockDriftDivisor - clockSlack).Milliseconds()
 	most := s.clockMs + (now.Sub(s.readAt) + clockLead).Milliseconds()
 	return clockMs < least || clockMs > most
 }
@@ -180,6 +187,8 @@
 // may have, so that the order's lease end is on the clock of an earlier incarnation. The caller holds mu.
 func (t *term) noteAnswer(s *workerSession, order sentOrder, clockMs int64, err error, now time.Time) {
 	switch {
+	case s.worker.Info.Incarnation != order.incarnation:
+		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 	case s.isOtherClock(clockMs, order.sent, now):
 		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 		t.state.RenewFailed(s.worker, now) // unreachable until it has reported its runs
@@ -188,7 +197,7 @@
 		if err == nil {
 			t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 		}
-	case s.worker.Info.Incarnation != order.incarnation, isUnanswered(err) && order.overdue:
+	case isUnanswered(err) && order.overdue:
 		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 	}
 }
@@ -274,8 +283,12 @@
 		t.noteAnswer(s, order, report.ClockMs, nil, now)
 	}
 	if !t.state.ApplyReport(s.worker, report, order.sent, now, unixMs()) {
+		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound())) // perhaps another incarnation granted a lease
 		return
 	}
+	if s.worker.Info.Incarnation != order.incarnation {
+		s.longLeases = now.Add(lateOrderLimit)
+	}
 	t.noteAnswer(s, order, 0, nil, now)
 	if report.ClockMs > 0 {
 		s.clockMs, s.readAt = report.ClockMs, now
--- a/controller/worker_session_test.go
+++ b/controller/worker_session_test.go
@@ -80,6 +80,42 @@
 	assert.Assert(t, s.worker.LeaseEnd().Sub(late.Add(orderTimeout)) >= testLeaseMax)
 }
 
+// Guards against the same if an order that was sent before the last report of the former incarnation was received reaches the
+// next one.
+func TestLeaseOfAnOrderOlderThanTheLastReportCountsInFull(t *testing.T) {
+	now := time.Now()
+	c, s := newTestSession(60_000, now)
+	answered := now.Add(orderTimeout)
+	c.noteAnswer(s, s.sending(now.Add(-5*time.Millisecond)), 60_300, nil, answered)
+	assert.Assert(t, s.worker.LeaseEnd().IsZero(), "the same incarnation answered")
+	c.noteAnswer(s, s.sending(now.Add(-5*time.Millisecond)), 40, nil, answered)
+	assert.Assert(t, s.worker.LeaseEnd().Sub(answered) >= testLeaseMax)
+}
+
+// Guards against the same if the report that shows the lease is not used because it overlaps with another one.
+func TestLeaseOfAnOverlappingReportCountsInFull(t *testing.T) {
+	now := time.Now()
+	c, s := newTestSession(60_000, now)
+	later := now.Add(time.Second)
+	c.applyReport(s, infra.RunReport{Incarnation: 2, ClockMs: 90}, s.sending(now.Add(-time.Millisecond)), later)
+	assert.Assert(t, s.worker.IsUnsettled())
+	assert.Assert(t, s.worker.LeaseEnd().Sub(later) >= testLeaseMax)
+}
+
+// Guards against the same for some time after the restart: an order of the former incarnation that was not answered may be
+// carried out late.
+func TestLeasesSoonAfterARestartCountInFull(t *testing.T) {
+	now := time.Now()
+	c, s := newTestSession(60_000, now)
+	restart := now.Add(time.Second)
+	c.applyReport(s, infra.RunReport{Incarnation: 2, ClockMs: 400}, s.sending(restart), restart)
+	soon, late := restart.Add(lateOrderLimit-time.Millisecond), restart.Add(lateOrderLimit)
+	c.leaseUntil(s, soon)
+	assert.Assert(t, s.worker.LeaseEnd().Sub(soon) >= testLeaseMax)
+	c.leaseUntil(s, late.Add(2*time.Second))
+	assert.Assert(t, s.worker.LeaseEnd().Sub(late.Add(2*time.Second)) < testLeaseMax)
+}
+
 // Guards against leases that are counted on the clock of another incarnation: answers to orders overtake reports.
 func TestAnswersToOrdersDoNotMoveTheClock(t *testing.T) {
 	now := time.Now()
@@ -87,7 +123,7 @@
 	before := s.sending(now.Add(-time.Millisecond))
 	later := now.Add(time.Second)
 	c.applyReport(s, infra.RunReport{Incarnation: 2, ClockMs: 200}, s.sending(later), later)
-	c.noteAnswer(s, before, 61_000, nil, later.Add(time.Millisecond))
+	c.noteAnswer(s, before, 61_000, nil, later.Add(time.Millisecond)) // by the former incarnation
 	assert.Equal(t, s.clockMs, int64(200))
 	assert.Assert(t, s.worker.Reachable())
 	c.applyReport(s, infra.RunReport{Incarnation: 1, ClockMs: 61_000}, before, later.Add(time.Millisecond))
