--- a/controller/restart_test.go
+++ b/controller/restart_test.go
@@ -62,3 +62,13 @@
 	defer c.mu.Unlock()
 	assert.Assert(t, w.Reachable(), "the end of the renewal at the former incarnation counts against the new one")
 }
+
+// Guards against a silent worker that stays open because it was polled while a renewal was held open there.
+func TestRenewalThatTimesOutAfterAPollCounts(t *testing.T) {
+	now := time.Now()
+	_, s := newTestSession(60_000, now)
+	renewal := s.sending(now.Add(-time.Millisecond))
+	assert.Assert(t, s.isOutdated(renewal, true, now.Add(renewSlack/2)))
+	assert.Assert(t, !s.isOutdated(renewal, false, now.Add(renewSlack/2)), "the connection was closed")
+	assert.Assert(t, !s.isOutdated(renewal, true, now.Add(renewWait+renewSlack)), "the worker was silent since the poll")
+}
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -177,10 +177,11 @@
 	return clockMs < least || clockMs > most
 }
 
-// hasReportedSince reports whether a renewal that failed says nothing about the worker, because a poll has been answered since
-// it was sent: by another incarnation, or before the renewal timed out.
-func (s *workerSession) hasReportedSince(renewal sentOrder, timedOut bool) bool {
-	return s.worker.Info.Incarnation != renewal.incarnation || timedOut && s.readAt.After(renewal.sent)
+// isOutdated reports whether a renewal that failed at a time says nothing about the worker, because a poll has been answered
+// since it was sent: by another incarnation, or so recently that a worker that is silent now could not be told yet.
+func (s *workerSession) isOutdated(renewal sentOrder, timedOut bool, now time.Time) bool {
+	return s.worker.Info.Incarnation != renewal.incarnation ||
+		timedOut && s.readAt.After(renewal.sent) && now.Sub(s.readAt) < renewSlack
 }
 
 // noteAnswer applies what the end of an order with a lease says about the worker's lease: that the worker has restarted, or
@@ -258,7 +259,7 @@
 		if order.LeaseUntilMs > 0 {
 			t.noteAnswer(s, sending, 0, err, now)
 		}
-		if ctx.Err() == nil && !s.hasReportedSince(sending, call.Err() != nil) {
+		if ctx.Err() == nil && !s.isOutdated(sending, call.Err() != nil, now) {
 			lostAt := s.readAt
 			if call.Err() == nil {
 				// The connection was closed or refused before the timeout.
