Acknowledge ends once, by the time at which a report was made

What callers saw: nothing in the record; the same class: an acknowledgement for the former life of a worker reaches the next one, which forgets ends that were never listed, and their tasks run again or their work is lost.

Cause: each renewal repeated an acknowledgement that the worker had answered, so nearly every renewal that was under way at a restart carried one. And the age of a report counted from its receipt, so that a report of the former life that was on its way for a second allowed a further one.

Change: an acknowledgement is sent until it is answered. The age counts from the earliest time at which the report can have been made, by its request and by the worker's clock since the report before. TestEndsAreAcknowledgedOnlyAfterARecentResponse sets the session up by reports instead of by the field that no longer decides; its bounds are the same.

Price: a worker whose clock is 2% slow and that was idle for more than 4 s lists its ends once more.

--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -55,6 +55,10 @@
 	// it has not reported.
 	clockMs int64
 	readAt  time.Time
+	// madeAt is the earliest time at which the last report can have been made, by the worker's clock.
+	madeAt time.Time
+	// forgotten is the number up to which the worker has answered that it forgot ends.
+	forgotten int64
 	// longLeases is when orders of a former incarnation, which may extend a lease to the longest one, are no longer carried out.
 	longLeases time.Time
 	// polling is true while the worker is asked for a report beside its renewal.
@@ -207,6 +211,8 @@
 type sentOrder struct {
 	sent        time.Time
 	incarnation int64
+	// acknowledged is the number up to which a renewal lets the worker forget ends.
+	acknowledged int64
 	// overdue is true if the last report was so old that the worker could have restarted since.
 	overdue bool
 }
@@ -216,14 +222,26 @@
 	return sentOrder{sent: now, incarnation: s.worker.Info.Incarnation, overdue: now.Sub(s.readAt) > maxAnswerAge}
 }
 
-// acknowledged returns the number up to which a worker may forget ends. A worker that has restarted since its last
-// response would forget ends of its new incarnation, which reuse the numbers and were never listed. So ends are
-// acknowledged only within maxAnswerAge of a response; otherwise the worker lists them again at once.
+// acknowledged returns the number up to which a worker may forget ends, or 0 if it has answered that. A worker that has
+// restarted since its last response would forget ends of its new incarnation, which reuse the numbers and were never listed.
+// So ends are acknowledged once, and only within maxAnswerAge of the time at which a report was made; otherwise the worker
+// lists them again at once.
 func (s *workerSession) acknowledged(sent time.Time) int64 {
-	if sent.Sub(s.readAt) > maxAnswerAge {
+	number := s.worker.Acknowledged()
+	if number == s.forgotten || sent.Sub(s.madeAt) > maxAnswerAge {
 		return 0
 	}
-	return s.worker.Acknowledged()
+	return number
+}
+
+// noteReport records the clock of a report, and with it the earliest time at which it can have been made: not before it was
+// requested, nor sooner after the last one than the worker's clock shows.
+func (s *workerSession) noteReport(report infra.RunReport, order sentOrder, restarted bool, now time.Time) {
+	madeAt := order.sent
+	if passed := time.Duration(report.ClockMs-s.clockMs) * time.Millisecond; !restarted && s.clockMs > 0 && passed > 0 {
+		madeAt = laterOf(madeAt, s.madeAt.Add(passed))
+	}
+	s.clockMs, s.readAt, s.madeAt = report.ClockMs, now, madeAt
 }
 
 // orderContext returns the context of an order, which is sent only while the leadership is valid.
@@ -245,6 +263,7 @@
 		order.Acknowledged = s.acknowledged(sent)
 	}
 	info, sending := s.worker.Info, s.sending(sent)
+	sending.acknowledged = order.Acknowledged
 	t.mu.Unlock()
 	if !t.leadership.Valid() {
 		return errTermEnded
@@ -287,12 +306,16 @@
 		t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound())) // perhaps another incarnation granted a lease
 		return
 	}
-	if s.worker.Info.Incarnation != order.incarnation {
-		s.longLeases = now.Add(lateOrderLimit)
+	restarted := s.worker.Info.Incarnation != order.incarnation
+	switch {
+	case restarted:
+		s.longLeases, s.forgotten = now.Add(lateOrderLimit), 0
+	case order.acknowledged > 0:
+		s.forgotten = order.acknowledged
 	}
 	t.noteAnswer(s, order, 0, nil, now)
 	if report.ClockMs > 0 {
-		s.clockMs, s.readAt = report.ClockMs, now
+		s.noteReport(report, order, restarted, now)
 	}
 }
 
--- a/controller/worker_session_test.go
+++ b/controller/worker_session_test.go
@@ -133,12 +133,46 @@
 // Guards against a restarted worker forgetting ends that were never reported, because it restarted between a response and
 // the next renewal. With a store that lost responses, a soak run then ran a task again after its success (seed 1022).
 func TestEndsAreAcknowledgedOnlyAfterARecentResponse(t *testing.T) {
-	c := newTerm(Options{Clock: clock.Real{}, Log: logr.Discard(), Metrics: NewMetrics(nil)}, &election.Term{})
-	w, _ := c.state.SetWorker(infra.FleetWorker{ID: "w", Incarnation: 1})
 	now := time.Now()
-	ends := []infra.EndedRun{{Number: 7, Task: "unknown", Run: 1, Outcome: infra.OutcomeSucceeded}}
-	c.state.ApplyReport(w, infra.RunReport{Incarnation: 1, Ended: ends}, now, now, 0)
-	s := &workerSession{worker: w, clockMs: 1, readAt: now}
+	c, s := newTestSession(60_000, now)
+	c.applyReport(s, reportOfEnd(60_000), s.sending(now), now)
 	assert.Equal(t, s.acknowledged(now.Add(maxAnswerAge)), int64(7))
 	assert.Equal(t, s.acknowledged(now.Add(maxAnswerAge+time.Millisecond)), int64(0))
 }
+
+// reportOfEnd returns a report that lists the end of a run of no known job.
+func reportOfEnd(clockMs int64) infra.RunReport {
+	return infra.RunReport{Incarnation: 1, ClockMs: clockMs, Ended: []infra.EndedRun{
+		{Number: 7, Task: "unknown", Run: 1, Outcome: infra.OutcomeSucceeded},
+	}}
+}
+
+// Guards against the same if a report of the former incarnation arrives late.
+func TestEndsOfALateReportAreNotAcknowledged(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		clockMs int64
+		want    int64
+	}{{"made when the hold ended", 61_000, 7}, {"on its way for a second", 60_001, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			c, s := newTestSession(60_000, now)
+			later := now.Add(time.Second)
+			c.applyReport(s, reportOfEnd(test.clockMs), s.sending(now), later)
+			assert.Equal(t, s.acknowledged(later), test.want)
+		})
+	}
+}
+
+// Guards against an acknowledgement that reaches the next incarnation although the former one had answered it: each renewal that
+// was under way when a worker restarted repeated it.
+func TestAcknowledgementIsNotRepeated(t *testing.T) {
+	now := time.Now()
+	c, s := newTestSession(60_000, now)
+	c.applyReport(s, reportOfEnd(60_001), s.sending(now), now)
+	renewal := s.sending(now)
+	renewal.acknowledged = s.acknowledged(now)
+	assert.Equal(t, renewal.acknowledged, int64(7))
+	c.applyReport(s, infra.RunReport{Incarnation: 1, ClockMs: 60_002}, renewal, now)
+	assert.Equal(t, s.acknowledged(now), int64(0))
+}
