Heed the runs of a report that is not used, and ask until one settles it

Cause: a report of another incarnation that overlapped with the last one was dropped whole, although its worker may be the newer one and runs what it lists: the task of such a run could start. And the worker counted as settled after any further report, also one that was requested earlier or that had rows missing.

Change: runs of an unused report are noted as orphans, which hold their tasks until the next report. Only a whole report that was requested afterwards settles the worker.

--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -286,3 +286,40 @@
 	f.state.WorkersEnded([]*Worker{worker}, again, f.now, f.unixMs())
 	assert.Equal(t, len(f.order()), 1)
 }
+
+// Guards against a task that starts while a report of an incarnation that may be the newer one lists its run.
+func TestRunOfAnOverlappingReportHoldsItsTask(t *testing.T) {
+	f, worker := newRestartFixture(t)
+	f.addWorker("other", "zone-1")
+	requested := f.wait(time.Millisecond)
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 1, f.now)
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, requested, infra.ActiveRun{Task: "0000000000000001.0.0.0", Run: 1})
+	assert.Equal(t, len(f.order()), 0)
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 1, f.now)
+	f.wait(orphanHold / 4)
+	assert.Equal(t, len(f.order()), 1, "the task waits although the report of the newer incarnation does not list its run")
+}
+
+// Guards against a worker that is not asked again although a report of the former incarnation, or one with rows missing, settles
+// nothing.
+func TestOnlyAWholeLaterReportSettlesAWorker(t *testing.T) {
+	f, worker := newRestartFixture(t)
+	requested := f.wait(time.Millisecond)
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 1, f.now)
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, requested)
+	assert.Assert(t, worker.IsUnsettled())
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 1, requested)
+	assert.Assert(t, worker.IsUnsettled(), "settled by a report that was requested before")
+	f.wait(time.Millisecond)
+	f.state.ApplyReport(worker, infra.RunReport{Incarnation: 2, ClockMs: 1, Incomplete: true}, f.now, f.now, f.unixMs())
+	assert.Assert(t, worker.IsUnsettled(), "settled by an incomplete report")
+	f.wait(time.Millisecond)
+	f.answerAs(worker, 2, f.now)
+	assert.Assert(t, !worker.IsUnsettled())
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -96,9 +96,14 @@
 		return false
 	}
 	if w.Info.Incarnation != report.Incarnation && report.Incarnation != 0 && !s.applyRestart(w, report.Incarnation, sent, now) {
+		for _, active := range report.Active {
+			if s.findTask(w, active.Task, active.Run) == nil {
+				s.noteOrphan(w, active, sent, now)
+			}
+		}
 		return false
 	}
-	w.ended, w.reportedAt, w.unsettled = false, now, false
+	w.ended, w.reportedAt = false, now
 	first := !w.reported
 	whole := !report.Incomplete && !report.MoreEnds
 	if first && whole {
@@ -134,6 +139,9 @@
 // applyUnlisted handles the tasks that are assigned to a worker and that a complete report does not list; first is true for
 // the worker's first report to this controller.
 func (s *State) applyUnlisted(w *Worker, listed map[*Task]bool, sent, now time.Time, unixMs int64, first bool) {
+	if !sent.Before(w.unsettledAt) {
+		w.unsettledAt = time.Time{}
+	}
 	var lost []*Task
 	for t := range w.tasks {
 		switch {
@@ -144,7 +152,7 @@
 			lost = append(lost, t)
 		default:
 			// The answer to a start order does not say which incarnation took it, and this report may be older than the run.
-			w.unsettled = true
+			w.unsettledAt = now
 			s.log.Decision("run may be on the new incarnation", t.JobID(), "task", t.ID(), "run", t.run, "worker", w.Info.ID)
 		}
 	}
@@ -159,7 +167,7 @@
 // only a report that was requested after the last one shows which is the newer one.
 func (s *State) applyRestart(w *Worker, incarnation int64, sent, now time.Time) bool {
 	if sent.Before(w.reportedAt) {
-		w.unsettled = true
+		w.unsettledAt = now
 		s.log.Decision("report of another incarnation overlaps with the last report", "", "worker", w.Info.ID,
 			"incarnation", incarnation, "known_incarnation", w.Info.Incarnation,
 			"requested_ms_earlier", w.reportedAt.Sub(sent).Milliseconds())
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -22,8 +22,9 @@
 	// reportedAt is when the last report of the incarnation in Info was received, restartedAt when the first one was, if
 	// another incarnation was known before.
 	reportedAt, restartedAt time.Time
-	// unsettled is true if the next report is needed to tell which incarnation is the newer one, or which one a run is on.
-	unsettled bool
+	// unsettledAt is the time from which on a report has to be requested to tell which incarnation is the newer one, or which
+	// one a run is on; zero if that is known.
+	unsettledAt time.Time
 	// lostAt is the earliest time at which a worker that is not reachable may have ended.
 	lostAt time.Time
 	// ended is true once the platform has reported that this incarnation of the worker has ended.
@@ -92,7 +93,7 @@
 func (w *Worker) Reachable() bool { return w.reachable }
 
 // IsUnsettled reports whether the state of the worker or its runs is open until the next report.
-func (w *Worker) IsUnsettled() bool { return w.unsettled }
+func (w *Worker) IsUnsettled() bool { return !w.unsettledAt.IsZero() }
 
 // IsEnded reports whether the platform no longer runs the incarnation that last reported.
 func (w *Worker) IsEnded() bool { return w.ended }
