Repeat polls that settle nothing, poll workers at a new address

What callers saw: nothing in the record; a restarted worker stayed closed, or its run open, for up to two seconds.

Cause: a poll that hung at the former life swallowed the one that the new entry asked for; a poll whose report overlapped with another one was not repeated; an entry at a new address asked for none.

Change: a poll that is asked for while one is under way follows it, and polls go on, eight at most, until the worker is settled. Its renewals wait 20 ms until then instead of not at all, so that incomplete reports do not spin.

--- a/controller/recover.go
+++ b/controller/recover.go
@@ -301,7 +301,8 @@
 	if isNew || t.sessions[w] == nil {
 		t.log.Info("worker known", "worker", id, "zone", info.Zone, "service", info.Service, "draining", info.Draining)
 		t.connect(ctx, w)
-	} else if w.IsRestarted() {
+	}
+	if w.IsRestarted() {
 		// The renewal that is held open does not end when the worker's machine went silent before the restart.
 		s := t.sessions[w]
 		t.goroutines.Go(func() { t.poll(ctx, s) })
--- a/controller/restart_test.go
+++ b/controller/restart_test.go
@@ -16,6 +16,9 @@
 type silentFleet struct {
 	infra.Fleet
 	held, end chan struct{}
+	// polled is closed at the first poll, which then waits for end, if it is not nil. polls counts the polls.
+	polled chan struct{}
+	polls  int
 }
 
 func (f *silentFleet) Renew(_ context.Context, _ infra.FleetWorker, order infra.RenewOrder) (infra.RunReport, error) {
@@ -24,6 +27,11 @@
 		<-f.end
 		return infra.RunReport{}, infra.ErrConnectionClosed
 	}
+	f.polls++
+	if f.polled != nil && f.polls == 1 {
+		close(f.polled)
+		<-f.end
+	}
 	return infra.RunReport{Incarnation: 2, ClockMs: 1}, nil
 }
 
@@ -72,3 +80,36 @@
 	assert.Assert(t, !s.isOutdated(renewal, false, now.Add(renewSlack/2)), "the connection was closed")
 	assert.Assert(t, !s.isOutdated(renewal, true, now.Add(renewWait+renewSlack)), "the worker was silent since the poll")
 }
+
+// Guards against a restarted worker that is not asked for a report because an earlier poll hangs at its former incarnation, or
+// because the report of the first poll settles nothing.
+func TestPollIsRepeated(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		ask  func(c *term, s *workerSession)
+	}{
+		{"asked while a poll hangs", func(c *term, s *workerSession) { c.poll(t.Context(), s) }},
+		{"overlapping report", func(c *term, s *workerSession) {
+			now := c.now()
+			c.withLock(func() { c.applyReport(s, infra.RunReport{Incarnation: 1, ClockMs: 60_001}, s.sending(now), now) })
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, s := newTestSession(60_000, time.Now())
+			c.leadership = leadershipOf(t)
+			fleet := &silentFleet{polled: make(chan struct{}), end: make(chan struct{})}
+			c.Fleet = fleet
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				c.poll(t.Context(), s)
+			}()
+			<-fleet.polled
+			test.ask(c, s)
+			close(fleet.end)
+			<-done
+			assert.Equal(t, fleet.polls, 2)
+			assert.Equal(t, s.worker.Info.Incarnation, int64(2))
+		})
+	}
+}
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -15,6 +15,8 @@
 	// probeRenewWait is the same while the worker probes a suspect, which ends with a report after the startup window, or
 	// lists runs that are not placed on it.
 	probeRenewWait = 150 * time.Millisecond
+	// settleWait is the same while the worker's last report left open which runs are on its present incarnation.
+	settleWait = 20 * time.Millisecond
 	// renewSlack is added to the time that a renewal is held open to get its timeout. It covers delays of a busy machine.
 	renewSlack = 800 * time.Millisecond
 	// maxSenders is the number of start orders that may be under way to one worker. Starts on a worker come in groups, and
@@ -31,6 +33,8 @@
 	// maxAnswerAge is the greatest age of a worker's last report for which its ends are acknowledged and a lease on its clock
 	// is certain. No process restarts in less, and commits usually take a fifth of it.
 	maxAnswerAge = 100 * time.Millisecond
+	// maxPolls is the number of polls in a row that a worker's state may call for. The renewal follows within two seconds.
+	maxPolls = 8
 	// renewRetryDelay is the delay before a failed renewal is retried.
 	renewRetryDelay = 150 * time.Millisecond
 	// clockDriftDivisor sets the part of a lease that is added for clock drift: one in clockDriftDivisor, or 3%, because
@@ -61,8 +65,8 @@
 	forgotten int64
 	// longLeases is when orders of a former incarnation, which may extend a lease to the longest one, are no longer carried out.
 	longLeases time.Time
-	// polling is true while the worker is asked for a report beside its renewal.
-	polling bool
+	// polling is true while the worker is asked for a report beside its renewal, pollAgain if it is to be asked once more.
+	polling, pollAgain bool
 	// starts are the start orders that wait to be sent, senders the goroutines that send them, without those whose order
 	// has been under way for senderPatience.
 	starts  []startOrder
@@ -115,8 +119,11 @@
 		if s.worker.IsProbing() || s.worker.HasOrphans() {
 			wait = probeRenewWait
 		}
-		if s.clockMs == 0 || !s.worker.Reachable() || s.worker.IsUnsettled() {
+		switch {
+		case s.clockMs == 0 || !s.worker.Reachable():
 			wait = 0
+		case s.worker.IsUnsettled():
+			wait = settleWait
 		}
 		if !known {
 			delete(t.sessions, s.worker)
@@ -490,19 +497,26 @@
 	}
 }
 
-// poll asks a worker for a report beside the renewal that is held open there, unless that is under way.
+// poll asks a worker for a report beside the renewal that is held open there. If a poll is under way, which may hang at the former
+// incarnation, another one follows it.
 func (t *term) poll(ctx context.Context, s *workerSession) {
 	t.mu.Lock()
-	poll := !s.polling
-	s.polling = true
-	t.mu.Unlock()
-	if !poll {
+	defer t.mu.Unlock()
+	if s.polling {
+		s.pollAgain = true
 		return
 	}
-	_ = t.renew(ctx, s, 0, true)
-	t.mu.Lock()
+	s.polling = true
+	for range maxPolls {
+		s.pollAgain = false
+		t.mu.Unlock()
+		_ = t.renew(ctx, s, 0, true)
+		t.mu.Lock()
+		if !s.pollAgain && !s.worker.IsUnsettled() || ctx.Err() != nil {
+			break
+		}
+	}
 	s.polling = false
-	t.mu.Unlock()
 }
 
 // stopOrphan sends the order to end a run that is not placed on its worker.
