Stop the members of a lost gang that may be on the next incarnation

What callers saw: nothing in the record; a member of a gang waited alone for the gang's limit, 3 s.

Cause: a run that may be on the next life of its worker is kept while the runs of the former life are lost. Of a gang, the kept member then waits for others that start anew only after it has ended.

Evidence: TestMemberOfALostGangIsStopped failed before.

Change: with the loss of a member, those left on the same worker are stopped.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -229,6 +229,9 @@
 			"age_ms", r.age.Milliseconds())
 		s.release(r.task)
 	}
+	for _, r := range lost {
+		s.stopGangOn(w, r.task.step)
+	}
 	if w.hasReasonToLeave() || !l.crashed && w.cutOff {
 		return
 	}
@@ -241,6 +244,19 @@
 	}
 }
 
+// stopGangOn stops the members of a gang that are left on a worker on which others were lost: they may be on its next incarnation,
+// where they would wait for the others in vain.
+func (s *State) stopGangOn(w *Worker, step *Step) {
+	if !step.spec.GetGang() {
+		return
+	}
+	for i := range step.tasks {
+		if t := &step.tasks[i]; t.worker == w {
+			s.requestStop(t, "member of the gang was lost")
+		}
+	}
+}
+
 // hasReasonToLeave reports whether the end of a worker was announced.
 func (w *Worker) hasReasonToLeave() bool { return w.Info.Draining || w.cordoned }
 
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -323,3 +323,39 @@
 	f.answerAs(worker, 2, f.now)
 	assert.Assert(t, !worker.IsUnsettled())
 }
+
+// Guards against a member of a gang that waits alone on the next incarnation of its worker.
+func TestMemberOfALostGangIsStopped(t *testing.T) {
+	gang := func(t *testing.T) (*fixture, *Worker, []*Task) {
+		f := newFixture(t, 1)
+		f.state.limits.OrderTimeout = 750 * time.Millisecond
+		spec := step(2, 1000)
+		spec.Gang = true
+		f.state.AddJob(job("0000000000000001", spec), nil)
+		tasks := f.order()
+		f.wait(time.Millisecond)
+		f.state.Started(tasks[0], 1, nil, f.now)
+		return f, f.workers[0], tasks
+	}
+	t.Run("order under way", func(t *testing.T) {
+		f, worker, tasks := gang(t)
+		f.wait(time.Millisecond)
+		f.state.WorkersEnded([]*Worker{worker}, f.now, f.now, f.unixMs())
+		f.state.RenewSent(worker, f.now.Add(6*time.Second))
+		f.wait(300 * time.Millisecond)
+		f.state.Started(tasks[1], 1, nil, f.now)
+		f.answerAs(worker, 2, f.now, runOf(tasks[1]))
+		f.assertStopPlanned()
+	})
+	t.Run("answered after the report was requested", func(t *testing.T) {
+		f, worker, tasks := gang(t)
+		requested := f.wait(time.Millisecond)
+		f.wait(time.Millisecond)
+		f.state.Started(tasks[1], 1, nil, f.now)
+		f.wait(time.Millisecond)
+		f.answerAs(worker, 2, requested)
+		f.wait(time.Millisecond)
+		f.answerAs(worker, 2, f.now, runOf(tasks[1]))
+		f.assertStopPlanned()
+	})
+}
