Remember an announced end until the runs of its worker are settled

Cause: the entry of the next life, which is no longer draining, is read before its report, all the more since it triggers that report.

Evidence: TestAnnouncedEndBeforeARestartIsNoCrash failed before with the entry read first (one certain crash).

Change: the worker keeps the former life's reason to leave until a report settles its runs.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -258,7 +258,7 @@
 }
 
 // hasReasonToLeave reports whether the end of a worker was announced.
-func (w *Worker) hasReasonToLeave() bool { return w.Info.Draining || w.cordoned }
+func (w *Worker) hasReasonToLeave() bool { return w.Info.Draining || w.left || w.cordoned }
 
 // isCertain reports whether the worker has ended, for no known cause but its tasks.
 func (r lostRun) isCertain() bool { return r.crashed && !r.commonCause }
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -359,3 +359,33 @@
 		f.assertStopPlanned()
 	})
 }
+
+// Guards against a crash that is counted although the worker had announced its end: its new entry is read before its report.
+func TestAnnouncedEndBeforeARestartIsNoCrash(t *testing.T) {
+	for _, entryFirst := range []bool{false, true} {
+		f, worker := newRestartFixture(t)
+		f.wait(time.Millisecond)
+		task := f.orderOne()
+		f.state.Started(task, 1, nil, f.now)
+		f.wait(time.Millisecond)
+		f.answerAs(worker, 1, f.now, runOf(task))
+		leaving, ready := worker.Info, worker.Info
+		leaving.Draining, ready.Incarnation = true, 2
+		f.state.SetWorker(leaving)
+		f.wait(time.Second)
+		if entryFirst {
+			f.state.SetWorker(ready)
+		}
+		f.state.ApplyReport(worker, infra.RunReport{Incarnation: 2, ClockMs: 1}, f.now, f.now, f.unixMs())
+		assert.Assert(t, task.worker == nil)
+		assert.Equal(t, task.crashes, crashCount{}, "entry first: %v", entryFirst)
+		f.state.SetWorker(ready)
+		f.wait(time.Millisecond)
+		f.answerAs(worker, 2, f.now)
+		task = f.orderOne()
+		f.state.Started(task, 2, nil, f.now)
+		f.wait(time.Millisecond)
+		f.answerAs(worker, 3, f.now)
+		assert.Equal(t, task.crashes.certain, int32(1), "the next incarnation did not announce its end")
+	}
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -31,6 +31,9 @@
 	}
 	newAddress := w.Info.Address != info.Address
 	incarnation := w.Info.Incarnation
+	if info.Incarnation != incarnation {
+		w.left = w.left || w.Info.Draining
+	}
 	w.Info, w.described = info, info.Incarnation
 	if incarnation != 0 {
 		// Only reports set the incarnation of a known worker; an entry may be newer or older than the last report.
@@ -142,6 +145,7 @@
 	if !sent.Before(w.unsettledAt) {
 		w.unsettledAt = time.Time{}
 	}
+	defer func() { w.left = w.left && (w.IsUnsettled() || w.IsRestarted()) }()
 	var lost []*Task
 	for t := range w.tasks {
 		switch {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -29,6 +29,8 @@
 	lostAt time.Time
 	// ended is true once the platform has reported that this incarnation of the worker has ended.
 	ended bool
+	// left is true if the incarnation that last reported, or of which runs are left, had announced its end.
+	left bool
 	// cutOff is true if the platform has listed the worker as running since it was lost.
 	cutOff bool
 	// orphans are the runs that the worker lists although they are not placed on it.
