Record two runs of one task on one worker in the fleet stand-in

Cause: the stand-in kept one run per task and worker, so that a later start replaced the former run, and looked for other runs only on other workers.

Change: runs are kept by task and number. A start while any other run of its task is active is a violation, on the same worker as well. A stop ends the runs up to the one that it names, no newer ones.

--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -43,7 +43,7 @@
 	incarnation int64
 	// lease is when all runs end unless it is renewed.
 	lease     time.Time
-	active    map[string]fleetRun
+	active    map[runKey]fleetRun
 	latestRun map[string]int32 // latest run of each task that has ended or was stopped
 	ended     []infra.EndedRun
 	number    int64 // number of the last run that ended
@@ -52,6 +52,12 @@
 	expiredUpTo int64
 }
 
+// runKey identifies a run on a worker. A worker starts a run also while another one of the same task is active.
+type runKey struct {
+	task string
+	run  int32
+}
+
 type fleetRun struct {
 	infra.ActiveRun
 	startedAt, finishAt time.Time
@@ -122,7 +128,7 @@
 
 func newFleetWorker(incarnation int64) *fleetWorker {
 	return &fleetWorker{
-		startedAt: time.Now(), incarnation: incarnation, active: map[string]fleetRun{}, latestRun: map[string]int32{},
+		startedAt: time.Now(), incarnation: incarnation, active: map[runKey]fleetRun{}, latestRun: map[string]int32{},
 	}
 }
 
@@ -134,16 +140,16 @@
 		f.workers[id] = w
 	}
 	now := time.Now()
-	for task, run := range w.active {
+	for key, run := range w.active {
 		switch {
 		case !run.finishAt.After(now) && run.finishAt.Before(w.lease):
 			outcome := infra.OutcomeSucceeded
 			if f.failing[id] {
 				outcome = infra.OutcomeFailed
 			}
-			w.endRun(task, outcome)
+			w.endRun(key, outcome)
 		case !w.lease.After(now):
-			w.endRun(task, infra.OutcomeExpired)
+			w.endRun(key, infra.OutcomeExpired)
 		}
 	}
 	if !w.lease.After(now) {
@@ -152,12 +158,22 @@
 	return w
 }
 
-func (w *fleetWorker) endRun(task string, outcome infra.Outcome) {
-	run := w.active[task]
-	delete(w.active, task)
+func (w *fleetWorker) endRun(key runKey, outcome infra.Outcome) {
+	delete(w.active, key)
 	w.number++
-	w.latestRun[task] = max(w.latestRun[task], run.Run)
-	w.ended = append(w.ended, infra.EndedRun{Number: w.number, Task: task, Run: run.Run, Outcome: outcome})
+	w.latestRun[key.task] = max(w.latestRun[key.task], key.run)
+	w.ended = append(w.ended, infra.EndedRun{Number: w.number, Task: key.task, Run: key.run, Outcome: outcome})
+}
+
+// runsOf returns the active runs of a task.
+func (w *fleetWorker) runsOf(task string) []runKey {
+	var runs []runKey
+	for key := range w.active {
+		if key.task == task {
+			runs = append(runs, key)
+		}
+	}
+	return runs
 }
 
 // acceptEpoch raises a worker's epoch to that of an order, or returns ErrFenced if the order's epoch is lower. If the
@@ -201,7 +217,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if run, runs := w.active[order.Task]; runs && run.Run == order.Run {
+	key := runKey{order.Task, order.Run}
+	if _, runs := w.active[key]; runs {
 		return w.clockMs(), nil
 	}
 	if order.Run <= w.latestRun[order.Task] {
@@ -214,7 +231,7 @@
 	f.checkStart(worker, w, order)
 	f.starts[order.Task]++
 	now := time.Now()
-	w.active[order.Task] = fleetRun{
+	w.active[key] = fleetRun{
 		ActiveRun: infra.ActiveRun{Task: order.Task, Run: order.Run}, startedAt: now, finishAt: now.Add(f.runFor(order.Task)),
 	}
 	f.crashOnStart(worker.ID, order.Task, w.incarnation)
@@ -237,18 +254,16 @@
 		f.recordViolation("%s starts on %s after its success was acknowledged", order.Task, worker.ID)
 	}
 	for id := range f.workers {
-		if other := f.worker(id); other != w {
-			if run, runs := other.active[order.Task]; runs {
-				f.recordViolation("%s starts on %s as run %d while run %d is on %s", order.Task, worker.ID, order.Run, run.Run, id)
-			}
+		for _, other := range f.worker(id).runsOf(order.Task) {
+			f.recordViolation("%s starts on %s as run %d while run %d is on %s", order.Task, worker.ID, order.Run, other.run, id)
 		}
 	}
 	if f.DeclaredResources == nil {
 		return
 	}
 	used := f.DeclaredResources(order.Task)
-	for task := range w.active {
-		used = used.Add(f.DeclaredResources(task))
+	for key := range w.active {
+		used = used.Add(f.DeclaredResources(key.task))
 	}
 	if !used.Fits(f.capacityOf(worker.ID, worker.Capacity)) {
 		f.recordViolation("%s does not fit on %s", order.Task, worker.ID)
@@ -263,8 +278,10 @@
 	if err != nil {
 		return 0, err
 	}
-	if _, runs := w.active[order.Task]; runs {
-		w.endRun(order.Task, infra.OutcomeStopped)
+	for _, key := range w.runsOf(order.Task) {
+		if key.run <= order.Run {
+			w.endRun(key, infra.OutcomeStopped)
+		}
 	}
 	w.latestRun[order.Task] = max(w.latestRun[order.Task], order.Run)
 	return w.clockMs(), nil
@@ -334,14 +351,14 @@
 	return report, nil
 }
 
-// Active returns the tasks that are running on any worker.
+// Active returns the task of each active run on any worker.
 func (f *Fleet) Active() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var tasks []string
 	for id := range f.workers {
-		for task := range f.worker(id).active {
-			tasks = append(tasks, task)
+		for key := range f.worker(id).active {
+			tasks = append(tasks, key.task)
 		}
 	}
 	return tasks
--- a/standin/fleet_faults.go
+++ b/standin/fleet_faults.go
@@ -92,8 +92,7 @@
 func (f *Fleet) crash(id, task string, incarnation int64) {
 	f.mu.Lock()
 	w := f.worker(id)
-	_, runs := w.active[task]
-	if w.incarnation != incarnation || f.faults.down[id] || !runs {
+	if w.incarnation != incarnation || f.faults.down[id] || len(w.runsOf(task)) == 0 {
 		f.mu.Unlock()
 		return
 	}
