Play silent restarts and overtaking answers in the model of dispatch

Cause: a restart in the model failed the pending renewal at once and dropped all orders, reports and answers were applied at once and in order, and a task could start a second time on its worker.

Change: a second run on the same worker fails the test. Events happen at their time. A worker may crash without closing a connection and be back 100 to 700 ms later; orders that are sent meanwhile are taken by its next incarnation if they have not been given up, with the lease on the wrong clock, and the platform may list it as ended, which is applied up to 300 ms later. Reports are held open and under way up to the timeout of a renewal, orders and their answers up to theirs, also beyond a restart. Incarnations may get lower numbers. The model's controller counts leases and acknowledges ends as the package controller does.

--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -37,18 +36,11 @@
 	capacity    resource.Vector
 	// resizedAt is when the capacity last changed.
 	resizedAt time.Time
-}
-
-// delayedOrder is an order that may be carried out after newer ones.
-type delayedOrder struct {
-	worker *fakeWorker
-	at     time.Time
-	// sentAt is when the order was sent.
-	sentAt time.Time
-	epoch  int64
-	start  *infra.StartOrder
-	stop   *infra.StopOrder
-	until  time.Time
+	// life is the number of the incarnation; an order dies with the one that took it. It rises with the crash, and bornAt is
+	// when the worker's clock began. While the worker is down, backAt is when it returns.
+	life           int
+	bornAt, backAt time.Time
+	down           bool
 }
 
 // model simulates a store, workers and a sequence of controllers.
@@ -61,7 +53,11 @@
 	progress map[string]*siskinv1.WorkflowProgress
 	epoch    int64
 	state    *State
-	delayed  []delayedOrder
+	// events are what is going to happen, lives the number of incarnations so far.
+	events []event
+	lives  int64
+	// sessions are what the current controller knows of its workers.
+	sessions map[*fakeWorker]*modelSession
 	// saving holds the commits in flight.
 	saving   [][]Change
 	declared map[string]resource.Vector
@@ -85,7 +81,7 @@
 				ID: fmt.Sprintf("w%d", i), Incarnation: 1, Service: testService, Address: "a", Zone: "z", Labels: []string{"k", "r"},
 				Capacity: capacity,
 			},
-			active: map[string]infra.ActiveRun{}, newest: map[string]int32{}, capacity: capacity,
+			active: map[string]infra.ActiveRun{}, newest: map[string]int32{}, capacity: capacity, bornAt: m.now,
 		})
 	}
 	m.takeOver()
@@ -103,8 +99,8 @@
 	m.saving = nil
 	m.epoch++
 	f := newFixture(nil, 0)
-	f.state = New(Limits{StatusKept: time.Minute, Features: m.features}, discardLog{})
-	m.state = f.state
+	f.state = New(Limits{StatusKept: time.Minute, OrderTimeout: modelOrderTimeout + modelSlack, Features: m.features}, discardLog{})
+	m.state, m.sessions = f.state, map[*fakeWorker]*modelSession{}
 	f.setCeiling(m.ceiling)
 	for _, job := range m.jobs {
 		m.state.AddJob(job, m.progress[job.GetId()])
@@ -112,7 +108,7 @@
 	for _, worker := range m.workers {
 		m.state.SetWorker(worker.info)
 	}
-	m.state.AssumeLeases(m.now, m.now.Add(modelLease))
+	m.state.AssumeLeases(m.now, m.now.Add(modelMaxLease))
 }
 
 func (m *model) unixMs() int64 { return m.now.UnixMilli() }
@@ -171,15 +167,15 @@
 		return infra.ErrOrderLeaseExpired
 	}
 	w.epoch, w.lease = epoch, maxTime(w.lease, until)
-	if _, runs := w.active[order.Task]; runs {
+	if run, runs := w.active[order.Task]; runs && run.Run == order.Run {
 		return nil
 	}
 	if m.done[order.Task] {
 		m.t.Fatalf("%s started after its success was acknowledged", order.Task)
 	}
 	for _, other := range m.workers {
-		if _, runs := other.active[order.Task]; runs {
-			m.t.Fatalf("%s runs on %s and %s", order.Task, other.info.ID, w.info.ID)
+		if run, runs := other.active[order.Task]; runs {
+			m.t.Fatalf("%s runs on %s as run %d and on %s as run %d", order.Task, other.info.ID, run.Run, w.info.ID, order.Run)
 		}
 	}
 	w.active[order.Task] = infra.ActiveRun{Task: order.Task, Run: order.Run}
@@ -227,45 +223,6 @@
 	return nil
 }
 
-// renew makes the current controller renew a worker's lease, and applies the worker's report.
-func (m *model) renew(w *fakeWorker) {
-	worker := m.state.Worker(w.info.ID)
-	if worker == nil {
-		return
-	}
-	if w.partitioned {
-		m.state.RenewFailed(worker, m.now)
-		return
-	}
-	m.expire()
-	if m.epoch < w.epoch {
-		return
-	}
-	sent := m.now
-	m.state.RenewSent(worker, m.now.Add(modelLease))
-	w.epoch, w.lease = m.epoch, maxTime(w.lease, m.now.Add(modelLease))
-	kept := w.ended[:0]
-	for _, end := range w.ended {
-		if end.Number > worker.Acknowledged() {
-			kept = append(kept, end)
-		} else if end.Outcome == infra.OutcomeSucceeded && end.Number > w.lastExpired {
-			m.done[end.Task] = true
-		}
-	}
-	w.ended = kept
-	listed := w.ended[:min(len(w.ended), modelListedEnds)]
-	report := infra.RunReport{
-		Incarnation: w.info.Incarnation, Ended: append([]infra.EndedRun(nil), listed...), MoreEnds: len(listed) == modelListedEnds,
-	}
-	for _, run := range w.active {
-		report.Active = append(report.Active, run)
-	}
-	m.now = m.now.Add(time.Millisecond)
-	m.state.ApplyReport(worker, report, sent, m.now, m.unixMs())
-}
-
-var errNoAnswer = errors.New("no answer")
-
 // cycle plans, sends the stop orders and leaves a commit in flight.
 func (m *model) cycle() {
 	m.state.ExpireLeases(m.now, m.unixMs())
@@ -279,8 +236,12 @@
 			continue
 		}
 		order, _ := task.Stop()
-		err := m.deliver(w, delayedOrder{worker: w, epoch: m.epoch, stop: &order})
-		m.state.Stopped(task, order.Run, err, m.now)
+		state, epoch := m.state, m.epoch
+		m.deliver(w, func() error { return m.stop(w, epoch, order) }, func(err error) {
+			if m.state == state {
+				m.state.Stopped(task, order.Run, err, m.now)
+			}
+		})
 	}
 }
 
@@ -302,14 +263,7 @@
 	m.store(changes)
 	orders, _ := m.state.Committed(changes, m.now)
 	for _, task := range orders {
-		w := m.worker(task.WorkerID())
-		order, until := task.Start(), m.now.Add(modelLease)
-		m.state.RenewSent(task.worker, until)
-		if !m.state.ConfirmOrder(task, order.Run, m.now) {
-			continue
-		}
-		err := m.deliver(w, delayedOrder{worker: w, epoch: m.epoch, start: &order, until: until})
-		m.state.Started(task, order.Run, err, m.now)
+		m.order(task)
 	}
 }
 
@@ -322,51 +276,11 @@
 	return nil
 }
 
-// deliver carries out an order now, later, or not at all; its answer may be lost.
-func (m *model) deliver(w *fakeWorker, order delayedOrder) error {
-	delivery := rapid.IntRange(0, 9).Draw(m.t, "delivery")
-	switch {
-	case w.partitioned, delivery == 0:
-		return errNoAnswer
-	case delivery == 1:
-		order.sentAt = m.now
-		order.at = m.now.Add(time.Duration(rapid.IntRange(1, 12).Draw(m.t, "late")) * time.Second)
-		m.delayed = append(m.delayed, order)
-		return errNoAnswer
-	}
-	order.sentAt = m.now
-	err := m.execute(order)
-	if delivery == 2 {
-		return errNoAnswer
-	}
-	return err
-}
-
-func (m *model) execute(order delayedOrder) error {
-	if order.start != nil {
-		return m.start(order.worker, order.epoch, *order.start, order.until, order.sentAt)
-	}
-	return m.stop(order.worker, order.epoch, *order.stop)
-}
-
-func (m *model) executeDelayed() {
-	kept := m.delayed[:0]
-	for _, order := range m.delayed {
-		if order.at.After(m.now) {
-			kept = append(kept, order)
-			continue
-		}
-		_ = m.execute(order)
-	}
-	m.delayed = kept
-}
-
 // randomAction advances the clock and makes one random event happen.
 func (m *model) randomAction() {
-	m.now = m.now.Add(time.Duration(rapid.IntRange(5, 400).Draw(m.t, "ms")) * time.Millisecond)
-	m.executeDelayed()
+	m.advance(m.draw("ms", 5, 400))
 	w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.t, "worker")]
-	switch rapid.IntRange(0, 14).Draw(m.t, "act") {
+	switch rapid.IntRange(0, 16).Draw(m.t, "act") {
 	case 0, 1:
 		m.submit()
 	case 2, 3:
@@ -378,6 +292,9 @@
 		for _, worker := range m.workers {
 			m.renew(worker)
 		}
+		if rapid.Bool().Draw(m.t, "again") {
+			m.renew(w)
+		}
 	case 9, 10:
 		for task := range w.active {
 			m.finish(w, task, rapid.SampledFrom([]infra.Outcome{infra.OutcomeSucceeded, infra.OutcomeSucceeded, infra.OutcomeFailed}).Draw(m.t, "outcome"))
@@ -391,6 +308,10 @@
 		m.restart(w)
 	case 14:
 		m.resize(w)
+	case 15:
+		m.crash(w)
+	case 16:
+		m.state.SetWorker(w.info)
 	}
 }
 
@@ -405,30 +326,9 @@
 	m.state.SetWorker(w.info)
 }
 
-// restart gives a worker a new incarnation with empty state.
-func (m *model) restart(w *fakeWorker) {
-	// A renewal that is waiting at the worker fails with its process.
-	if known := m.state.Worker(w.info.ID); known != nil {
-		m.state.RenewFailed(known, m.now)
-	}
-	if known := m.state.Worker(w.info.ID); known != nil && rapid.Bool().Draw(m.t, "listed as ended") {
-		m.state.WorkersEnded([]*Worker{known}, m.now, m.unixMs())
-	}
-	w.info.Incarnation++
-	w.epoch, w.lease, w.number, w.lastExpired = 0, time.Time{}, 0, 0
-	w.active, w.newest, w.ended = map[string]infra.ActiveRun{}, map[string]int32{}, nil
-	for i := range m.delayed {
-		if m.delayed[i].worker == w {
-			// Connections end with the process, so orders for the earlier incarnation no longer arrive.
-			m.delayed[i].at = m.now.Add(-time.Hour)
-			m.delayed[i].epoch = -1
-		}
-	}
-}
-
 // Guards against a task that runs twice at once or again after its success, and against a worker above its capacity or
 // a team above its ceiling. Orders are lost, not answered or carried out up to 12 s late, workers are partitioned,
-// restarted and resized, commits are lost, and controllers are replaced at any time.
+// restarted, with the controller told or not, and resized, answers overtake each other, commits are lost, and controllers are replaced at any time.
 func TestRulesHoldUnderAnyFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newModel(rt, rapid.IntRange(1, 4).Draw(rt, "workers"))
@@ -459,10 +359,10 @@
 // settle runs the fleet without faults for 400 cycles of 100 ms, long enough for all jobs to end.
 func (m *model) settle() {
 	for range 400 {
-		m.now = m.now.Add(100 * time.Millisecond)
-		m.executeDelayed()
+		m.advance(100 * time.Millisecond)
 		for _, w := range m.workers {
-			m.renew(w)
+			m.renewNow(w)
+			m.renewNow(w)
 		}
 		m.faultFreeCycle()
 		for _, w := range m.workers {
@@ -484,12 +384,10 @@
 	m.store(changes)
 	orders, _ := m.state.Committed(changes, m.now)
 	for _, task := range orders {
-		order := task.Start()
-		err := m.start(m.worker(task.WorkerID()), m.epoch, order, m.now.Add(modelLease), m.now)
-		m.state.Started(task, order.Run, err, m.now)
+		m.orderNow(task)
 	}
 	for _, task := range plan.Stops {
-		if w := m.worker(task.WorkerID()); w != nil {
+		if w := m.worker(task.WorkerID()); w != nil && !w.down {
 			order, _ := task.Stop()
 			m.state.Stopped(task, order.Run, m.stop(w, m.epoch, order), m.now)
 		}
