Add failing tests for two orders that a listing of ended workers overlooks

What callers saw: nothing in the record that is known to be this; the same class: an order for the former life of a worker is taken by the next one.

Cause: a listing of the machines ends the runs of a worker that it shows as down, but for those whose order is under way. It does not see that - an order of an earlier controller may be under way: a restored run counts as settled although its order may have been sent just before the take-over; - it may be older than the run: a worker that was down when its machine was read may be back, and have answered a start, when the listing is applied. In both cases the task starts again while the next incarnation runs it.

Result: the faults are open.

--- a/controller/machines_test.go
+++ b/controller/machines_test.go
@@ -60,18 +60,34 @@
 	infra.Machines
 	mu   sync.Mutex // guards down
 	down bool
+	// read is called after the machine was read, if it is down.
+	read func()
 }
 
 func (f *fakeMachines) List(context.Context) ([]infra.Machine, error) {
+	f.mu.Lock()
+	down := f.down
+	f.mu.Unlock()
+	if down && f.read != nil {
+		f.read()
+	}
+	return []infra.Machine{machineOf("m", "w", !down)}, nil
+}
+
+func (f *fakeMachines) end() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return []infra.Machine{machineOf("m", "w", !f.down)}, nil
+	f.down = true
 }
 
-// Guards against tasks that wait for the lease of a worker although the platform says that it has ended, and against
-// tasks that are started again although the worker was only cut off.
-func TestTasksOfAnEndedWorkerDoNotWaitForItsLease(t *testing.T) {
-	machines := &fakeMachines{}
+// machinesTerm is a term that follows the machines, with one worker and tasks that are ordered there.
+type machinesTerm struct {
+	*term
+	worker *dispatch.Worker
+	orders []*dispatch.Task
+}
+
+func followTestMachines(t *testing.T, machines *fakeMachines) *machinesTerm {
 	c := newTerm(Options{Clock: clock.Real{}, Log: logr.Discard(), Metrics: NewMetrics(nil), Machines: machines,
 		Bounds: Bounds{LeaseMax: 6 * time.Second}}, leadershipOf(t))
 	queue := &siskinv1.QueuePolicy{Name: "q", Service: "s"}
@@ -83,34 +99,72 @@
 	c.state.RenewSent(w, now.Add(time.Minute))
 	c.state.AddJob(&siskinv1.Workflow{Id: "0000000000000001", Queue: queue, Steps: []*siskinv1.WorkflowStep{{Count: 3, MilliCpu: 1000}}}, nil)
 	c.state.Plan(now, 0, dispatch.AdviceSlots{})
-	c.state.Committed(c.state.TakeChanges(1), now)
+	orders, _ := c.state.Committed(c.state.TakeChanges(1), now)
 	assert.Equal(t, w.Tasks(), 3)
 	c.mu.Unlock()
 	ctx, cancel := context.WithCancel(t.Context())
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		c.goroutines.Wait()
-	}()
+	})
 	c.goroutines.Go(func() { c.followMachines(ctx) })
-	lose := func() {
+	return &machinesTerm{c, w, orders}
+}
+
+func (c *machinesTerm) lose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.RenewFailed(c.worker, c.now())
+	notify(c.workerLost)
+}
+
+func (c *machinesTerm) tasks() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.worker.Tasks()
+}
+
+// awaitEnd waits until the worker is taken for ended, or for a limited time.
+func (c *machinesTerm) awaitEnd() {
+	ended := func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.state.RenewFailed(w, c.now())
-		notify(c.workerLost)
+		return c.worker.IsEnded()
+	}
+	for deadline := time.Now().Add(2 * machinesMaxInterval); !ended() && time.Now().Before(deadline); {
+		time.Sleep(machinesMinInterval / 10)
 	}
-	tasks := func() int {
+}
+
+// Guards against tasks that wait for the lease of a worker although the platform says that it has ended, and against
+// tasks that are started again although the worker was only cut off.
+func TestTasksOfAnEndedWorkerDoNotWaitForItsLease(t *testing.T) {
+	machines := &fakeMachines{}
+	c := followTestMachines(t, machines)
+	c.lose()
+	time.Sleep(4 * machinesMinInterval)
+	assert.Equal(t, c.tasks(), 3, "the worker still runs")
+	machines.end()
+	c.awaitEnd()
+	assert.Equal(t, c.tasks(), 0)
+}
+
+// Guards against a task that runs twice because a listing that is older than its start says that the worker has ended.
+func TestListingOlderThanAStartDoesNotEndItsRun(t *testing.T) {
+	machines := &fakeMachines{}
+	c := followTestMachines(t, machines)
+	task := c.orders[0]
+	machines.read = func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return w.Tasks()
+		if !task.IsJobStarted() {
+			c.state.ConfirmOrder(task, task.Run(), c.now())
+			c.state.Started(task, task.Run(), nil, c.now())
+		}
 	}
-	lose()
 	time.Sleep(4 * machinesMinInterval)
-	assert.Equal(t, tasks(), 3, "the worker still runs")
-	machines.mu.Lock()
-	machines.down = true
-	machines.mu.Unlock()
-	for deadline := time.Now().Add(2 * machinesMaxInterval); tasks() > 0 && time.Now().Before(deadline); {
-		time.Sleep(machinesMinInterval / 10)
-	}
-	assert.Equal(t, tasks(), 0)
+	machines.end()
+	c.lose()
+	c.awaitEnd()
+	assert.Equal(t, task.WorkerID(), "w", "the task starts elsewhere while its run is on the next incarnation")
 }
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -253,3 +253,25 @@
 		})
 	}
 }
+
+// Guards against the same if an earlier controller sent the order.
+func TestOrderOfAnEarlierControllerToAnEndedWorkerHoldsItsTask(t *testing.T) {
+	former, worker := newRestartFixture(t)
+	task := former.orderOne()
+	record := task.Record()
+	f := newFixture(t, 0)
+	f.now = former.now
+	f.state.limits.OrderTimeout = 600 * time.Millisecond
+	f.state.AddJob(record, former.state.Job(record.GetId()).Progress())
+	f.state.AssumeLeases(f.now, f.now.Add(6*time.Second))
+	worker, _ = f.state.SetWorker(worker.Info)
+	f.addWorker("other", "zone-1")
+	f.wait(time.Millisecond)
+	f.state.WorkersEnded([]*Worker{worker}, f.now, f.unixMs())
+	f.wait(500 * time.Millisecond)
+	f.state.ExpireLeases(f.now, f.unixMs())
+	assert.Equal(t, len(f.order()), 0, "the task starts while an order for it is under way")
+	f.wait(time.Second)
+	f.state.ExpireLeases(f.now, f.unixMs())
+	assert.Equal(t, len(f.order()), 1)
+}
