Hold restored tasks while an earlier controller's orders are under way

Cause: a new controller took a run that the one before had planned for settled when a listing showed its worker as ended. The order for it may have been sent just before the change, and the next life of the worker may take it.

Change: until an order that was sent at the last moment has been answered or given up, restored runs on such a worker are kept.

--- a/controller/recover.go
+++ b/controller/recover.go
@@ -57,6 +57,7 @@
 	t.soleSince = laterOf(now, formerUntil)
 	// The earlier controller may not have known of a restart, and so have extended the lease by the clock of before.
 	t.state.AssumeLeases(now, t.soleSince.Add(t.maxLeaseBound()))
+	t.state.AssumeOrders(t.soleSince)
 	t.applyWorkers(ctx, fleet.Entries, true)
 	t.recovered = true
 	return jobs.Revision, fleet.Revision, nil
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -195,6 +195,8 @@
 		switch {
 		case t.isUnderWay() && now.Before(end):
 			until = later(until, end)
+		case t.restored && now.Before(s.formerOrdersUntil):
+			until = later(until, s.formerOrdersUntil)
 		case t.phase == phaseActive && !t.orderedAt.Before(requested):
 			until = later(until, w.leaseEnd)
 		default:
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -92,6 +92,8 @@
 	orphaned map[*Worker]struct{}
 	// probes are the suspects that run on a worker of their own.
 	probes map[*Task]struct{}
+	// formerOrdersUntil is when all orders of an earlier controller have been answered or given up.
+	formerOrdersUntil time.Time
 	// planTime and planUnixMs are the time of the current plan on the monotonic and the wall clock.
 	planTime   time.Time
 	planUnixMs int64
@@ -409,9 +411,13 @@
 // Workers returns all workers by identifier. The caller must not change the map.
 func (s *State) Workers() map[string]*Worker { return s.workers }
 
+// AssumeOrders assumes that an earlier controller sent orders until the given time.
+func (s *State) AssumeOrders(until time.Time) { s.formerOrdersUntil = until.Add(s.limits.OrderTimeout) }
+
 // AssumeLeases assumes that an earlier controller extended the lease of every worker until the given time. A worker that
 // never answers this controller may have ended before now.
 func (s *State) AssumeLeases(now, until time.Time) {
+	s.AssumeOrders(now)
 	for _, w := range s.workers {
 		s.RenewSent(w, until)
 		if w.lostAt.IsZero() {
