Bound the workers that probes of late suspects take

Cause: a task whose workers crashed three times late in its runs is a suspect and has a worker of its own until its run ends.

Evidence: TestLateSuspectsLeaveMostWorkersOpen failed before: 8 of 40 tasks were ordered on 8 workers.

Change: such probes take a quarter of a service's open workers at most; beyond it these tasks start beside others. Each further crash is still counted. Tasks whose worker crashed at once after a start always run alone (TestPromptSuspectsRunAlone); their probes end within the startup window.

--- a/dispatch/costed.go
+++ b/dispatch/costed.go
@@ -38,7 +38,7 @@
 		step.call = adviceCall{request: request, due: p.now.Add(request.Cost), futile: futile}
 	}
 	step.expected = step.expected[:0]
-	waiting := step.waiting - step.waitingSuspects()
+	waiting := step.waiting - s.waitingSuspects(step)
 	if waiting == 0 || !step.urgent {
 		return request
 	}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -40,6 +40,8 @@
 	// commonCauseWorkers is the number of workers of one availability zone whose end at the same time has another cause
 	// than a task, such as a loss of power, unless most of them had just started one.
 	commonCauseWorkers = 3
+	// maxProbedDivisor is the inverse of the part of a service's workers that probes of tasks whose workers crashed late may take.
+	maxProbedDivisor = 4
 	// crashMemory is the age of a run after which earlier crashes of the task no longer count. Long-running tasks would
 	// otherwise be suspects after three ordinary crashes in months.
 	crashMemory = 10 * time.Second
@@ -103,11 +105,28 @@
 
 func (t *Task) isSuspect() bool { return t.crashCounter().crashes.suspect }
 
+// isPromptSuspect reports whether the task is a suspect because a worker crashed when its run may just have begun.
+func (t *Task) isPromptSuspect() bool {
+	c := t.crashCounter().crashes
+	return c.suspect && (c.prompt > 0 || c.possible > 0 || c.losses() < crashesToSuspect)
+}
+
+// isProbed reports whether the next run of a task gets a worker of its own. Probes of suspects whose workers crashed late in
+// their runs take as long as those runs. So they take a part of the workers at most; beyond it such tasks start beside
+// others, and each further crash is counted.
+func (s *State) isProbed(t *Task) bool {
+	if !t.isSuspect() {
+		return false
+	}
+	service := s.queue(t.step.job).GetService()
+	return t.isPromptSuspect() || (len(s.probes)+1)*maxProbedDivisor <= s.index.open[service]+len(s.probes)
+}
+
 // waitingSuspects returns the number of tasks of a step that wait for a worker of their own.
-func (step *Step) waitingSuspects() int {
+func (s *State) waitingSuspects(step *Step) int {
 	n := 0
 	for i := range step.tasks {
-		if step.tasks[i].isWaiting() && step.tasks[i].isSuspect() {
+		if step.tasks[i].isWaiting() && s.isProbed(&step.tasks[i]) {
 			n++
 		}
 	}
@@ -362,7 +381,7 @@
 
 // beginProbe reserves the worker of a planned run for the task if it is a suspect, so that nothing else starts there.
 func (s *State) beginProbe(t *Task) {
-	if t.isSuspect() && t.worker.probe == nil {
+	if s.isProbed(t) && t.worker.probe == nil {
 		t.worker.probe = t
 		s.probes[t] = struct{}{}
 		s.index.updateFree(t.worker)
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -32,7 +32,7 @@
 func (s *State) newPlacement(step *Step, now time.Time) *placement {
 	p := &placement{step: step, now: now, queue: s.queue(step.job), need: allocation(step.spec), home: s.home(step)}
 	p.speed = s.speedPreference(p)
-	p.probe = step.spec.GetGang() && step.tasks[0].isSuspect()
+	p.probe = step.spec.GetGang() && s.isProbed(&step.tasks[0])
 	if p.home == nil {
 		p.zones = [][]*zoneIndex{s.openZones}
 	} else {
@@ -64,7 +64,7 @@
 	if !s.mayStartOne(p.step) {
 		return nil
 	}
-	if t.isSuspect() && !p.step.spec.GetGang() {
+	if s.isProbed(t) && !p.step.spec.GetGang() {
 		return s.chooseForProbe(p, t)
 	}
 	search := &bestWorker{state: s, placement: p, task: t, rack: rack}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -64,7 +64,7 @@
 // preempt stops less urgent tasks to free capacity for the waiting tasks of an urgent step on its candidate workers.
 func (s *State) preempt(p *placement) {
 	step, now := p.step, p.now
-	waiting := step.waiting - step.waitingSuspects()
+	waiting := step.waiting - s.waitingSuspects(step)
 	if waiting == 0 || !step.urgent || now.Before(step.preemptAfter) {
 		return
 	}
