Repeat polls whose connection led to the former process

Cause: a poll used an idle connection to the former process, which the worker closed. That counted against the worker, and no other poll followed.

Evidence: TestEntryOfARestartedWorkerHasItReport, with connections of the former life left, failed before.

Change: a poll goes on after a closed connection, and its end is not taken for that of the worker; the renewal that is held open finds that out.

--- a/controller/orders.go
+++ b/controller/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"siskinstack.example/siskinstack/dispatch"
@@ -173,9 +174,11 @@
 	for range maxPolls {
 		s.pollAgain = false
 		t.mu.Unlock()
-		_ = t.renew(ctx, s, 0, true)
+		err := t.renew(ctx, s, 0, true)
 		t.mu.Lock()
-		if !s.pollAgain && !s.worker.IsUnsettled() || ctx.Err() != nil {
+		// Connections to a former process are closed at their first use.
+		again := s.pollAgain || s.worker.IsUnsettled() || errors.Is(err, infra.ErrConnectionClosed)
+		if !again || ctx.Err() != nil {
 			break
 		}
 	}
--- a/controller/restart_test.go
+++ b/controller/restart_test.go
@@ -19,6 +19,8 @@
 	// polled is closed at the first poll, which then waits for end, if it is not nil. polls counts the polls.
 	polled chan struct{}
 	polls  int
+	// closed is the number of connections to the former incarnation that are left.
+	closed int
 }
 
 func (f *silentFleet) Renew(_ context.Context, _ infra.FleetWorker, order infra.RenewOrder) (infra.RunReport, error) {
@@ -27,6 +29,10 @@
 		<-f.end
 		return infra.RunReport{}, infra.ErrConnectionClosed
 	}
+	if f.closed > 0 {
+		f.closed--
+		return infra.RunReport{}, infra.ErrConnectionClosed
+	}
 	f.polls++
 	if f.polled != nil && f.polls == 1 {
 		close(f.polled)
@@ -35,9 +41,10 @@
 	return infra.RunReport{Incarnation: 2, ClockMs: 1}, nil
 }
 
-// Guards against a restarted worker that stays closed until the renewal that its former incarnation held open times out.
+// Guards against a restarted worker that stays closed until the renewal that its former incarnation held open times out, also
+// if connections to that incarnation are left.
 func TestEntryOfARestartedWorkerHasItReport(t *testing.T) {
-	fleet := &silentFleet{held: make(chan struct{}), end: make(chan struct{})}
+	fleet := &silentFleet{held: make(chan struct{}), end: make(chan struct{}), closed: 3}
 	c := newTerm(Options{Clock: clock.Real{}, Log: logr.Discard(), Metrics: NewMetrics(nil), Fleet: fleet, WorkersPrefix: "workers/",
 		DecodeWorker: func(entry infra.KeyValue) (infra.FleetWorker, error) {
 			return infra.FleetWorker{ID: "w", Incarnation: int64(entry.Value[0])}, nil
--- a/controller/worker_session.go
+++ b/controller/worker_session.go
@@ -196,7 +196,9 @@
 		if order.LeaseUntilMs > 0 {
 			t.noteAnswer(s, sending, 0, err, now)
 		}
-		if ctx.Err() == nil && !s.isOutdated(sending, call.Err() != nil, now) {
+		// A poll may use a connection to a former process; what its end says is for the renewal to find out.
+		closed := poll && errors.Is(err, infra.ErrConnectionClosed)
+		if ctx.Err() == nil && !closed && !s.isOutdated(sending, call.Err() != nil, now) {
 			lostAt := s.readAt
 			if call.Err() == nil {
 				// The connection was closed or refused before the timeout.
