Skip a job whose progress cannot be read

A controller that cannot decode the progress of a job logs that it skips the job, and then takes it in as a new one: the cancellations are applied from the same listing, which holds the jobs too, and an announcement or a watch would do the same. All its tasks start again, while those of before may run.

The jobs that are skipped are now remembered for the term, and are not taken in later.

TestJobWithoutReadableProgressIsNotStarted fails before (the job is in the state after recovery) and passes now.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -195,6 +195,8 @@
 	// refusedEntries holds why the entries of other writers were refused, by worker identifier.
 	refusedEntries map[string]string
 	forecast       waitForecast
+	// skipped are the jobs whose progress cannot be read. Without it, tasks that run would start again.
+	skipped map[string]bool
 }
 
 func newTerm(options Options, leadership *election.Term) *term {
@@ -205,7 +207,7 @@
 		Options: options, leadership: leadership, log: log, wake: make(chan struct{}, 1),
 		workerLost: make(chan struct{}, 1), workerNew: make(chan struct{}, 1),
 		sessions: map[*dispatch.Worker]*workerSession{}, members: map[string]*member{}, heads: newCommitHeads(),
-		refusedEntries: map[string]string{}, tombstones: map[string]tombstone{},
+		refusedEntries: map[string]string{}, tombstones: map[string]tombstone{}, skipped: map[string]bool{},
 	}
 	limits := options.Bounds.Limits
 	limits.OrderTimeout = orderTimeout + leaseSlack
--- a/controller/recover.go
+++ b/controller/recover.go
@@ -104,7 +104,7 @@
 		p := &siskinv1.WorkflowProgress{}
 		if err := proto.Unmarshal(entry.Value, p); err != nil {
 			t.log.Error(err, "cannot decode job progress; skipping the job", "job", id)
-			known[id] = nil
+			t.skipped[id] = true
 			continue
 		}
 		known[id] = p
@@ -112,10 +112,8 @@
 	var records []*siskinv1.Workflow
 	for _, entry := range intake {
 		if id, ok := cutPrefix(entry.Key, jobPrefix); ok {
-			if record := t.decodeJob(id, entry.Value); record != nil {
-				if p, listed := known[id]; !listed || p != nil {
-					records = append(records, record)
-				}
+			if record := t.decodeJob(id, entry.Value); record != nil && !t.skipped[id] {
+				records = append(records, record)
 			}
 		}
 	}
@@ -181,7 +179,7 @@
 
 // addJob adds a job unless it is known already. The caller holds mu.
 func (t *term) addJob(record *siskinv1.Workflow, source string) {
-	if t.state.Job(record.GetId()) != nil {
+	if t.state.Job(record.GetId()) != nil || t.skipped[record.GetId()] {
 		return
 	}
 	if t.loadJob(record, nil) == nil {
--- a/controller/recover_test.go
+++ b/controller/recover_test.go
@@ -50,3 +50,27 @@
 	assert.Assert(t, until > mayActFor-slack && until < mayActFor+slack, "%s", until)
 	assert.Equal(t, c.state.Worker("w").LeaseEnd(), c.soleSince.Add(c.maxLeaseBound()))
 }
+
+// Guards against tasks that run a second time because the progress of their job cannot be read.
+func TestJobWithoutReadableProgressIsNotStarted(t *testing.T) {
+	store := standin.NewTxnStore(clock.Real{})
+	job := &siskinv1.Workflow{Id: "0000000000000001", Steps: []*siskinv1.WorkflowStep{{Count: 1, MilliCpu: 1000}}}
+	record, err := proto.Marshal(job)
+	assert.NilError(t, err)
+	_, err = store.Commit(t.Context(), infra.Txn{Writes: []infra.Write{
+		{Key: JobKey(job.GetId()), Value: record}, {Key: ProgressKey(job.GetId()), Value: []byte{0}},
+	}})
+	assert.NilError(t, err)
+	c := newTermOn(t, store)
+	_, _, err = c.recover(t.Context())
+	assert.NilError(t, err)
+	c.addJob(job, "announced")
+	assert.Assert(t, c.state.Job(job.GetId()) == nil)
+}
+
+// newTermOn returns a term of a machine that has just been elected, with the given store.
+func newTermOn(t *testing.T, store infra.TxnStore) *term {
+	t.Helper()
+	return newTerm(Options{Store: store, Clock: clock.Real{}, Log: logr.Discard(), Metrics: NewMetrics(nil), WorkersPrefix: "workers/",
+		Policy: policy.NewView(store, clock.Real{}, logr.Discard(), policy.Codec{})}, leadershipIn(t, store))
+}
