Isolate a job whose progress the store rejects

Cause: a commit holds the progress of up to 29 jobs. If the store rejects it for one of them (400), the controller took the outcome for unknown and sent the same transaction again every 50 ms without end.

The controller then commits each job by itself. A job that is rejected alone frees its head and is committed again, with what has come since, after 2 s; the line and the counter 'progress rejected' show it.

--- a/controller/commit.go
+++ b/controller/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -20,6 +21,8 @@
 	// maxJobsPerCommit keeps a transaction within the store's limit on entries. The conditions on the leadership and on
 	// the head, and the write of the head, take three of them.
 	maxJobsPerCommit = infra.MaxTxnEntries - 3
+	// rejectedDelay is the delay before the progress of a job that the store has rejected is committed again.
+	rejectedDelay = 2 * time.Second
 )
 
 var errTermEnded = eris.New("controller term has ended")
@@ -59,23 +62,66 @@
 	}
 }
 
-// commit makes changes durable and sends the start orders that depend on them.
+// commit makes changes durable and sends the start orders that depend on them. It leaves the head busy if the term ends.
 func (t *term) commit(ctx context.Context, h *commitHead, changes []dispatch.Change) {
+	if err := t.commitBatch(ctx, h, changes); err != nil {
+		return
+	}
+	t.withLock(func() { h.busy = false })
+}
+
+// commitBatch commits changes in one transaction. If the store rejects it, each change is committed by itself, so that only
+// jobs whose own progress is rejected wait. The error is that of the term's end.
+func (t *term) commitBatch(ctx context.Context, h *commitHead, changes []dispatch.Change) error {
+	err := t.write(ctx, h, changes)
+	switch {
+	case err == nil:
+		t.committed(ctx, changes)
+		return nil
+	case !errors.Is(err, infra.ErrRejected):
+		return err
+	case len(changes) == 1:
+		t.postpone(ctx, changes[0], err)
+		return nil
+	}
+	for _, change := range changes {
+		if err := t.commitBatch(ctx, h, []dispatch.Change{change}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// postpone returns a change that the store has rejected to the state after a delay.
+func (t *term) postpone(ctx context.Context, change dispatch.Change, reason error) {
+	t.Metrics.decision("progress rejected")
+	t.log.Error(reason, "the store rejects the progress of a job", "job", change.ID)
+	t.goroutines.Go(func() {
+		if t.Clock.Sleep(ctx, rejectedDelay) == nil {
+			t.withLock(func() { t.state.Uncommitted(change) })
+		}
+	})
+}
+
+// encodeChanges returns the writes of changes.
+func (t *term) encodeChanges(changes []dispatch.Change) ([]infra.Write, error) {
 	var writes []infra.Write
 	for _, change := range changes {
 		value, err := proto.Marshal(change.Progress)
 		if err != nil {
 			t.log.Error(err, "encode progress", "job", change.ID)
 			t.leadership.End()
-			return
+			return nil, err
 		}
 		writes = append(writes, infra.Write{Key: ProgressKey(change.ID), Value: value})
 	}
-	if err := t.write(ctx, h, writes); err != nil {
-		return
-	}
+	return writes, nil
+}
+
+// committed applies changes that are durable.
+func (t *term) committed(ctx context.Context, changes []dispatch.Change) {
 	t.mu.Lock()
-	h.busy = false
+	defer t.mu.Unlock()
 	for _, change := range changes {
 		if change.Ends() {
 			t.Metrics.stage(stageEnded, change.Record())
@@ -91,13 +137,16 @@
 			s.signal()
 		}
 	}
-	t.mu.Unlock()
-	t.triggerPlan()
 }
 
 // write commits a change on condition of the leadership and the head's revision. A lost response is resolved by sending
-// the same transaction again: only one of the two can replace the head; the other fails its condition.
-func (t *term) write(ctx context.Context, h *commitHead, writes []infra.Write) error {
+// the same transaction again: only one of the two can replace the head; the other fails its condition. A transaction that
+// the store rejects is not sent again.
+func (t *term) write(ctx context.Context, h *commitHead, changes []dispatch.Change) error {
+	writes, err := t.encodeChanges(changes)
+	if err != nil {
+		return err
+	}
 	h.sequence++
 	value, err := proto.Marshal(&siskinv1.CommitHead{Epoch: t.leadership.Epoch, Sequence: h.sequence})
 	if err != nil {
@@ -116,6 +165,9 @@
 		if errors.Is(err, infra.ErrConflict) {
 			return t.resolve(err, h)
 		}
+		if errors.Is(err, infra.ErrRejected) {
+			return err
+		}
 		t.log.V(1).Info("commit failed; retrying", "head", h.key, "sequence", h.sequence, "reason", err.Error())
 		_ = t.Clock.Sleep(ctx, storeRetryDelay)
 	}
--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -166,7 +166,7 @@
 	err  error
 	name string
 }{
-	{infra.ErrNotPermitted, "not_permitted"}, {infra.ErrNotSent, "not_sent"}, {infra.ErrRefused, "refused"}, {infra.ErrConflict, "conflict"},
+	{infra.ErrNotPermitted, "not_permitted"}, {infra.ErrNotSent, "not_sent"}, {infra.ErrRefused, "refused"}, {infra.ErrRejected, "rejected"}, {infra.ErrConflict, "conflict"},
 	{infra.ErrFenced, "fenced"}, {infra.ErrStaleRun, "old_run"}, {infra.ErrOrderLeaseExpired, "lease_over"},
 	{infra.ErrWorkerFull, "full"}, {infra.ErrTicketInvalid, "ticket"}, {infra.ErrWorkerUnhealthy, "unhealthy"},
 	{infra.ErrWorkerMismatch, "other_worker"}, {infra.ErrOrderInvalid, "invalid"}, {infra.ErrAdvisorBusy, "busy"},
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -79,6 +79,14 @@
 	return orders, settled
 }
 
+// Uncommitted records that a change will not become durable. It is part of the job's next change.
+func (s *State) Uncommitted(c Change) {
+	j := c.job
+	j.saving = false
+	j.orders, j.ends = append(c.orders, j.orders...), append(c.ends, j.ends...)
+	s.markDirty(j)
+}
+
 // withheldGangs returns the gangs of a change of which some member may not be ordered. The others would wait for it.
 func (s *State) withheldGangs(c Change, now time.Time) map[*Step]bool {
 	var withheld map[*Step]bool
--- a/gateway/contact_store.go
+++ b/gateway/contact_store.go
@@ -21,6 +21,7 @@
 // answers are errors that the store has answered a call with.
 var answers = []error{
 	infra.ErrNotFound, infra.ErrConflict, infra.ErrCompacted, infra.ErrLeaseExpired, infra.ErrRefused, infra.ErrTooLarge,
+	infra.ErrRejected,
 }
 
 func isAnswer(err error) bool {
--- a/infra/txn.go
+++ b/infra/txn.go
@@ -10,6 +10,10 @@
 // ErrRefused means that the store declined a call because of its load or its state; the call had no effect.
 var ErrRefused = eris.New("store refused the call")
 
+// ErrRejected means that the store does not accept a call as it is, so that it is of no use to repeat it. The call had no
+// effect.
+var ErrRejected = eris.New("store rejected the call")
+
 // Condition requires that a key has a revision; revision 0 requires that it does not exist.
 type Condition struct {
 	Key      string
--- a/standin/txnstore.go
+++ b/standin/txnstore.go
@@ -24,6 +24,8 @@
 	TxnDrop
 	// TxnDelay executes the call on Deliver, if its conditions still hold; the caller gets no response.
 	TxnDelay
+	// TxnReject rejects the call with ErrRejected, without effect.
+	TxnReject
 )
 
 // TxnStore is an in-memory store with transactions.
@@ -103,6 +105,8 @@
 		return nil
 	case TxnRefuse:
 		return infra.ErrRefused
+	case TxnReject:
+		return infra.ErrRejected
 	default:
 		return errNoResponse
 	}
@@ -176,6 +180,8 @@
 	switch s.faultFor("commit", txn) {
 	case TxnRefuse:
 		return 0, infra.ErrRefused
+	case TxnReject:
+		return 0, infra.ErrRejected
 	case TxnDrop:
 		return 0, errNoResponse
 	case TxnDelay:
