Refuse a job that exceeds a value of the store

A job whose record is larger than a value of the store is sent to it until the caller's time is over, and is then refused as acceptance_unknown, so that the caller repeats it. On the platform the body's limit (262,144 bytes) keeps such jobs away; deployments may set another one.

Cause: the status 400 of the store is an unknown outcome to the gateway.

Evidence: TestJobThatTheStoreCannotHoldIsRefusedAtOnce failed before with acceptance_unknown after the whole time of the call.

Change: the size is checked before anything is sent. The refusal job_too_large (413) means "not run" and has no time for a further attempt.

Result: the test passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,6 +205,11 @@
 	if err != nil {
 		return g.refuse(record.GetId(), refusal.BadRequest, "%v", err)
 	}
+	if len(value) > infra.MaxValueBytes {
+		refused := g.refuse(record.GetId(), refusal.JobTooLarge, "the job takes %d bytes, more than %d", len(value), infra.MaxValueBytes)
+		refused.RetryAfter = 0
+		return refused
+	}
 	refused, err := g.admit(ctx, record, attempt)
 	if err != nil {
 		return err
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -48,6 +48,8 @@
 	CancelledBefore Reason = "cancelled_before"
 	// ForecastTooLate means that the job would start when its result is of no use any more.
 	ForecastTooLate Reason = "forecast_too_late"
+	// JobTooLarge means that the store cannot hold the job or its progress.
+	JobTooLarge Reason = "job_too_large"
 )
 
 // reasonProperties holds the HTTP status of a reason and whether the reason means that nothing has run.
@@ -86,6 +88,7 @@
 	CutOff:             {http.StatusServiceUnavailable, true},
 	CancelledBefore:    {http.StatusGone, true},
 	ForecastTooLate:    {http.StatusTooManyRequests, true},
+	JobTooLarge:        {http.StatusRequestEntityTooLarge, true},
 }
 
 // Reasons returns every reason, in no particular order.
