Keep progress that exceeds a value of the store in parts

Cause: the whole progress of a job is one value, about 44 bytes a task. Beyond valueBytes the store rejects the write, and no start of the job is ordered and none of its ends acknowledged from then on.

Change: an encoded progress that doesn't fit into one value is split over progress/ID/N, written in one transaction with progress/ID, which holds the phase, the number of parts and the checksum of the whole. Recovery takes parts only if all are there and the checksum holds, and skips the job otherwise. Parts that are left over are removed by the next commit, or with the job. Jobs share a commit up to 1 MiB, so that small ones don't wait for the transfer of large ones, and the time limits of a larger commit grow with its size. A job whose progress exceeds one transaction fails with its cause. Records that fit, and the reading of them, are as before (TestProgressThatFitsStaysInOneValue). A head is freed without the lock, so that it does not wait for a plan.

--- a/controller/commit.go
+++ b/controller/commit.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,7 +22,8 @@
 	maxParallelCommits = 6
 	// maxJobsPerCommit keeps a transaction within the store's limit on entries. The conditions on the leadership and on
 	// the head, and the write of the head, take three of them.
-	maxJobsPerCommit = infra.MaxTxnEntries - 3
+	maxJobsPerCommit = infra.MaxTxnEntries - headEntries
+	headEntries      = 3
 	// rejectedDelay is the delay before the progress of a job that the store has rejected is committed again.
 	rejectedDelay = 2 * time.Second
 )
@@ -32,8 +35,8 @@
 // one is resolved.
 type commitHead struct {
 	key string
-	// busy is guarded by the term's mu; the other fields are used only by the commit in flight.
-	busy     bool
+	// busy is true while a commit is in flight, which alone uses the other fields.
+	busy     atomic.Bool
 	revision infra.Revision
 	sequence int64
 }
@@ -50,42 +53,53 @@
 // commitChanges starts a commit of pending changes on each free head. The caller holds mu.
 func (t *term) commitChanges(ctx context.Context) {
 	for _, h := range t.heads {
-		if h.busy {
+		if h.busy.Load() {
 			continue
 		}
 		changes := t.state.TakeChanges(maxJobsPerCommit)
 		if len(changes) == 0 {
 			return
 		}
-		h.busy = true
-		t.goroutines.Go(func() { t.commit(ctx, h, changes) })
+		h.busy.Store(true)
+		parts := maps.Clone(t.parts)
+		t.goroutines.Go(func() { t.commit(ctx, h, changes, parts) })
 	}
 }
 
-// commit makes changes durable and sends the start orders that depend on them. It leaves the head busy if the term ends.
-func (t *term) commit(ctx context.Context, h *commitHead, changes []dispatch.Change) {
-	if err := t.commitBatch(ctx, h, changes); err != nil {
+// commit makes changes durable and sends the start orders that depend on them; parts is the number of stored parts by job. It
+// leaves the head busy if the term ends.
+func (t *term) commit(ctx context.Context, h *commitHead, changes []dispatch.Change, parts map[string]int) {
+	batches, err := t.encodeChanges(changes, parts)
+	if err != nil {
+		t.log.Error(err, "encode progress")
+		t.leadership.End()
 		return
 	}
-	t.withLock(func() { h.busy = false })
+	for _, batch := range batches {
+		if err := t.commitBatch(ctx, h, batch); err != nil {
+			return
+		}
+	}
+	h.busy.Store(false)
+	t.triggerPlan()
 }
 
 // commitBatch commits changes in one transaction. If the store rejects it, each change is committed by itself, so that only
 // jobs whose own progress is rejected wait. The error is that of the term's end.
-func (t *term) commitBatch(ctx context.Context, h *commitHead, changes []dispatch.Change) error {
-	err := t.write(ctx, h, changes)
+func (t *term) commitBatch(ctx context.Context, h *commitHead, batch []encodedChange) error {
+	err := t.write(ctx, h, batch)
 	switch {
 	case err == nil:
-		t.committed(ctx, changes)
+		t.committed(ctx, batch)
 		return nil
 	case !errors.Is(err, infra.ErrRejected):
 		return err
-	case len(changes) == 1:
-		t.postpone(ctx, changes[0], err)
+	case len(batch) == 1:
+		t.postpone(ctx, batch[0].Change, err)
 		return nil
 	}
-	for _, change := range changes {
-		if err := t.commitBatch(ctx, h, []dispatch.Change{change}); err != nil {
+	for i := range batch {
+		if err := t.commitBatch(ctx, h, batch[i:i+1]); err != nil {
 			return err
 		}
 	}
@@ -103,28 +117,20 @@
 	})
 }
 
-// encodeChanges returns the writes of changes.
-func (t *term) encodeChanges(changes []dispatch.Change) ([]infra.Write, error) {
-	var writes []infra.Write
-	for _, change := range changes {
-		value, err := proto.Marshal(change.Progress)
-		if err != nil {
-			t.log.Error(err, "encode progress", "job", change.ID)
-			t.leadership.End()
-			return nil, err
-		}
-		writes = append(writes, infra.Write{Key: ProgressKey(change.ID), Value: value})
-	}
-	return writes, nil
-}
-
 // committed applies changes that are durable.
-func (t *term) committed(ctx context.Context, changes []dispatch.Change) {
+func (t *term) committed(ctx context.Context, batch []encodedChange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, change := range changes {
-		if change.Ends() {
-			t.Metrics.stage(stageEnded, change.Record())
+	changes := make([]dispatch.Change, 0, len(batch))
+	for _, e := range batch {
+		changes = append(changes, e.Change)
+		if e.parts > 0 {
+			t.parts[e.ID] = e.parts
+		} else {
+			delete(t.parts, e.ID)
+		}
+		if e.Ends() {
+			t.Metrics.stage(stageEnded, e.Record())
 		}
 	}
 	orders, settled := t.state.Committed(changes, t.now())
@@ -142,11 +148,7 @@
 // write commits a change on condition of the leadership and the head's revision. A lost response is resolved by sending
 // the same transaction again: only one of the two can replace the head; the other fails its condition. A transaction that
 // the store rejects is not sent again.
-func (t *term) write(ctx context.Context, h *commitHead, changes []dispatch.Change) error {
-	writes, err := t.encodeChanges(changes)
-	if err != nil {
-		return err
-	}
+func (t *term) write(ctx context.Context, h *commitHead, batch []encodedChange) error {
 	h.sequence++
 	value, err := proto.Marshal(&siskinv1.CommitHead{Epoch: t.leadership.Epoch, Sequence: h.sequence})
 	if err != nil {
@@ -154,7 +156,10 @@
 	}
 	txn := infra.Txn{
 		Conditions: []infra.Condition{t.leadership.Condition, {Key: h.key, Revision: h.revision}},
-		Writes:     append(writes, infra.Write{Key: h.key, Value: value}),
+		Writes:     []infra.Write{{Key: h.key, Value: value}},
+	}
+	for _, e := range batch {
+		txn.Writes, txn.Removes = append(txn.Writes, e.writes...), append(txn.Removes, e.removes...)
 	}
 	for ctx.Err() == nil {
 		revision, err := t.sendCommit(ctx, txn)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -197,6 +197,8 @@
 	forecast       waitForecast
 	// skipped are the jobs whose progress cannot be read. Without it, tasks that run would start again.
 	skipped map[string]bool
+	// parts is the number of keys besides the first that may hold progress, by job.
+	parts map[string]int
 }
 
 func newTerm(options Options, leadership *election.Term) *term {
@@ -207,7 +209,7 @@
 		Options: options, leadership: leadership, log: log, wake: make(chan struct{}, 1),
 		workerLost: make(chan struct{}, 1), workerNew: make(chan struct{}, 1),
 		sessions: map[*dispatch.Worker]*workerSession{}, members: map[string]*member{}, heads: newCommitHeads(),
-		refusedEntries: map[string]string{}, tombstones: map[string]tombstone{}, skipped: map[string]bool{},
+		refusedEntries: map[string]string{}, tombstones: map[string]tombstone{}, skipped: map[string]bool{}, parts: map[string]int{},
 	}
 	limits := options.Bounds.Limits
 	limits.OrderTimeout = orderTimeout + leaseSlack
--- a/controller/expire.go
+++ b/controller/expire.go
@@ -22,15 +22,11 @@
 	for ctx.Err() == nil {
 		_ = t.Clock.Sleep(ctx, expireInterval)
 		t.mu.Lock()
-		jobs := t.state.ExpiredJobs(unixMs(), maxJobsPerCommit/keysPerJob)
-		var removes []string
+		jobs, removes := t.expiredJobs(maxJobsPerCommit)
 		if !t.Bounds.Forecast {
-			removes = t.expiredTombstones(t.now(), maxJobsPerCommit-keysPerJob*len(jobs))
+			removes = append(removes, t.expiredTombstones(t.now(), maxJobsPerCommit-len(removes))...)
 		}
 		t.mu.Unlock()
-		for _, id := range jobs {
-			removes = append(removes, JobKey(id), CancelKey(id), ProgressKey(id))
-		}
 		if len(removes) == 0 || !t.leadership.Valid() {
 			continue
 		}
@@ -45,6 +41,7 @@
 		t.mu.Lock()
 		for _, id := range jobs {
 			t.state.Forget(id)
+			delete(t.parts, id)
 		}
 		for _, key := range removes {
 			delete(t.tombstones, key)
@@ -53,6 +50,21 @@
 	}
 }
 
+// expiredJobs returns jobs past their retention and their keys, at most the given number of keys unless one job has more. The
+// caller holds mu.
+func (t *term) expiredJobs(limit int) (jobs, keys []string) {
+	for _, id := range t.state.ExpiredJobs(unixMs(), limit/keysPerJob) {
+		if len(jobs) > 0 && len(keys)+keysPerJob+t.parts[id] > limit {
+			break
+		}
+		jobs, keys = append(jobs, id), append(keys, JobKey(id), CancelKey(id), ProgressKey(id))
+		for part := range t.parts[id] {
+			keys = append(keys, progressPartKey(id, part))
+		}
+	}
+	return jobs, keys
+}
+
 // tombstone is a known tombstone: its revision, and when this term learned of it.
 type tombstone struct {
 	since    time.Time
--- a/controller/hedge.go
+++ b/controller/hedge.go
@@ -57,7 +57,8 @@
 // sendCommit sends a commit and sends it again while no response comes: the store may have lost the response. Only one of
 // the calls can replace the head; the others fail with a conflict that shows the head's value.
 func (t *term) sendCommit(ctx context.Context, txn infra.Txn) (infra.Revision, error) {
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	transfer := transferTime(txn)
+	call, cancel := context.WithTimeout(ctx, storeTimeout+transfer)
 	defer cancel()
 	answers := make(chan commitAnswer, maxCommitCalls)
 	send := func() {
@@ -71,7 +72,7 @@
 		})
 	}
 	send()
-	calls, waiting, resendDelay := 1, 1, t.latency.resendDelay()
+	calls, waiting, resendDelay := 1, 1, t.latency.resendDelay()+transfer
 	resendTimer := time.NewTimer(resendDelay)
 	defer resendTimer.Stop()
 	for {
--- a/controller/keys.go
+++ b/controller/keys.go
@@ -19,6 +19,8 @@
 	tombstonePrefix = intakePrefix + "tombstone/"
 	memberPrefix    = intakePrefix + "member/"
 	progressPrefix  = "progress/"
+	// partSeparator separates the job from the number of the part in the key of a part of its progress.
+	partSeparator = "/"
 	// wavePrefix is the prefix of the progress records of maintenance waves.
 	wavePrefix = "wave/"
 )
@@ -41,6 +43,11 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id string) string { return progressPrefix + id }
 
+// progressPartKey returns the key of a part of a job's progress.
+func progressPartKey(id string, part int) string {
+	return ProgressKey(id) + partSeparator + strconv.Itoa(part)
+}
+
 // WaveKey returns the key of a maintenance wave's record.
 func WaveKey(number int64) string { return wavePrefix + strconv.FormatInt(number, 10) }
 
--- a/controller/recover.go
+++ b/controller/recover.go
@@ -98,17 +98,7 @@
 
 // loadJobs adds the accepted jobs in the order of their acceptance, then the cancellations.
 func (t *term) loadJobs(intake, progress []infra.KeyValue) {
-	known := map[string]*siskinv1.WorkflowProgress{}
-	for _, entry := range progress {
-		id, _ := cutPrefix(entry.Key, progressPrefix)
-		p := &siskinv1.WorkflowProgress{}
-		if err := proto.Unmarshal(entry.Value, p); err != nil {
-			t.log.Error(err, "cannot decode job progress; skipping the job", "job", id)
-			t.skipped[id] = true
-			continue
-		}
-		known[id] = p
-	}
+	known := t.loadProgress(progress)
 	var records []*siskinv1.Workflow
 	for _, entry := range intake {
 		if id, ok := cutPrefix(entry.Key, jobPrefix); ok {
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -87,6 +87,17 @@
 	s.markDirty(j)
 }
 
+// GiveUp fails a job whose progress exceeds what the store can hold, so that its commits do not fail for good. Only the end is
+// stored; a later controller stops the runs as unknown ones.
+func (s *State) GiveUp(c Change, unixMs int64) {
+	s.Uncommitted(c)
+	c.job.endOnly = true
+	if !c.job.Ended() {
+		s.log.Decision("failed", c.ID, "cause", "progress exceeds what the store can hold")
+		s.endJob(c.job, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED, unixMs)
+	}
+}
+
 // withheldGangs returns the gangs of a change of which some member may not be ordered. The others would wait for it.
 func (s *State) withheldGangs(c Change, now time.Time) map[*Step]bool {
 	var withheld map[*Step]bool
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -38,6 +38,8 @@
 	// queue is the policy of the job's queue in the configuration queueOf. Each plan asks for it several times.
 	queue   *siskinv1.QueuePolicy
 	queueOf *policy.Policy
+	// endOnly is true if only the end of the job is stored.
+	endOnly bool
 	// saving is true while a commit of the job is in flight.
 	saving bool
 	// predictUnixMs is when its times are predicted again.
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -7,7 +7,7 @@
 // Progress returns the job's progress as it is stored.
 func (j *Job) Progress() *siskinv1.WorkflowProgress {
 	p := &siskinv1.WorkflowProgress{Phase: j.Phase, EndedUnixMs: j.EndedUnixMs, Started: j.started}
-	if j.Ended() && j.placed == 0 {
+	if j.Ended() && (j.placed == 0 || j.endOnly) {
 		return p
 	}
 	for _, o := range j.occurrences {
--- a/node/store.go
+++ b/node/store.go
@@ -33,7 +33,7 @@
 	name string
 }{
 	{infra.ErrNotFound, "not_found"}, {infra.ErrConflict, "conflict"}, {infra.ErrCompacted, "compacted"},
-	{infra.ErrLeaseExpired, "lease_expired"}, {infra.ErrRefused, "refused"}, {infra.ErrNotSent, "not_sent"},
+	{infra.ErrLeaseExpired, "lease_expired"}, {infra.ErrRefused, "refused"}, {infra.ErrRejected, "rejected"}, {infra.ErrNotSent, "not_sent"},
 	{context.Canceled, "cancelled"}, {context.DeadlineExceeded, "no_answer"},
 }
 
--- a/standin/txnstore.go
+++ b/standin/txnstore.go
@@ -191,9 +191,20 @@
 		_, _ = s.apply(txn)
 		return 0, errNoResponse
 	}
+	if exceedsLimits(txn) {
+		return 0, infra.ErrRejected
+	}
 	return s.apply(txn)
 }
 
+// exceedsLimits reports whether a transaction has too many entries or too large a value.
+func exceedsLimits(txn infra.Txn) bool {
+	if len(txn.Conditions)+len(txn.Writes)+len(txn.Removes) > infra.MaxTxnEntries {
+		return true
+	}
+	return slices.ContainsFunc(txn.Writes, func(w infra.Write) bool { return len(w.Value) > infra.MaxValueBytes })
+}
+
 // Revision returns the revision of the last change.
 func (s *TxnStore) Revision() infra.Revision {
 	s.mu.Lock()
