--- a/controller/recover.go
+++ b/controller/recover.go
@@ -99,24 +99,12 @@
 
 // loadJobs adds the accepted jobs in the order of their acceptance, then the cancellations.
 func (t *term) loadJobs(intake, progress []infra.KeyValue) {
-	known := map[string]*siskinv1.WorkflowProgress{}
-	for _, entry := range progress {
-		id, _ := cutPrefix(entry.Key, progressPrefix)
-		p := &siskinv1.WorkflowProgress{}
-		if err := proto.Unmarshal(entry.Value, p); err != nil {
-			t.log.Error(err, "cannot decode job progress; skipping the job", "job", id)
-			known[id] = nil
-			continue
-		}
-		known[id] = p
-	}
+	known := t.loadProgress(progress)
 	var records []*siskinv1.Workflow
 	for _, entry := range intake {
 		if id, ok := cutPrefix(entry.Key, jobPrefix); ok {
-			if record := t.decodeJob(id, entry.Value); record != nil {
-				if p, listed := known[id]; !listed || p != nil {
-					records = append(records, record)
-				}
+			if record := t.decodeJob(id, entry.Value); record != nil && !t.skipped[id] {
+				records = append(records, record)
 			}
 		}
 	}
@@ -182,7 +170,7 @@
 
 // addJob adds a job unless it is known already. The caller holds mu.
 func (t *term) addJob(record *siskinv1.Workflow, source string) {
-	if t.state.Job(record.GetId()) != nil {
+	if t.state.Job(record.GetId()) != nil || t.skipped[record.GetId()] {
 		return
 	}
 	if t.loadJob(record, nil) == nil {
--- a/standin/txnstore.go
+++ b/standin/txnstore.go
@@ -24,6 +24,8 @@
 	TxnDrop
 	// TxnDelay executes the call on Deliver, if its conditions still hold; the caller gets no response.
 	TxnDelay
+	// TxnReject rejects the call with ErrRejected, without effect.
+	TxnReject
 )
 
 // TxnStore is an in-memory store with transactions.
@@ -103,6 +105,8 @@
 		return nil
 	case TxnRefuse:
 		return infra.ErrRefused
+	case TxnReject:
+		return infra.ErrRejected
 	default:
 		return errNoResponse
 	}
@@ -176,6 +180,8 @@
 	switch s.faultFor("commit", txn) {
 	case TxnRefuse:
 		return 0, infra.ErrRefused
+	case TxnReject:
+		return 0, infra.ErrRejected
 	case TxnDrop:
 		return 0, errNoResponse
 	case TxnDelay:
@@ -185,9 +191,20 @@
 		_, _ = s.apply(txn)
 		return 0, errNoResponse
 	}
+	if exceedsLimits(txn) {
+		return 0, infra.ErrRejected
+	}
 	return s.apply(txn)
 }
 
+// exceedsLimits reports whether a transaction has too many entries or too large a value.
+func exceedsLimits(txn infra.Txn) bool {
+	if len(txn.Conditions)+len(txn.Writes)+len(txn.Removes) > infra.MaxTxnEntries {
+		return true
+	}
+	return slices.ContainsFunc(txn.Writes, func(w infra.Write) bool { return len(w.Value) > infra.MaxValueBytes })
+}
+
 // Revision returns the revision of the last change.
 func (s *TxnStore) Revision() infra.Revision {
 	s.mu.Lock()
