Restart workers silently and let their answers overtake in the soak

Cause: in the soak a restart closed the connections, nobody took orders for the former incarnation, and answers came in order.

Change: the fleet stand-in plays a worker that vanishes: what it has taken is never answered, and orders that are sent while it is down are taken by its next incarnation. The seeds of the existing test play the same faults as before.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -52,6 +52,7 @@
 	crashingTasks:            submitCrashingTasks,
 	zoneRefuses:              cutZone,
 	workerShrinks:            shrinkWorker,
+	silentRestarts:           restartSilently,
 }
 
 // Kinds of faults that are drawn after all others, so that the faults of a recorded seed stay the same.
@@ -59,6 +60,8 @@
 	crashingTasks = "tasks crash workers"
 	workerShrinks = "worker shrinks"
 	zoneRefuses   = "zone refuses connections"
+	// silentRestarts is drawn last.
+	silentRestarts = "workers restart silently"
 )
 
 // kindNames lists the kinds in a fixed order, so that a seed draws the same faults in every run. Repeated kinds are more
@@ -93,7 +96,12 @@
 		faults = append(faults, f)
 	}
 	later := rand.New(rand.NewPCG(options.Seed, laterKinds))
-	for _, kind := range []string{crashingTasks, workerShrinks, workerShrinks, zoneRefuses, zoneRefuses} {
+	kinds := append([]string{crashingTasks, workerShrinks, workerShrinks, zoneRefuses, zoneRefuses},
+		slices.Repeat([]string{silentRestarts}, options.SilentRestarts)...)
+	if options.Faults == 0 {
+		kinds = kinds[len(kinds)-options.SilentRestarts:]
+	}
+	for _, kind := range kinds {
 		faults = append(faults, Fault{
 			At:   time.Duration(later.Int64N(int64(options.Length))),
 			For:  shortestFault + time.Duration(later.Int64N(int64(longestFault-shortestFault))),
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -57,6 +57,8 @@
 	Machines int
 	Faults   int
 	Length   time.Duration
+	// SilentRestarts is the number of faults in which workers restart silently; without other faults, there are only these.
+	SilentRestarts int
 }
 
 // Report is the result of a run.
@@ -264,6 +266,7 @@
 
 // finish removes all faults, waits until the accepted jobs have ended and checks their ends.
 func (r *run) finish(ctx context.Context) {
+	r.platform.SetAnswerDelay(nil)
 	r.platform.Store.SetFault(nil)
 	r.platform.Store.Deliver()
 	for _, m := range r.machines {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,6 +24,12 @@
 	firstHeavyLoadSeed, firstHeavyLoadSeed + 1,
 }
 
+// restartSeeds are run by default with workers that restart silently.
+var restartSeeds = []uint64{
+	7202, // ends that nobody had received were acknowledged
+	7204, // an order under way to a worker that was listed as ended was taken by the next incarnation
+}
+
 // firstHeavyLoadSeed is the first seed whose machines have the decisions under heavy load switched on.
 const firstHeavyLoadSeed = 5000
 
@@ -35,9 +41,9 @@
 	keepDir     = flag.String("soak.dir", "", "directory in which settings and logs are kept")
 )
 
-// selectedSeeds returns the seeds that the flags select.
-func selectedSeeds() []uint64 {
-	selected := slices.Clone(seeds)
+// selectedSeeds returns the seeds that the flags select, or the given ones.
+func selectedSeeds(byDefault []uint64) []uint64 {
+	selected := slices.Clone(byDefault)
 	if *freshSeeds > 0 {
 		selected = nil
 	}
@@ -50,22 +56,33 @@
 // TestPromisesHoldBetweenProcesses guards against violations of the guarantees between real processes, while faults follow
 // one another and overlap.
 func TestPromisesHoldBetweenProcesses(t *testing.T) {
-	dir := *keepDir
-	if dir == "" {
-		dir = t.TempDir()
+	runSeeds(t, selectedSeeds(seeds), Options{Machines: 3, Faults: 12, Length: 10 * time.Second})
+}
+
+// Guards against tasks that run twice because a worker that is back under its ID takes orders for its former incarnation, and its
+// answers overtake each other.
+func TestPromisesHoldWhileWorkersRestartSilently(t *testing.T) {
+	runSeeds(t, selectedSeeds(restartSeeds), Options{Machines: 3, SilentRestarts: 9, Length: 10 * time.Second})
+}
+
+// runSeeds runs seeds with the given options.
+func runSeeds(t *testing.T, selected []uint64, options Options) {
+	options.Dir = *keepDir
+	if options.Dir == "" {
+		options.Dir = t.TempDir()
 	}
-	binary := filepath.Join(t.TempDir(), "siskind")
-	output, err := exec.Command("go", "build", "-o", binary, "../cmd/siskind").CombinedOutput()
+	options.Binary = filepath.Join(t.TempDir(), "siskind")
+	output, err := exec.Command("go", "build", "-o", options.Binary, "../cmd/siskind").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
 	slots := make(chan struct{}, max(1, *concurrency))
-	for _, seed := range selectedSeeds() {
+	for _, seed := range selected {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			report, err := Run(t.Context(), Options{
-				Seed: seed, Binary: binary, Dir: dir, Machines: 3, Faults: 12, Length: 10 * time.Second,
-			})
+			options := options
+			options.Seed = seed
+			report, err := Run(t.Context(), options)
 			assert.NilError(t, err)
 			t.Logf("%+v", report)
 			assert.Equal(t, len(report.Violations), 0, "%s\n%s", strings.Join(report.Faults, "\n"), strings.Join(report.Violations, "\n"))
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -50,6 +50,8 @@
 	// expiredUpTo is the number of the last run that had ended when the lease was last found expired. An acknowledgement
 	// of a success up to it does not count, so the task may be started again.
 	expiredUpTo int64
+	// vanished is true if the incarnation ended without closing its connections.
+	vanished bool
 }
 
 // runKey identifies a run on a worker. A worker starts a run also while another one of the same task is active.
@@ -91,6 +93,7 @@
 	defer f.mu.Unlock()
 	incarnation := f.worker(id).incarnation + 1
 	delete(f.faults.down, id)
+	delete(f.faults.silent, id)
 	f.workers[id] = newFleetWorker(incarnation)
 	return incarnation
 }
@@ -177,13 +180,14 @@
 }
 
 // acceptEpoch raises a worker's epoch to that of an order, or returns ErrFenced if the order's epoch is lower. If the
-// worker is unresponsive, it releases mu and waits for the end of ctx. The caller holds mu.
+// worker is unresponsive, it releases mu and waits for the end of ctx, if it has vanished, for its next incarnation, which takes
+// the order. The caller holds mu.
 func (f *Fleet) acceptEpoch(ctx context.Context, id string, epoch int64) (*fleetWorker, error) {
 	if f.unresponsive[id] {
-		f.mu.Unlock()
-		<-ctx.Done()
-		f.mu.Lock()
-		return nil, ctx.Err()
+		return nil, f.hang(ctx)
+	}
+	if err := f.awaitReturn(ctx, id); err != nil {
+		return nil, err
 	}
 	if f.faults.down[id] {
 		return nil, errNoResponse
@@ -293,9 +297,12 @@
 // Renew implements infra.Fleet.
 func (f *Fleet) Renew(ctx context.Context, worker infra.FleetWorker, order infra.RenewOrder) (infra.RunReport, error) {
 	end := time.Now().Add(order.Wait)
-	startIncarnation := f.incarnation(worker.ID)
+	taker, err := f.takerOf(ctx, worker.ID)
+	if err != nil {
+		return infra.RunReport{}, err
+	}
 	for {
-		report, err := f.renewOnce(ctx, worker.ID, startIncarnation, order)
+		report, err := f.renewOnce(ctx, worker.ID, taker, order)
 		if err != nil || len(report.Ended) > 0 || !time.Now().Before(end) {
 			return report, err
 		}
@@ -307,20 +314,17 @@
 	}
 }
 
-func (f *Fleet) incarnation(id string) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.worker(id).incarnation
-}
-
-// renewOnce executes a renewal that began under an incarnation of a worker. It fails if the worker has been restarted
-// since, because the connections of a process end with it.
+// renewOnce executes a renewal that an incarnation of a worker has taken. It fails if that has ended since, because the
+// connections of a process end with it, and hangs if it has vanished.
 func (f *Fleet) renewOnce(
-	ctx context.Context, id string, incarnation int64, order infra.RenewOrder,
+	ctx context.Context, id string, taker *fleetWorker, order infra.RenewOrder,
 ) (infra.RunReport, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.worker(id).incarnation != incarnation {
+	if f.worker(id) != taker {
+		if taker.vanished {
+			return infra.RunReport{}, f.hang(ctx)
+		}
 		return infra.RunReport{}, errNoResponse
 	}
 	w, err := f.acceptEpoch(ctx, id, order.Epoch)
--- a/standin/fleet_faults.go
+++ b/standin/fleet_faults.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"time"
 
 	"siskinstack.example/siskinstack/resource"
@@ -21,6 +22,8 @@
 	crashes func(task string) bool
 	onCrash func(worker string)
 	down    map[string]bool
+	// silent are the workers that are down and have closed no connection.
+	silent map[string]bool
 	// crashed counts the workers that crashed under each task, startsAfter the starts after budgetCrashes of them.
 	crashed, startsAfter map[string]int
 	capacities           map[string]capacityChange
@@ -34,7 +37,7 @@
 
 func newFleetFaults() fleetFaults {
 	return fleetFaults{
-		down: map[string]bool{}, crashed: map[string]int{}, startsAfter: map[string]int{}, capacities: map[string]capacityChange{},
+		down: map[string]bool{}, silent: map[string]bool{}, crashed: map[string]int{}, startsAfter: map[string]int{}, capacities: map[string]capacityChange{},
 	}
 }
 
@@ -105,3 +108,48 @@
 		onCrash(id)
 	}
 }
+
+// Vanish ends a worker with all its runs as a loss of power does: until Restart it is down, and what it had taken is never
+// answered. Orders that are sent meanwhile are taken by its next incarnation.
+func (f *Fleet) Vanish(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.worker(id)
+	w.vanished = true
+	f.faults.down[id], f.faults.silent[id] = true, true
+	f.workers[id] = newFleetWorker(w.incarnation)
+}
+
+// hang leaves a request without an answer until its caller gives it up. The caller holds mu.
+func (f *Fleet) hang(ctx context.Context) error {
+	f.mu.Unlock()
+	defer f.mu.Lock()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// awaitReturn waits while a worker that has vanished is down. The caller holds mu.
+func (f *Fleet) awaitReturn(ctx context.Context, id string) error {
+	for f.faults.silent[id] {
+		f.mu.Unlock()
+		select {
+		case <-time.After(fleetPollInterval):
+		case <-ctx.Done():
+		}
+		f.mu.Lock()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// takerOf returns the incarnation of a worker that takes a request.
+func (f *Fleet) takerOf(ctx context.Context, id string) (*fleetWorker, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.awaitReturn(ctx, id); err != nil {
+		return nil, err
+	}
+	return f.worker(id), nil
+}
--- a/standin/fleet_test.go
+++ b/standin/fleet_test.go
@@ -61,3 +61,24 @@
 	startRun(t, f, "other", 5)
 	assert.Equal(t, len(f.Violations()), 1)
 }
+
+// Guards against a worker that comes back without a trace of orders for its former incarnation, as if they had been lost.
+func TestVanishedWorkerAnswersNothingAndItsNextIncarnationTakesOrders(t *testing.T) {
+	f := NewFleet(time.Minute)
+	startRun(t, f, "w", 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	held := make(chan error, 1)
+	go func() {
+		_, err := f.Renew(ctx, infra.FleetWorker{ID: "w"}, infra.RenewOrder{Epoch: 1, Wait: time.Minute})
+		held <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	f.Vanish("w")
+	assert.Assert(t, f.IsDown("w"))
+	time.AfterFunc(50*time.Millisecond, func() { f.Restart("w") })
+	startRun(t, f, "w", 2)
+	assert.ErrorIs(t, <-held, context.DeadlineExceeded)
+	assert.Equal(t, activeRuns(t, f, "w"), 1)
+	assert.Equal(t, len(f.Violations()), 0)
+}
