Add a failing test for an order to an ended worker that gets no answer

What callers saw: nothing in the record that is known to be this; the same class: an order for the former life of a worker is taken by the next one.

Cause: a start order that is under way when its worker is listed as ended holds its task until it is answered or given up, 750 ms at most. An order without an answer may have been carried out by the next incarnation, or be carried out there later. No lease is assumed for it, so the task starts elsewhere.

--- a/controller/machines_test.go
+++ b/controller/machines_test.go
@@ -168,3 +168,32 @@
 	c.awaitEnd()
 	assert.Equal(t, task.WorkerID(), "w", "the task starts elsewhere while its run is on the next incarnation")
 }
+
+// Guards against a task that runs twice because the start order to an ended worker got no answer, although the next incarnation
+// took it.
+func TestUnansweredOrderToAnEndedWorkerHoldsItsTask(t *testing.T) {
+	machines := &fakeMachines{}
+	c := followTestMachines(t, machines)
+	task, s := c.orders[0], &workerSession{worker: c.worker, clockMs: 60_000}
+	machines.read = func() {
+		machines.mu.Lock()
+		defer machines.mu.Unlock()
+		machines.down = false
+	}
+	time.Sleep(4 * machinesMinInterval)
+	c.mu.Lock()
+	order := s.sending(c.now())
+	assert.Assert(t, c.state.ConfirmOrder(task, task.Run(), order.sent))
+	c.mu.Unlock()
+	machines.end()
+	c.lose()
+	c.awaitEnd()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Assert(t, c.worker.IsEnded())
+	givenUp := order.sent.Add(orderTimeout)
+	c.noteAnswer(s, order, 0, context.DeadlineExceeded, givenUp)
+	c.state.Started(task, task.Run(), context.DeadlineExceeded, givenUp)
+	c.state.ExpireLeases(givenUp.Add(time.Second), 0)
+	assert.Equal(t, task.WorkerID(), "w", "the task starts elsewhere while its run may be on the next incarnation")
+}
