Hold the task of an order that an ended worker left unanswered

What callers saw: nothing in the record; the same class, found by the review and by the model: an order to a worker that was listed as ended was carried out by its next life, and its answer was lost.

Cause: an order that was given up counted as void 750 ms after it was sent, or at once if the listing came after.

Change: such a run stays on its worker, with the longest lease assumed, until a listing that was requested after the order was given up shows the worker as ended still. Listings go on while such runs are left, so a task whose worker really crashed waits for one more listing, about 50 ms. TestCrashBeforeTheAnswerCounts requests its listing after the connection was closed, as the controller does; its bounds are the same.

--- a/controller/leases.go
+++ b/controller/leases.go
@@ -50,7 +50,7 @@
 		t.state.RenewFailed(s.worker, now) // unreachable until it has reported its runs
 	case s.worker.IsEnded():
 		// Only its next incarnation grants a lease now.
-		if err == nil {
+		if err == nil || isUnanswered(err) {
 			t.state.RenewSent(s.worker, now.Add(t.maxLeaseBound()))
 		}
 	case isUnanswered(err) && order.overdue:
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -206,7 +206,7 @@
 
 // settledRunsOf returns the tasks whose run has surely ended with a worker that a listing of machines, requested at a time,
 // shows as ended, and when the leases of the others end. A worker that is back under its ID may have taken an order that was
-// answered since, and may take one that is under way.
+// answered or given up since, and may take one that is under way.
 func (s *State) settledRunsOf(w *Worker, requested, now time.Time) (settled []*Task, until time.Time) {
 	until = now
 	for _, t := range runsOf(w) {
@@ -216,7 +216,7 @@
 			until = later(until, end)
 		case t.restored && now.Before(s.formerOrdersUntil):
 			until = later(until, s.formerOrdersUntil)
-		case t.phase == phaseActive && !t.orderedAt.Before(requested):
+		case (t.phase == phaseActive || t.unconfirmed) && !t.orderedAt.Before(requested):
 			until = later(until, w.leaseEnd)
 		default:
 			settled = append(settled, t)
--- a/dispatch/crash_late_test.go
+++ b/dispatch/crash_late_test.go
@@ -152,6 +152,7 @@
 			f.now = f.now.Add(20 * time.Millisecond)
 			f.state.Started(task, task.Run(), infra.ErrConnectionClosed, f.now)
 			f.state.RenewFailed(w, f.now)
+			f.now = f.now.Add(time.Millisecond) // the listing is requested after the loss
 			f.state.WorkersEnded([]*Worker{w}, f.now, f.now, f.unixMs())
 		}
 	}
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -411,3 +411,23 @@
 	f.state.ExpireLeases(f.now, f.unixMs())
 	assert.Equal(t, len(f.order()), 1)
 }
+
+// Guards against a task that waits for the lease of an unanswered order although a later listing shows that no incarnation can
+// have taken it.
+func TestLaterListingFreesTheTaskOfAnUnansweredOrder(t *testing.T) {
+	f, _ := newRestartFixture(t)
+	f.addWorker("other", "zone-1")
+	requested := f.wait(time.Millisecond)
+	task := f.orderOne()
+	worker := task.worker
+	f.wait(time.Millisecond)
+	f.state.RenewSent(worker, f.now.Add(6*time.Second))
+	f.state.Started(task, 1, infra.ErrConnectionClosed, f.now)
+	f.state.WorkersEnded([]*Worker{worker}, requested, f.now, f.unixMs())
+	f.wait(100 * time.Millisecond)
+	f.state.ExpireLeases(f.now, f.unixMs())
+	assert.Equal(t, len(f.order()), 0, "the next incarnation may have taken the order")
+	again := f.wait(time.Millisecond)
+	f.state.WorkersEnded([]*Worker{worker}, again, f.now, f.unixMs())
+	assert.Equal(t, len(f.order()), 1)
+}
--- a/dispatch/model_delay_test.go
+++ b/dispatch/model_delay_test.go
@@ -116,14 +116,16 @@
 	answered := !errors.Is(err, errNoAnswer)
 	longest := m.now.Add(modelMaxLease)
 	switch {
-	case answered && !s.sent.Before(session.readAt) && bornAt.Sub(session.bornAt) > clockTolerance:
+	case worker.Info.Incarnation != s.incarnation:
+		m.state.RenewSent(worker, longest)
+	case answered && bornAt.Sub(session.bornAt) > clockTolerance:
 		m.state.RenewSent(worker, longest)
 		m.state.RenewFailed(worker, m.now)
 	case worker.IsEnded():
-		if err == nil {
+		if err == nil || !answered {
 			m.state.RenewSent(worker, longest)
 		}
-	case worker.Info.Incarnation != s.incarnation, !answered && s.overdue:
+	case !answered && s.overdue:
 		m.state.RenewSent(worker, longest)
 	}
 }
@@ -320,10 +322,12 @@
 	if held {
 		s.renewals--
 	}
-	if m.state.ApplyReport(worker, report, r.sent, m.now, m.unixMs()) {
-		m.noteAnswer(w, r, s.bornAt, nil)
-		s.bornAt, s.readAt = bornAt, m.now
+	if !m.state.ApplyReport(worker, report, r.sent, m.now, m.unixMs()) {
+		m.state.RenewSent(worker, m.now.Add(modelMaxLease))
+		return
 	}
+	m.noteAnswer(w, r, s.bornAt, nil)
+	s.bornAt, s.readAt = bornAt, m.now
 }
 
 func (m *model) renewalFails(w *fakeWorker, r sending) {
