--- a/dispatch/crash_series_test.go
+++ b/dispatch/crash_series_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -73,8 +74,7 @@
 	s.play(between)
 	before := s.play(between)
 	for n := range crashes {
-		rotated := append(s.workers[n:len(s.workers):len(s.workers)], s.workers[:n]...)
-		s.restart(rotated[:workers*6/10])
+		s.restart(slices.Concat(s.workers[n:], s.workers[:n])[:workers*6/10])
 		s.play(between)
 	}
 	s.restart(s.workers[:workers*6/10])
