--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -85,11 +86,21 @@
 	if s.cloud, err = newCloud(s.fleet); err != nil {
 		return nil, err
 	}
+	go s.closeOnSignal()
 	go s.fleet.advance(ctx)
 	go s.heartbeat(ctx)
 	return s, nil
 }
 
+// closeOnSignal ends all processes when this one is told to stop.
+func (s *site) closeOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	<-stop
+	s.close()
+	os.Exit(exitFailed)
+}
+
 // put writes an item to the store.
 func (s *site) put(itemKey string, value any) error {
 	data, err := json.Marshal(value)
