--- a/review/rig3/platform/flap.go
+++ b/review/rig3/platform/flap.go
@@ -10,7 +10,7 @@
 
 // playFlap lets one of ten runners go down and up while it is the only one with room for a job. No run of the job ends as failed.
 func playFlap(ctx context.Context, r *record, trouble bool) (bool, error) {
-	const runners, period, flapping = 10, 1400 * time.Millisecond, 19500 * time.Millisecond
+	const runners, period, flapping = 10, 1400 * time.Millisecond, 6500 * time.Millisecond
 	const services, id = "00000000000b0000", "00000000000b0001"
 	s, err := newSite(ctx, r, func(name string) task {
 		if strings.HasPrefix(name, services) {
--- a/review/rig3/platform/site.go
+++ b/review/rig3/platform/site.go
@@ -137,6 +137,7 @@
 	const interval, silence = 1500 * time.Millisecond, 4500 * time.Millisecond
 	type known struct {
 		id      string
+		born    int64
 		written time.Time
 	}
 	entries := map[*runner]known{}
@@ -148,15 +149,15 @@
 		s.fleet.mu.Unlock()
 		for _, r := range runners {
 			s.fleet.mu.Lock()
-			id, down, entry := r.id, r.down, r.entry(sequence)
+			id, born, down, entry := r.id, r.current.born, r.down, r.entry(sequence)
 			s.fleet.mu.Unlock()
 			before := entries[r]
-			if !down && (before.id != id || time.Since(before.written) > interval) {
+			if !down && (before.id != id || before.born != born || time.Since(before.written) > interval) {
 				if before.id != id && before.id != "" {
 					gone[before.id] = before.written.Add(silence)
 				}
 				_ = s.put("servers/"+id, entry)
-				entries[r] = known{id, time.Now()}
+				entries[r] = known{id, born, time.Now()}
 			}
 			if down && before.id != "" && time.Since(before.written) > silence {
 				gone[before.id] = time.Now()
