--- a/review/rig3/platform/note.go
+++ b/review/rig3/platform/note.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/crc32"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -12,8 +13,11 @@
 // playNote lets one of eight runners at a time crash silently for 0.4 s and come back under its identifier, while short jobs run. A
 // life takes the calls that came while its machine was down.
 func playNote(ctx context.Context, r *record, trouble bool) (bool, error) {
-	const runners, down, every, traffic, between = 8, 400 * time.Millisecond, time.Second, 90 * time.Second, 80 * time.Millisecond
-	s, err := newSite(ctx, r, func(string) task { return task{work: 150 * time.Millisecond} })
+	const runners, down, every, traffic, between = 8, 400 * time.Millisecond, time.Second, 60 * time.Second, 60 * time.Millisecond
+	const shortest, spread = 50 * time.Millisecond, 300 * time.Millisecond
+	s, err := newSite(ctx, r, func(name string) task {
+		return task{work: shortest + time.Duration(crc32.ChecksumIEEE([]byte(name)))%spread}
+	})
 	if err != nil {
 		return false, err
 	}
@@ -46,7 +50,7 @@
 	for i := 0; time.Now().Before(end); i++ {
 		clients.Go(func() {
 			path := fmt.Sprintf("/tile/%016x", 0xf0000+i)
-			s.call(s.nodes[i%len(s.nodes)], http.MethodPost, path, job{"spec", []step{{Count: 6, CPU: 8000, MemMb: 4096, EstimateMs: 150}}})
+			s.call(s.nodes[i%len(s.nodes)], http.MethodPost, path, job{"spec", []step{{Count: 6, CPU: 8000, MemMb: 4096, EstimateMs: 200}}})
 		})
 		time.Sleep(between)
 	}
