Count a failed run of a gang once

Cause: fail raised the gang's counter for each member's end. Nothing beside the number said which run was counted last, so that neither a second end nor the next controller could tell that its run was counted.

Change: the newest counted run is stored beside the count (failed_run), and an end of that run changes nothing. The next run of a gang is planned only when all members have left the last one, so that the newest number suffices.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -95,19 +95,11 @@
 	return min(crashDelayMin<<min(n, 8), crashDelayMax)
 }
 
-// crashCounter returns the task in which crashes are counted: the members of a gang are lost together.
-func (t *Task) crashCounter() *Task {
-	if t.step.spec.GetGang() {
-		return &t.step.tasks[0]
-	}
-	return t
-}
-
-func (t *Task) isSuspect() bool { return t.crashCounter().crashes.suspect }
+func (t *Task) isSuspect() bool { return t.counter().crashes.suspect }
 
 // isPromptSuspect reports whether the task is a suspect because a worker crashed when its run may just have begun.
 func (t *Task) isPromptSuspect() bool {
-	c := t.crashCounter().crashes
+	c := t.counter().crashes
 	return c.suspect && (c.prompt > 0 || c.possible > 0 || c.losses() < crashesToSuspect)
 }
 
@@ -135,7 +127,7 @@
 
 // forgetCrashes resets the count of a task whose run has lasted for crashMemory.
 func (t *Task) forgetCrashes(now time.Time) {
-	if c := t.crashCounter(); c.crashes != (crashCount{}) && now.Sub(t.orderedAt) > crashMemory {
+	if c := t.counter(); c.crashes != (crashCount{}) && now.Sub(t.orderedAt) > crashMemory {
 		c.crashes = crashCount{}
 	}
 }
@@ -240,7 +232,7 @@
 		r := l.of(t, w)
 		if probe != nil {
 			// Nothing else was started beside a task that is probed.
-			r.probed = t.crashCounter() == probe.crashCounter()
+			r.probed = t.counter() == probe.counter()
 			r.fresh = r.probed
 		}
 		lost = append(lost, r)
@@ -258,7 +250,7 @@
 	}
 	counted := map[*Task]bool{}
 	for _, r := range lost {
-		if counter := r.task.crashCounter(); !counted[counter] {
+		if counter := r.task.counter(); !counted[counter] {
 			counted[counter] = true
 			s.countCrash(r)
 		}
@@ -294,7 +286,7 @@
 	if j.Ended() || t.done || !r.isCertain() && !r.fresh {
 		return
 	}
-	counter := t.crashCounter()
+	counter := t.counter()
 	c := &counter.crashes
 	if c.countedRun == r.run {
 		return
@@ -401,7 +393,7 @@
 // crashes are probed until their run ends.
 func (s *State) clearSuspects() {
 	for t := range s.probes {
-		c := &t.crashCounter().crashes
+		c := &t.counter().crashes
 		if t.phase != phaseActive || t.listedAt.Sub(t.orderedAt) <= startupWindow || c.losses() >= crashesToSuspect {
 			continue
 		}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -99,11 +99,13 @@
 
 // Task is one task of a step.
 type Task struct {
-	step     *Step
-	index    int32
-	done     bool
-	run      int32
-	failures int32
+	step  *Step
+	index int32
+	done  bool
+	run   int32
+	// failures is the number of failed runs, and failedRun the newest one that was counted. Those of a gang are counted in
+	// its first task.
+	failures, failedRun int32
 	// worker is the worker on which the newest run may be, or nil; incarnation is the one that was known when the run was
 	// planned or its start order was sent, or that last listed the run.
 	worker      *Worker
@@ -204,6 +206,14 @@
 	}
 }
 
+// counter returns the task in which failures and crashes are counted: the members of a gang run, and end, together.
+func (t *Task) counter() *Task {
+	if t.step.spec.GetGang() {
+		return &t.step.tasks[0]
+	}
+	return t
+}
+
 // isWaiting reports whether the task waits for a worker.
 func (t *Task) isWaiting() bool { return !t.done && t.worker == nil }
 
--- a/dispatch/orphan.go
+++ b/dispatch/orphan.go
@@ -85,7 +85,7 @@
 	if w.leaseEnd.After(until) {
 		until = w.leaseEnd
 	}
-	if counter := t.crashCounter(); until.After(counter.notBefore) {
+	if counter := t.counter(); until.After(counter.notBefore) {
 		o.held, o.heldUntil, counter.notBefore = counter, until, until
 	}
 }
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -37,7 +37,7 @@
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		saved.Tasks = append(saved.Tasks, &siskinv1.TaskProgress{
-			Done: t.done, Run: t.run, Failures: t.failures, Worker: t.WorkerID(), Incarnation: t.incarnation,
+			Done: t.done, Run: t.run, Failures: t.failures, FailedRun: t.failedRun, Worker: t.WorkerID(), Incarnation: t.incarnation,
 			Checkpoint: t.checkpoint, Crashes: t.crashes.certain, PossibleCrashes: t.crashes.possible, Suspect: t.crashes.suspect,
 			PlannedUnixMs: t.plannedUnixMs, PromptCrashes: t.crashes.prompt,
 			CrashedWorkers: t.crashes.crashedWorkers(),
@@ -67,7 +67,8 @@
 }
 
 func (s *Step) restoreTask(t *Task, saved *siskinv1.TaskProgress, place func(*Task, *siskinv1.TaskProgress)) {
-	t.run, t.failures, t.checkpoint = saved.GetRun(), saved.GetFailures(), saved.GetCheckpoint()
+	t.run, t.checkpoint = saved.GetRun(), saved.GetCheckpoint()
+	t.failures, t.failedRun = saved.GetFailures(), saved.GetFailedRun()
 	t.crashes = crashCount{certain: saved.GetCrashes(), possible: saved.GetPossibleCrashes(), suspect: saved.GetSuspect(),
 		prompt: saved.GetPromptCrashes()}
 	for _, id := range saved.GetCrashedWorkers() {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -329,19 +329,21 @@
 	s.log.Decision("succeeded", j.Record.GetId(), "ms", unixMs-j.Record.GetAcceptedUnixMs())
 }
 
-// fail counts a failed run, and fails the job if the attempts are used up. A gang has one counter, in its first task.
+// fail counts a failed run, and fails the job if the attempts are used up. Each run counts once: several members of a gang
+// may fail in it, and a controller that takes over may read the end of another member.
 func (s *State) fail(t *Task, unixMs int64) {
 	step := t.step
 	s.markDirty(step.job)
 	if step.spec.GetLongRunning() || step.job.Ended() {
 		return
 	}
-	counter := t
-	if step.spec.GetGang() {
-		counter = &step.tasks[0]
+	counter := t.counter()
+	if counter.failedRun == t.run {
+		return
 	}
 	counter.failures++
-	s.log.Decision("attempt counted", step.job.Record.GetId(), "task", t.ID(), "failures", counter.failures)
+	counter.failedRun = t.run
+	s.log.Decision("attempt counted", step.job.Record.GetId(), "task", t.ID(), "run", t.run, "failures", counter.failures)
 	if limit := s.queue(step.job).GetMaxAttempts(); limit > 0 && counter.failures >= limit {
 		s.log.Decision("failed", step.job.Record.GetId(), "task", t.ID(), "failures", counter.failures)
 		s.endJob(step.job, siskinv1.WorkflowPhase_WORKFLOW_PHASE_FAILED, unixMs)
