Keep a whole gang from the workers of its failed run

Callers saw a gang fail both its attempts on the same two failing workers while 22 sound ones were free.

The next run swapped the members between the same workers.

TestGangAvoidsWorkersOfItsFailedRun fails without the change in the cases [0] and [0 1], in 3 of 3 runs ("a.0.0.1 was placed on w1 again").

Change: the workers on which members failed or stalled are kept in the step and avoided by all members. If there are three or more and the others cannot take the gang, it does not wait for them: then the gang is more likely at fault, as for the health of workers.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -421,7 +421,7 @@
 func (s *State) chooseForProbe(p *placement, t *Task) *Worker {
 	var best *Worker
 	for _, w := range s.candidates(p) {
-		if !s.fits(p, w) || w.Info.ID == t.avoid && p.now.Before(t.avoidUntil) || !w.isQuietFor(nil, p.now) {
+		if !s.fits(p, w) || t.avoids(w, p.now) || !w.isQuietFor(nil, p.now) {
 			continue
 		}
 		if best == nil || compareForProbe(w, best) < 0 {
--- a/dispatch/gang_failure_test.go
+++ b/dispatch/gang_failure_test.go
@@ -165,3 +165,52 @@
 		})
 	}
 }
+
+// Guards against a gang that fails its next run on the same worker: only the member that had failed there avoided it, and
+// another one was placed on it.
+func TestGangAvoidsWorkersOfItsFailedRun(t *testing.T) {
+	for _, failing := range [][]int{{0}, {1}, {0, 1}} {
+		t.Run(fmt.Sprint(failing), func(t *testing.T) {
+			f, _ := newGangFixture(t, 2, 1)
+			first := map[string]bool{}
+			for _, index := range failing {
+				first[f.state.Job("a").occurrences[0].steps[0].tasks[index].WorkerID()] = true
+			}
+			f.endGang(failing...)
+			f.step()
+			f.step()
+			assert.Equal(t, f.runOf(), int32(2))
+			for i := range 2 {
+				task := &f.state.Job("a").occurrences[0].steps[0].tasks[i]
+				assert.Assert(t, !first[task.WorkerID()], "%s was placed on %s again", task.ID(), task.WorkerID())
+			}
+		})
+	}
+}
+
+// Guards against a gang that waits for its avoided workers although it is more likely at fault than they are: it failed on many of
+// them, and the others cannot take it.
+func TestGangReturnsToAvoidedWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		failing []int
+		waits   bool
+	}{{"few failed", []int{0, 1}, true}, {"many failed", []int{0, 1, 2}, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 4)
+			f.queue.MaxAttempts = 0
+			gang := step(3, testMilliCPU)
+			gang.Gang = true
+			f.state.AddJob(job("a", gang), nil)
+			f.step()
+			assert.Equal(t, f.runs(), 3)
+			f.endGang(c.failing...)
+			f.step()
+			f.step()
+			assert.Equal(t, f.runs() == 0, c.waits)
+			f.now = f.now.Add(avoidDuration)
+			f.step()
+			assert.Equal(t, f.runs(), 3, "avoided for a limited time")
+		})
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -76,6 +77,9 @@
 	homeZone string
 	// checkpoint is the newest checkpoint of a gang, from which all members resume.
 	checkpoint string
+	// avoided are the workers on which members of a gang failed or stalled, with the time until which no member is placed
+	// there.
+	avoided map[string]time.Time
 	// nextTry is when placement is tried again after no worker was found, retryDelay the delay before it.
 	nextTry    time.Time
 	retryDelay time.Duration
@@ -145,7 +149,8 @@
 	closed bool
 	// notBefore delays the next start of a task whose workers crash; for a gang, that of its first task.
 	notBefore time.Time
-	// avoid is the worker on which the task last failed or stalled. It may get the task again after avoidUntil.
+	// avoid is the worker on which the task last failed or stalled. It may get the task again after avoidUntil. A gang keeps
+	// its workers in its step.
 	avoid      string
 	avoidUntil time.Time
 	// startedAt is when the start order was answered, or zero if the time of the run shows nothing.
@@ -214,6 +219,32 @@
 	return t
 }
 
+// avoidWorker keeps the task, or its whole gang, from a worker until a time. If only the member that failed there avoided the
+// worker, another one could be placed on it, and the next run of the gang would fail as well.
+func (t *Task) avoidWorker(id string, until time.Time) {
+	if !t.step.spec.GetGang() {
+		t.avoid, t.avoidUntil = id, until
+		return
+	}
+	if t.step.avoided == nil {
+		t.step.avoided = map[string]time.Time{}
+	}
+	t.step.avoided[id] = until
+}
+
+// forgetAvoided removes the workers to which a gang may return.
+func (s *Step) forgetAvoided(now time.Time) {
+	maps.DeleteFunc(s.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
+// avoids reports whether the task may not be placed on a worker yet.
+func (t *Task) avoids(w *Worker, now time.Time) bool {
+	if t.step.spec.GetGang() {
+		return now.Before(t.step.avoided[w.Info.ID])
+	}
+	return w.Info.ID == t.avoid && now.Before(t.avoidUntil)
+}
+
 // isWaiting reports whether the task waits for a worker.
 func (t *Task) isWaiting() bool { return !t.done && t.worker == nil }
 
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -103,7 +103,7 @@
 
 func (b *bestWorker) consider(w *Worker) {
 	p, t := b.placement, b.task
-	if !b.state.fits(p, w) || w.Info.ID == t.avoid && p.now.Before(t.avoidUntil) || b.rack != "" && w.rack() != b.rack {
+	if !b.state.fits(p, w) || t.avoids(w, p.now) || b.rack != "" && w.rack() != b.rack {
 		return
 	}
 	score := b.state.score(p, w)
@@ -221,7 +221,7 @@
 func (s *State) hasCapacityForAll(p *placement, rack string) bool {
 	missing := int64(p.step.waiting)
 	count := func(w *Worker) {
-		if missing > 0 && (rack == "" || w.rack() == rack) && s.fits(p, w) {
+		if missing > 0 && (rack == "" || w.rack() == rack) && s.fits(p, w) && !p.step.tasks[0].avoids(w, p.now) {
 			missing -= p.fittingTasks(w)
 		}
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -247,11 +247,23 @@
 	if p.step.waiting < len(p.step.tasks) || p.now.Before(p.step.tasks[0].notBefore) {
 		return
 	}
+	p.step.forgetAvoided(p.now)
+	if s.tryGangOnRacks(p) || len(p.step.avoided) < workersToBlameTask {
+		return
+	}
+	// The gang is more likely at fault than so many workers, so that it does not wait for others.
+	clear(p.step.avoided)
+	s.tryGangOnRacks(p)
+}
+
+// tryGangOnRacks places all tasks of a gang on the first racks that can take them, and reports whether some can.
+func (s *State) tryGangOnRacks(p *placement) bool {
 	for _, rack := range s.gangRacks(p.step) {
 		if s.tryGang(p, rack) {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // gangRacks returns the racks to try in turn for a gang that runs faster within one rack, then "" for all racks.
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -207,7 +207,7 @@
 	}
 	if !t.stop {
 		s.log.Decision("run stalled", t.JobID(), "task", t.ID(), "run", t.run, "worker", t.WorkerID(), "percent", t.percent)
-		t.avoid, t.avoidUntil = t.WorkerID(), now.Add(avoidDuration)
+		t.avoidWorker(t.WorkerID(), now.Add(avoidDuration))
 		s.runStalled(t, t.worker, now)
 		s.requestStop(t, "stalled")
 	}
@@ -257,7 +257,7 @@
 		s.runSound(t, w)
 		s.succeed(t, unixMs)
 	case infra.OutcomeFailed:
-		t.avoid, t.avoidUntil = w.Info.ID, now.Add(avoidDuration)
+		t.avoidWorker(w.Info.ID, now.Add(avoidDuration))
 		s.fail(t, unixMs)
 	case infra.OutcomeGangBroken, infra.OutcomeGangIncomplete, infra.OutcomeStopped, infra.OutcomeExpired:
 	case infra.OutcomeUnknown:
