Count a crash of a gang's run once across controllers

Callers could see a gang given up after one event: workers of several members crash together, one controller counts the first of them and the next one another.

Cause: the run whose crash was last counted was kept in memory alone (docs/platform.md listed this as open).

Evidence: TestCrashOfAGangRunCountsOnceAcrossControllers fails without the change in both forms ("2 (int32) != 1 (int32)").

Change: the run is stored beside the count (crashed_run), in the same write.

Result: the tests on crashes and gangs pass.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -58,7 +58,8 @@
 	prompt int32
 	// suspect is true if the task may have caused the last crash.
 	suspect bool
-	// countedRun is the newest run of which a crash was counted: several workers of a gang may crash in one event.
+	// countedRun is the newest run of which a crash was counted: several workers of a gang may crash in one event, and a
+	// controller that takes over may see another of them.
 	countedRun int32
 }
 
--- a/dispatch/crash_late_test.go
+++ b/dispatch/crash_late_test.go
@@ -100,6 +100,27 @@
 	assert.Equal(t, s.state.Job("gang").Phase, siskinv1.WorkflowPhase_WORKFLOW_PHASE_SUCCEEDED)
 }
 
+// Guards against a gang whose crash counts again after a change of controllers: workers of several members crash in one event, of which
+// each controller sees a part.
+func TestCrashOfAGangRunCountsOnceAcrossControllers(t *testing.T) {
+	for _, reported := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reported to the next controller %v", reported), func(t *testing.T) {
+			f, record := newGangFixture(t, 3, 1)
+			f.now = f.now.Add(time.Second)
+			for n := range 3 {
+				if reported && n > 0 {
+					f.report(f.member(n).worker)
+				}
+				f.state.WorkersEnded([]*Worker{f.member(n).worker}, f.now, f.now, f.unixMs())
+				f.now = f.now.Add(20 * time.Millisecond)
+				assert.Equal(t, f.member(0).crashes.losses(), int32(1))
+				f.save()
+				f = f.next(record)
+			}
+		})
+	}
+}
+
 // Guards against a task that is given up because start orders to workers that were cut off, and came back as new
 // incarnations, were not answered.
 func TestUnansweredStartsGiveNoTaskUp(t *testing.T) {
--- a/dispatch/gang_failure_test.go
+++ b/dispatch/gang_failure_test.go
@@ -41,8 +41,10 @@
 // save makes all changes durable.
 func (f *fixture) save() { f.state.Committed(f.state.TakeChanges(allJobs), f.now) }
 
-// runOf returns the number of the gang's newest run.
-func (f *fixture) runOf() int32 { return f.state.Job("a").occurrences[0].steps[0].tasks[0].run }
+// member returns a member of the gang.
+func (f *fixture) member(index int) *Task {
+	return &f.state.Job("a").occurrences[0].steps[0].tasks[index]
+}
 
 func (f *fixture) phase() siskinv1.WorkflowPhase { return f.state.Job("a").Phase }
 
@@ -96,7 +98,7 @@
 				f.step()
 			}
 			assert.Equal(t, f.phase(), siskinv1.WorkflowPhase_WORKFLOW_PHASE_QUEUED, "one of two attempts has failed")
-			assert.Equal(t, f.runOf(), int32(2))
+			assert.Equal(t, f.member(0).run, int32(2))
 			assert.Equal(t, f.runs(), c.members)
 			f.endGang(c.failing...)
 			f = c.tell(f, record)
@@ -174,15 +176,14 @@
 			f, _ := newGangFixture(t, 2, 1)
 			first := map[string]bool{}
 			for _, index := range failing {
-				first[f.state.Job("a").occurrences[0].steps[0].tasks[index].WorkerID()] = true
+				first[f.member(index).WorkerID()] = true
 			}
 			f.endGang(failing...)
 			f.step()
 			f.step()
-			assert.Equal(t, f.runOf(), int32(2))
+			assert.Equal(t, f.member(0).run, int32(2))
 			for i := range 2 {
-				task := &f.state.Job("a").occurrences[0].steps[0].tasks[i]
-				assert.Assert(t, !first[task.WorkerID()], "%s was placed on %s again", task.ID(), task.WorkerID())
+				assert.Assert(t, !first[f.member(i).WorkerID()], "%s was placed on %s again", f.member(i).ID(), f.member(i).WorkerID())
 			}
 		})
 	}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -40,7 +40,7 @@
 			Done: t.done, Run: t.run, Failures: t.failures, FailedRun: t.failedRun, Worker: t.WorkerID(), Incarnation: t.incarnation,
 			Checkpoint: t.checkpoint, Crashes: t.crashes.certain, PossibleCrashes: t.crashes.possible, Suspect: t.crashes.suspect,
 			PlannedUnixMs: t.plannedUnixMs, PromptCrashes: t.crashes.prompt,
-			CrashedWorkers: t.crashes.crashedWorkers(),
+			CrashedWorkers: t.crashes.crashedWorkers(), CrashedRun: t.crashes.countedRun,
 		})
 	}
 	return saved
@@ -70,7 +70,7 @@
 	t.run, t.checkpoint = saved.GetRun(), saved.GetCheckpoint()
 	t.failures, t.failedRun = saved.GetFailures(), saved.GetFailedRun()
 	t.crashes = crashCount{certain: saved.GetCrashes(), possible: saved.GetPossibleCrashes(), suspect: saved.GetSuspect(),
-		prompt: saved.GetPromptCrashes()}
+		prompt: saved.GetPromptCrashes(), countedRun: saved.GetCrashedRun()}
 	for _, id := range saved.GetCrashedWorkers() {
 		t.crashes.addWorker(id)
 	}
