Count a gang's run once against each of its workers

Callers could see sound workers closed to new tasks: three members of one gang that failed together on a worker suspended it, and of a stalled gang each member doubled the suspension, up to 8 s.

Cause: runFailed and runStalled counted each member's end. Three failures in a row suspend a worker because three independent runs hardly fail by chance; members that fail in one run are not independent.

Evidence: TestGangRunCountsOnceAgainstItsWorker fails without the change: six failures counted for one run, six suspensions for one stalled run.

Change: the step keeps the workers against which its newest failed run was counted.

--- a/dispatch/gang_failure_test.go
+++ b/dispatch/gang_failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -215,3 +216,36 @@
 		})
 	}
 }
+
+// Guards against a sound worker that is suspended, or suspended for longer, because several members of one gang failed or stalled
+// on it in one run.
+func TestGangRunCountsOnceAgainstItsWorker(t *testing.T) {
+	const members = 2 * failuresToSuspend
+	t.Run("failed", func(t *testing.T) {
+		f, _ := newGangFixture(t, members, members)
+		f.queue.MaxAttempts = 0
+		worker := f.member(0).worker
+		for run := 1; run <= failuresToSuspend; run++ {
+			assert.Equal(t, f.runs(), members)
+			assert.Assert(t, worker.isSchedulable(f.now), "suspended after %d failed runs", run-1)
+			f.endAll(infra.OutcomeFailed)
+			f.report(worker)
+			assert.Equal(t, worker.health.failures, run)
+			f.now = f.now.Add(avoidDuration)
+			f.step()
+		}
+		assert.Equal(t, worker.health.suspensions, 1, "a worker that fails all its runs is suspended")
+	})
+	t.Run("stalled", func(t *testing.T) {
+		f, _ := newGangFixture(t, members, members)
+		for range 100 {
+			f.now = f.now.Add(50 * time.Millisecond)
+			for _, w := range f.workers {
+				f.report(w)
+			}
+		}
+		worker := f.member(0).worker
+		assert.Assert(t, f.member(0).stop, "the run has stalled")
+		assert.Equal(t, worker.health.suspensions, 1)
+	})
+}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -144,6 +144,29 @@
 	}
 }
 
+// runFaults are the workers against which the failure of a run of a gang was counted.
+type runFaults struct {
+	run     int32
+	workers map[string]struct{}
+}
+
+// isFirstFault reports whether no failure of the task's run, or of another member of the gang in that run, has been counted
+// against the worker yet. Members that fail together are one sign of a bad worker, not several in a row.
+func (t *Task) isFirstFault(w *Worker) bool {
+	if !t.step.spec.GetGang() {
+		return true
+	}
+	faults := &t.step.faults
+	if faults.run != t.run {
+		*faults = runFaults{t.run, map[string]struct{}{}}
+	}
+	if _, counted := faults.workers[w.Info.ID]; counted {
+		return false
+	}
+	faults.workers[w.Info.ID] = struct{}{}
+	return true
+}
+
 // runSound records a run that has succeeded or has made progress for soundAfter.
 func (s *State) runSound(t *Task, w *Worker) {
 	delete(s.failing, t.step.image())
@@ -157,7 +180,7 @@
 		// It was at work; such tasks may fail at any time.
 		return
 	}
-	if s.blamesTask(t, w, now) {
+	if !t.isFirstFault(w) || s.blamesTask(t, w, now) {
 		return
 	}
 	h := &w.health
@@ -173,7 +196,7 @@
 
 // runStalled records a run that has stalled, and suspends its worker unless the task is at fault.
 func (s *State) runStalled(t *Task, w *Worker, now time.Time) {
-	if !s.blamesTask(t, w, now) {
+	if t.isFirstFault(w) && !s.blamesTask(t, w, now) {
 		s.suspendSuspected(w, now, "run stalled")
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -80,6 +80,8 @@
 	// avoided are the workers on which members of a gang failed or stalled, with the time until which no member is placed
 	// there.
 	avoided map[string]time.Time
+	// faults are what the newest run of a gang that failed or stalled shows about its workers.
+	faults runFaults
 	// nextTry is when placement is tried again after no worker was found, retryDelay the delay before it.
 	nextTry    time.Time
 	retryDelay time.Duration
